--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,25 @@
+//! Decisions of the daemon.
+//!
+//! Every type here takes `now` and an event and returns actions. Nothing does
+//! I/O or reads a clock, so the daemon, the tests and the bench drive the same
+//! code. `now` is the time since the process started, by a monotonic clock.
+
+pub mod admission;
+pub mod bucket;
+pub mod call;
+pub mod interest;
+pub mod membership;
+pub mod ownership;
+pub mod queue;
+pub mod retry;
+pub mod routing;
+pub mod sharing;
+
+pub use admission::Admission;
+pub use bucket::Bucket;
+pub use interest::Interest;
+pub use membership::Membership;
+pub use ownership::Ownership;
+pub use queue::Queue;
+pub use routing::Routing;
+pub use sharing::Sharing;
--- /dev/null
+++ b/crates/coordination/src/routing.rs
@@ -0,0 +1,387 @@
+//! Which replica an online request goes to.
+//!
+//! A replica is chosen by the expected time to its first token: delay to its
+//! data centre, what this daemon has running there, the lagging report, and
+//! whether its prefix cache probably holds the prompt. A replica that fails,
+//! goes silent or says that it leaves is left out before the list says so, and
+//! let back in by probes.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bitterncart_protocol::engine::Load;
+use bitterncart_protocol::instance::{self, Instance};
+use bitterncart_protocol::{Name, admin};
+use slotmap::{SlotMap, new_key_type};
+
+new_key_type! {
+    /// Key of a replica in the routing table.
+    pub struct Key;
+}
+
+/// Prefixes remembered per replica.
+const PREFIXES: usize = 256;
+
+/// Share of the time to first token that a cached prefix saves.
+const PREFIX_GAIN: f64 = 0.5;
+
+/// Time that a replica stays out after its first failure; doubles with each.
+const OUT: Duration = Duration::from_millis(500);
+
+/// Time that a replica stays out at most.
+const OUT_MAX: Duration = Duration::from_secs(8);
+
+/// Time to first token assumed before one was measured.
+const FIRST_GUESS: Duration = Duration::from_millis(50);
+
+/// Class of a sequence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// A caller waits.
+    Online,
+    /// Due hours later.
+    Batch,
+}
+
+/// Whether a replica takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Takes work.
+    Up,
+    /// Left out until then; a probe or a trial request lets it back in.
+    Out(Duration),
+    /// Goes for good.
+    Leaving,
+}
+
+/// Replica as this daemon knows it.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    /// Name.
+    pub name: Name,
+    /// Model or service.
+    pub serves: Name,
+    /// Data centre.
+    pub data_centre: Name,
+    /// Address.
+    pub address: SocketAddr,
+    /// Whether it takes work.
+    pub state: State,
+    /// This daemon's online sequences.
+    pub online: u32,
+    /// This daemon's batch sequences.
+    pub batch: u32,
+    max_sequences: u32,
+    distance: Duration,
+    local: bool,
+    load: Load,
+    ttft: Duration,
+    failures: u32,
+    prefixes: VecDeque<u64>,
+}
+
+impl Replica {
+    fn takes_work(&self, now: Duration) -> bool {
+        match self.state {
+            State::Up => true,
+            State::Out(until) => now >= until && self.online + self.batch == 0,
+            State::Leaving => false,
+        }
+    }
+
+    /// Whether it is in this daemon's data centre.
+    #[must_use]
+    pub fn is_local(&self) -> bool {
+        self.local
+    }
+
+    fn expected(&self, prefix: Option<u64>) -> Duration {
+        let known = prefix.is_some_and(|prefix| self.prefixes.contains(&prefix));
+        let prefill = self
+            .ttft
+            .mul_f64(if known { 1.0 - PREFIX_GAIN } else { 1.0 });
+        let sequences = f64::from(self.max_sequences.max(1));
+        let own = f64::from(self.online) / sequences;
+        let reported = f64::from(self.load.running + self.load.waiting) / sequences;
+        let crowd = own.max(0.5 * reported);
+        let queue = FIRST_GUESS.mul_f64(4.0 * crowd * crowd);
+        let full = if crowd >= 1.0 {
+            self.ttft.mul_f64(crowd)
+        } else {
+            Duration::ZERO
+        };
+        self.distance * 2 + prefill.mul_f64(1.0 + own) + queue + full
+    }
+}
+
+/// Delay to a data centre, one way.
+#[derive(Clone, Debug)]
+pub struct Distance {
+    /// Data centre.
+    pub data_centre: Name,
+    /// One way.
+    pub one_way: Duration,
+}
+
+/// Request to be routed.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    /// Model or service.
+    pub serves: &'a str,
+    /// Hash of the prompt's prefix.
+    pub prefix: Option<u64>,
+    /// Time left until the answer is due.
+    pub left: Duration,
+    /// Replicas that were tried.
+    pub tried: &'a [Key],
+}
+
+/// Routing table of a daemon.
+#[derive(Clone, Debug, Default)]
+pub struct Routing {
+    home: Name,
+    distances: HashMap<Name, Duration>,
+    sequences: HashMap<Name, u32>,
+    replicas: SlotMap<Key, Replica>,
+    by_name: HashMap<Name, Key>,
+}
+
+impl Routing {
+    /// Table of a daemon in a data centre.
+    #[must_use]
+    pub fn new(home: Name) -> Self {
+        Self {
+            home,
+            ..Self::default()
+        }
+    }
+
+    /// Takes delays and the sequences of each model.
+    pub fn configure(
+        &mut self,
+        distances: impl IntoIterator<Item = Distance>,
+        sequences: impl IntoIterator<Item = (Name, u32)>,
+    ) {
+        self.distances = distances
+            .into_iter()
+            .map(|d| (d.data_centre, d.one_way))
+            .collect();
+        self.sequences = sequences.into_iter().collect();
+        for replica in self.replicas.values_mut() {
+            replica.distance = self
+                .distances
+                .get(&replica.data_centre)
+                .copied()
+                .unwrap_or_default();
+            replica.max_sequences = self.sequences.get(&replica.serves).copied().unwrap_or(1);
+        }
+    }
+
+    /// Takes the platform's list; it lags, so a leaving sign is not undone by it.
+    pub fn list(&mut self, instances: &[Instance]) {
+        for instance in instances.iter().filter(|i| i.kind != instance::Kind::Entry) {
+            self.list_one(instance);
+        }
+        let gone: Vec<Key> = self
+            .replicas
+            .iter()
+            .filter(|(_, replica)| replica.online + replica.batch == 0)
+            .filter(|(_, replica)| !instances.iter().any(|i| i.name == replica.name))
+            .map(|(key, _)| key)
+            .collect();
+        for key in gone {
+            if let Some(replica) = self.replicas.remove(key) {
+                self.by_name.remove(&replica.name);
+            }
+        }
+    }
+
+    fn list_one(&mut self, instance: &Instance) {
+        let key = self.by_name.get(&instance.name).copied();
+        let leaving = instance.state == instance::State::Leaving;
+        match key.and_then(|key| self.replicas.get_mut(key)) {
+            Some(replica) if replica.address == instance.address => {
+                if leaving {
+                    replica.state = State::Leaving;
+                }
+            }
+            Some(replica) => {
+                // The name came back at another address: a new server.
+                replica.address = instance.address;
+                replica.state = if leaving { State::Leaving } else { State::Up };
+                replica.failures = 0;
+                replica.prefixes.clear();
+            }
+            None => {
+                let key = self.replicas.insert(self.new_replica(instance, leaving));
+                self.by_name.insert(instance.name.clone(), key);
+            }
+        }
+    }
+
+    fn new_replica(&self, instance: &Instance, leaving: bool) -> Replica {
+        Replica {
+            name: instance.name.clone(),
+            serves: instance.serves.clone(),
+            data_centre: instance.data_centre.clone(),
+            address: instance.address,
+            state: if leaving { State::Leaving } else { State::Up },
+            online: 0,
+            batch: 0,
+            max_sequences: self.sequences.get(&instance.serves).copied().unwrap_or(1),
+            distance: self
+                .distances
+                .get(&instance.data_centre)
+                .copied()
+                .unwrap_or_default(),
+            local: instance.data_centre == self.home,
+            load: Load::default(),
+            ttft: FIRST_GUESS,
+            failures: 0,
+            prefixes: VecDeque::new(),
+        }
+    }
+
+    /// Replica with the least expected time to the first token, in time for the deadline.
+    ///
+    /// The local data centre goes first; another one only if the local one has
+    /// no replica or cannot meet the deadline.
+    #[must_use]
+    pub fn choose(&self, now: Duration, query: Query<'_>) -> Option<Key> {
+        let best = |local: bool| {
+            self.replicas
+                .iter()
+                .filter(|(_, replica)| replica.local == local)
+                .filter(|(_, replica)| replica.serves.as_str() == query.serves)
+                .filter(|(key, replica)| replica.takes_work(now) && !query.tried.contains(key))
+                .map(|(key, replica)| (replica.expected(query.prefix), key))
+                .min()
+        };
+        let (near, far) = (best(true), best(false));
+        match (near, far) {
+            (Some((near, key)), _) if near < query.left => Some(key),
+            (_, Some((far, key))) if far < query.left => Some(key),
+            _ => None,
+        }
+    }
+
+    /// Whether any replica serves the name, taking work or not.
+    #[must_use]
+    pub fn serves(&self, serves: &str) -> bool {
+        self.replicas
+            .values()
+            .any(|replica| replica.serves.as_str() == serves)
+    }
+
+    /// Replica of a key.
+    #[must_use]
+    pub fn replica(&self, key: Key) -> Option<&Replica> {
+        self.replicas.get(key)
+    }
+
+    /// Replica of a name.
+    #[must_use]
+    pub fn named(&self, name: &Name) -> Option<(Key, &Replica)> {
+        let key = *self.by_name.get(name)?;
+        Some((key, self.replicas.get(key)?))
+    }
+
+    /// All replicas.
+    pub fn replicas(&self) -> impl Iterator<Item = (Key, &Replica)> {
+        self.replicas.iter()
+    }
+
+    /// Notes that a sequence was sent.
+    pub fn start(&mut self, key: Key, class: Class, prefix: Option<u64>) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            match class {
+                Class::Online => replica.online += 1,
+                Class::Batch => replica.batch += 1,
+            }
+            replica.prefixes.extend(prefix);
+            if replica.prefixes.len() > PREFIXES {
+                replica.prefixes.pop_front();
+            }
+        }
+    }
+
+    /// Notes that a sequence ended, well or not.
+    pub fn end(&mut self, key: Key, class: Class) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            match class {
+                Class::Online => replica.online = replica.online.saturating_sub(1),
+                Class::Batch => replica.batch = replica.batch.saturating_sub(1),
+            }
+        }
+    }
+
+    /// Notes a sign of life; lets the replica back in.
+    pub fn alive(&mut self, key: Key) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.failures = 0;
+            if replica.state != State::Leaving {
+                replica.state = State::Up;
+            }
+        }
+    }
+
+    /// Notes the time to the first token.
+    pub fn first(&mut self, key: Key, ttft: Duration) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.ttft = replica.ttft.mul_f64(0.8) + ttft.mul_f64(0.2);
+        }
+    }
+
+    /// Notes that an attempt failed because of the replica.
+    pub fn failed(&mut self, now: Duration, key: Key) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            let factor = 1 << replica.failures.min(5);
+            replica.failures += 1;
+            if replica.state != State::Leaving {
+                replica.state = State::Out(now + (OUT * factor).min(OUT_MAX));
+            }
+        }
+    }
+
+    /// Notes that a replica takes no new work any more.
+    pub fn leaving(&mut self, key: Key) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.state = State::Leaving;
+        }
+    }
+
+    /// Takes a lagging report.
+    pub fn report(&mut self, key: Key, load: Load) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.load = load;
+            if load.leaving {
+                replica.state = State::Leaving;
+            }
+        }
+    }
+
+    /// Rows for operators.
+    #[must_use]
+    pub fn view(&self) -> Vec<admin::Replica> {
+        let mut rows: Vec<_> = self
+            .replicas
+            .values()
+            .map(|replica| admin::Replica {
+                name: replica.name.clone(),
+                serves: replica.serves.clone(),
+                data_centre: replica.data_centre.clone(),
+                state: match replica.state {
+                    State::Up => "up".into(),
+                    State::Out(_) => "out".into(),
+                    State::Leaving => "leaving".into(),
+                },
+                online: replica.online,
+                batch: replica.batch,
+                slots: None,
+            })
+            .collect();
+        rows.sort_by(|a, b| a.name.cmp(&b.name));
+        rows
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/sharing.rs
@@ -0,0 +1,167 @@
+//! Batch slots of one replica.
+//!
+//! Engines know no priority, so what is not sent is the only priority there
+//! is. The owner of a replica holds a number of batch slots: it grows by a
+//! step while online is on time and halves when a first token or a token is
+//! late. A reserve stays free for a burst, and online use that other daemons
+//! report is subtracted at once. A new owner starts at zero.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bitterncart_protocol::id;
+
+/// Time between two steps up.
+const STEP: Duration = Duration::from_millis(100);
+
+/// Time after a halving during which late tokens still stem from before it.
+const SETTLE: Duration = Duration::from_millis(300);
+
+/// Time after which a daemon's report of use counts for nothing.
+const STALE: Duration = Duration::from_secs(5);
+
+/// Bounds of the slots, from the document.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Sequences that the replica runs at once.
+    pub max_sequences: u32,
+    /// Sequences kept free for a burst.
+    pub reserve: u32,
+    /// Time to first token that online allows.
+    pub ttft: Duration,
+    /// Time between tokens that online allows.
+    pub itl: Duration,
+    /// Weight of batch throughput, 0 to 1.
+    pub batch_weight: f64,
+}
+
+impl Bounds {
+    /// Share of the time between tokens that batch may fill.
+    fn itl_target(&self) -> Duration {
+        self.itl.mul_f64(0.7 + 0.25 * self.batch_weight)
+    }
+
+    fn ttft_target(&self) -> Duration {
+        self.ttft.mul_f64(0.5 + 0.4 * self.batch_weight)
+    }
+
+    fn step(&self) -> f64 {
+        0.5 + 1.5 * self.batch_weight
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Use {
+    running: u32,
+    at: Duration,
+}
+
+/// Batch slots of one replica at its owner.
+#[derive(Clone, Debug)]
+pub struct Sharing {
+    bounds: Bounds,
+    limit: f64,
+    stepped: Duration,
+    halved: Option<Duration>,
+    gap: Duration,
+    online: HashMap<id::Daemon, Use>,
+}
+
+impl Sharing {
+    /// Slots of a new owner: none yet.
+    #[must_use]
+    pub fn new(now: Duration, bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            limit: 0.0,
+            stepped: now,
+            halved: None,
+            gap: Duration::ZERO,
+            online: HashMap::new(),
+        }
+    }
+
+    /// Takes new bounds and keeps what was learned.
+    pub fn configure(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
+    /// Notes a daemon's online use of the replica.
+    pub fn online(&mut self, now: Duration, daemon: &id::Daemon, running: u32, late: bool) {
+        self.online.insert(daemon.clone(), Use { running, at: now });
+        if late {
+            self.halve(now);
+        }
+    }
+
+    /// Notes the time between two tokens of any sequence on the replica.
+    pub fn token(&mut self, now: Duration, gap: Duration) {
+        // A fast-rising, slow-falling mean stands for the tail.
+        let weight = if gap > self.gap { 0.2 } else { 0.02 };
+        self.gap = self.gap.mul_f64(1.0 - weight) + gap.mul_f64(weight);
+        if self.gap > self.bounds.itl_target() {
+            self.halve(now);
+        }
+    }
+
+    /// Notes the time to the first token of an online sequence.
+    pub fn first(&mut self, now: Duration, ttft: Duration) {
+        if ttft > self.bounds.ttft_target() {
+            self.halve(now);
+        }
+    }
+
+    /// Batch sequences allowed now.
+    pub fn allowed(&mut self, now: Duration) -> u32 {
+        self.step_up(now);
+        self.limit.min(f64::from(self.room(now))).max(0.0) as u32
+    }
+
+    /// Online sequences that daemons reported.
+    #[must_use]
+    pub fn online_running(&self, now: Duration) -> u32 {
+        self.online
+            .values()
+            .filter(|report| now.saturating_sub(report.at) < STALE)
+            .map(|report| report.running)
+            .sum()
+    }
+
+    fn room(&self, now: Duration) -> u32 {
+        let taken = self.bounds.reserve + self.online_running(now);
+        self.bounds.max_sequences.saturating_sub(taken)
+    }
+
+    fn step_up(&mut self, now: Duration) {
+        let settling = self
+            .halved
+            .is_some_and(|at| now.saturating_sub(at) < SETTLE);
+        if settling || now.saturating_sub(self.stepped) < STEP {
+            return;
+        }
+        // A gap well below its bound leaves room for larger steps.
+        let headroom = 1.0 - self.gap.as_secs_f64() / self.bounds.itl_target().as_secs_f64();
+        let near = if headroom > 0.25 {
+            2.0
+        } else if headroom > 0.08 {
+            0.5
+        } else {
+            0.0
+        };
+        self.stepped = now;
+        self.limit =
+            (self.limit + self.bounds.step() * near).min(f64::from(self.bounds.max_sequences));
+    }
+
+    fn halve(&mut self, now: Duration) {
+        let settling = self
+            .halved
+            .is_some_and(|at| now.saturating_sub(at) < SETTLE);
+        if settling {
+            return;
+        }
+        self.halved = Some(now);
+        self.limit = self.limit.min(f64::from(self.room(now))) / 2.0;
+        self.gap = self.gap.min(self.bounds.itl_target());
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/batch.rs
@@ -0,0 +1,558 @@
+//! Batch streams at the replicas that this daemon owns.
+//!
+//! The runner fills the slots that the sharing policy allows: first with
+//! streams that it set aside, then with items pulled from the owners of
+//! shards. When fewer slots are allowed than streams run, the newest give way
+//! at once and go on later from the tokens that they have.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bitterncart_coordination::queue::LEASE;
+use bitterncart_coordination::retry::Failure;
+use bitterncart_coordination::routing::{Class, Key, State};
+use bitterncart_coordination::sharing::{Bounds, Sharing};
+use bitterncart_protocol::peer::{Ask, End, Lease, Reply, Work};
+use bitterncart_protocol::record::Answer;
+use bitterncart_protocol::{Code, Document, Name, id};
+use bitterncart_transport::http::sse;
+use futures_lite::future;
+use rand::Rng;
+use serde_json::{Value, json};
+
+use crate::core::{Core, Stream};
+use crate::counters::Count;
+use crate::engine::{Broken, Sequence};
+use crate::{peers, shards};
+
+/// Time between two looks at the slots.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Time between two rounds of ends and renewals.
+const FLUSH: Duration = Duration::from_millis(50);
+
+/// Time between two renewals of a lease.
+const RENEW: Duration = Duration::from_secs(4);
+
+/// Time for another daemon's answer.
+const ASK: Duration = Duration::from_secs(2);
+
+/// Wait before an empty shard is asked again; grows with the number of shards.
+const EMPTY: Duration = Duration::from_millis(100);
+
+/// Questions to other daemons for work in one look.
+const PULLS: usize = 2;
+
+/// Ends that are kept while a shard's owner is not reachable.
+const MAX_ENDS: usize = 20_000;
+
+/// Time between tokens when a model has no online bound.
+const UNBOUND: Duration = Duration::from_secs(10);
+
+/// Replica that this daemon owns.
+struct Owned {
+    key: Key,
+    model: Name,
+    allowed: usize,
+}
+
+/// Shards known to have had no work of a model.
+#[derive(Default)]
+struct Empty {
+    until: HashMap<(id::Shard, Name), Duration>,
+}
+
+/// Notes another daemon's or this daemon's online use of a replica.
+pub fn pressure(core: &Core, replica: &Name, from: &id::Daemon, running: u32, late: bool) {
+    let now = core.now();
+    if let Some(sharing) = core.sharing().get_mut(replica) {
+        sharing.online(now, from, running, late);
+    }
+}
+
+/// Notes the time to the first token of an online sequence.
+pub fn first(core: &Arc<Core>, key: Key, now: Duration, ttft: Duration) {
+    core.counters.first_token(ttft.as_millis() as u64);
+    note(core, key, |sharing| sharing.first(now, ttft));
+}
+
+/// Notes the time between two tokens of any sequence.
+pub fn token(core: &Arc<Core>, key: Key, now: Duration, gap: Duration) {
+    let owned = note(core, key, |sharing| sharing.token(now, gap));
+    if !owned && is_late(core, key, gap) {
+        crate::engine::tell(core, key, true);
+    }
+}
+
+fn note(core: &Core, key: Key, note: impl FnOnce(&mut Sharing)) -> bool {
+    let Some(name) = core
+        .routing()
+        .replica(key)
+        .map(|replica| replica.name.clone())
+    else {
+        return false;
+    };
+    match core.sharing().get_mut(&name) {
+        Some(sharing) => {
+            note(sharing);
+            true
+        }
+        None => false,
+    }
+}
+
+fn is_late(core: &Core, key: Key, gap: Duration) -> bool {
+    let Ok(document) = core.document() else {
+        return false;
+    };
+    let model = core
+        .routing()
+        .replica(key)
+        .map(|replica| replica.serves.clone());
+    let online = model.and_then(|model| document.model(model.as_str())?.online.clone());
+    online.is_some_and(|online| gap > Duration::from_millis(online.itl_ms))
+}
+
+/// Runs batch items until the runtime stops.
+pub async fn run(core: Arc<Core>) {
+    let mut empty = Empty::default();
+    loop {
+        let owned = owned(&core);
+        for replica in &owned {
+            give_way(&core, replica);
+            resume(&core, replica);
+        }
+        if !core.is_draining() {
+            fill(&core, &owned, &mut empty).await;
+        }
+        smol::Timer::after(LOOK).await;
+    }
+}
+
+/// Replicas that this daemon owns, with the slots allowed now.
+fn owned(core: &Core) -> Vec<Owned> {
+    let Ok(document) = core.document() else {
+        return Vec::new();
+    };
+    let now = core.now();
+    let local: Vec<_> = {
+        let routing = core.routing();
+        let local = routing.replicas().filter(|(_, replica)| replica.is_local());
+        local.map(|(key, replica)| (key, replica.clone())).collect()
+    };
+    let mut owned = Vec::new();
+    for (key, replica) in local {
+        let owner = core.replica_owner(&replica.name, &replica.data_centre);
+        let mine = owner.is_some_and(|owner| owner.daemon == core.me);
+        let bounds = bounds(&document, &replica.serves).filter(|_| mine);
+        let mut sharing = core.sharing();
+        let Some(bounds) = bounds else {
+            sharing.remove(&replica.name);
+            continue;
+        };
+        let slots = sharing
+            .entry(replica.name.clone())
+            .or_insert_with(|| Sharing::new(now, bounds));
+        slots.configure(bounds);
+        slots.online(now, &core.me, replica.online, false);
+        let allowed = if replica.state == State::Up {
+            slots.allowed(now)
+        } else {
+            0
+        };
+        owned.push(Owned {
+            key,
+            model: replica.serves,
+            allowed: allowed as usize,
+        });
+    }
+    owned
+}
+
+fn bounds(document: &Document, model: &Name) -> Option<Bounds> {
+    let model = document
+        .model(model.as_str())
+        .filter(|model| model.batch.is_some())?;
+    let (ttft, itl) = match &model.online {
+        Some(online) => (
+            Duration::from_millis(online.ttft_ms),
+            Duration::from_millis(online.itl_ms),
+        ),
+        None => (UNBOUND, UNBOUND),
+    };
+    Some(Bounds {
+        max_sequences: model.max_sequences,
+        reserve: if model.online.is_some() {
+            document.sharing.reserve
+        } else {
+            0
+        },
+        ttft,
+        itl,
+        batch_weight: document.sharing.batch_weight,
+    })
+}
+
+fn running(core: &Core, key: Key) -> usize {
+    core.streams()
+        .values()
+        .filter(|stream| stream.replica == Some(key))
+        .count()
+}
+
+/// Stops the newest streams above the allowed number.
+fn give_way(core: &Core, replica: &Owned) {
+    let mut streams = core.streams();
+    let on_replica: Vec<Lease> = streams
+        .iter()
+        .filter(|(_, stream)| stream.replica == Some(replica.key))
+        .map(|(lease, _)| *lease)
+        .collect();
+    let excess = on_replica.len().saturating_sub(replica.allowed);
+    for lease in on_replica.iter().rev().take(excess) {
+        if let Some(stream) = streams.get_mut(lease) {
+            stream.replica = None;
+            stream.stop = None;
+            core.counters.add(Count::BatchGaveWay, 1);
+            core.counters.code(Code::RetryGiveWay);
+        }
+    }
+}
+
+/// Goes on with streams that were set aside.
+fn resume(core: &Arc<Core>, replica: &Owned) {
+    let free = replica.allowed.saturating_sub(running(core, replica.key));
+    let aside: Vec<Lease> = {
+        let streams = core.streams();
+        let of_model = streams.iter().filter(|(_, stream)| {
+            stream.replica.is_none()
+                && stream.stop.is_none()
+                && model_of(&stream.work) == replica.model
+        });
+        of_model.map(|(lease, _)| *lease).take(free).collect()
+    };
+    for lease in aside {
+        launch(core, lease, replica.key);
+    }
+}
+
+fn model_of(work: &Work) -> Name {
+    #[derive(serde::Deserialize)]
+    struct Model {
+        model: Name,
+    }
+    serde_json::from_str::<Model>(&work.body)
+        .map(|body| body.model)
+        .unwrap_or_default()
+}
+
+/// Pulls items for free slots.
+async fn fill(core: &Arc<Core>, owned: &[Owned], empty: &mut Empty) {
+    let Ok(document) = core.document() else {
+        return;
+    };
+    let mut asked = 0;
+    for replica in owned {
+        let free = replica.allowed.saturating_sub(running(core, replica.key));
+        if free == 0 || asked >= PULLS {
+            continue;
+        }
+        let shards = document.log.shards;
+        let start = rand::rng().random_range(0..shards);
+        let numbers = (0..shards).map(|i| id::Shard((start + i) % shards));
+        for number in numbers {
+            let key = (number, replica.model.clone());
+            let now = core.now();
+            if asked >= PULLS || empty.until.get(&key).is_some_and(|until| now < *until) {
+                continue;
+            }
+            let mine = core
+                .shards()
+                .get(&number)
+                .is_some_and(|desk| desk.is_mine());
+            asked += usize::from(!mine);
+            let work = pull(core, number, &replica.model, free as u16, mine).await;
+            if work.is_empty() {
+                // The more shards there are, the less often each is asked.
+                let wait = EMPTY * u32::from(shards) / 4 + EMPTY;
+                empty
+                    .until
+                    .insert(key, now + wait.mul_f64(rand::rng().random_range(0.5..1.5)));
+                continue;
+            }
+            for item in work {
+                take(core, number, item, replica.key);
+            }
+            break;
+        }
+    }
+}
+
+async fn pull(core: &Core, shard: id::Shard, model: &Name, count: u16, mine: bool) -> Vec<Work> {
+    if mine {
+        return shards::pull(core, shard, model, count)
+            .await
+            .unwrap_or_default();
+    }
+    let ask = Ask::Pull {
+        shard,
+        model: model.clone(),
+        count,
+    };
+    match peers::ask_owner(core, shard, &ask, ASK).await {
+        Ok(Reply::Work(work)) => work,
+        _ => Vec::new(),
+    }
+}
+
+fn take(core: &Arc<Core>, shard: id::Shard, work: Work, key: Key) {
+    let lease = work.lease;
+    let stream = Stream {
+        replica: None,
+        shard,
+        work,
+        tokens: Vec::new(),
+        stop: None,
+        renewed: core.now(),
+    };
+    core.streams().insert(lease, stream);
+    launch(core, lease, key);
+}
+
+fn launch(core: &Arc<Core>, lease: Lease, key: Key) {
+    let (stop, stopped) = async_channel::bounded::<()>(1);
+    if let Some(stream) = core.streams().get_mut(&lease) {
+        stream.replica = Some(key);
+        stream.stop = Some(stop);
+    }
+    let core_of = Arc::clone(core);
+    let task = async move {
+        let run = async { Some(attempt(&core_of, lease, key).await) };
+        // The channel closes when the stream gives way or is dropped.
+        let stop = async {
+            stopped.recv().await.ok();
+            None
+        };
+        if let Some(end) = future::or(run, stop).await {
+            ended(&core_of, lease, end);
+        }
+    };
+    core.runtime.spawn(task).detach();
+}
+
+/// Takes the end of a stream that was not stopped.
+fn ended(core: &Core, lease: Lease, end: End) {
+    let Some(stream) = core.streams().remove(&lease) else {
+        return;
+    };
+    if matches!(end, End::Finished(_)) {
+        core.counters.add(Count::BatchFinished, 1);
+    }
+    let mut ends = core.ends();
+    let waiting = ends.entry(stream.shard).or_default();
+    if waiting.len() < MAX_ENDS {
+        waiting.push((lease, end));
+    }
+}
+
+async fn attempt(core: &Arc<Core>, lease: Lease, key: Key) -> End {
+    let begun = core
+        .streams()
+        .get(&lease)
+        .map(|stream| (stream.work.clone(), stream.tokens.len()));
+    let Some((work, done)) = begun else {
+        return End::Returned;
+    };
+    let Ok(request) = serde_json::from_str::<Value>(&work.body) else {
+        return End::Failed(Code::MalformedJson);
+    };
+    let patience = patience(core, &work);
+    let started = Sequence::start(
+        core,
+        key,
+        Class::Batch,
+        &work.endpoint,
+        &request,
+        done,
+        patience,
+    )
+    .await;
+    let mut sequence = match started {
+        Ok(sequence) => sequence,
+        Err(broken) => return judge(core, &work, broken),
+    };
+    loop {
+        match sequence.next().await {
+            Ok(Some(token)) => {
+                let mut streams = core.streams();
+                let Some(stream) = streams.get_mut(&lease) else {
+                    return End::Returned;
+                };
+                stream.tokens.push(token.text);
+            }
+            Ok(None) => return finished(core, lease, &work),
+            Err(broken) => return judge(core, &work, broken),
+        }
+    }
+}
+
+fn patience(core: &Core, work: &Work) -> Duration {
+    let document = core.document().ok();
+    let model = model_of(work);
+    let batch = document
+        .as_ref()
+        .and_then(|document| document.model(model.as_str())?.batch.as_ref());
+    Duration::from_millis(batch.map_or(30_000, |batch| batch.attempt_ms))
+}
+
+/// Refusals and lost connections are the fleet's fault and cost no attempt.
+fn judge(core: &Core, work: &Work, broken: Broken) -> End {
+    match broken {
+        Broken::Failed(failure @ (Failure::Connect | Failure::Refused | Failure::Silent)) => {
+            core.counters.code(failure.reason());
+            End::Returned
+        }
+        Broken::Failed(failure) => {
+            core.counters.code(failure.reason());
+            End::Failed(Code::BackendFailed)
+        }
+        Broken::Rejected(status, body) => {
+            let answer = Answer {
+                custom_id: work.custom_id.clone(),
+                status,
+                code: Some(Code::BackendRejected),
+                body,
+            };
+            End::Finished(answer)
+        }
+    }
+}
+
+fn finished(core: &Core, lease: Lease, work: &Work) -> End {
+    let text = core
+        .streams()
+        .get(&lease)
+        .map(|stream| stream.tokens.concat())
+        .unwrap_or_default();
+    let body = whole_response(&work.endpoint, &model_of(work), &text).to_string();
+    End::Finished(Answer {
+        custom_id: work.custom_id.clone(),
+        status: 200,
+        code: None,
+        body,
+    })
+}
+
+/// Response that is not streamed.
+#[must_use]
+pub fn whole_response(endpoint: &str, model: &Name, text: &str) -> Value {
+    let choice = if endpoint.ends_with("/chat/completions") {
+        json!({"index": 0, "message": {"role": "assistant", "content": text}, "finish_reason": "stop"})
+    } else {
+        json!({"index": 0, "text": text, "finish_reason": "stop"})
+    };
+    let object = if endpoint.ends_with("/chat/completions") {
+        "chat.completion"
+    } else {
+        "text_completion"
+    };
+    json!({"id": "cmpl", "object": object, "model": model.as_str(), "choices": [choice]})
+}
+
+/// Brings ends to the shards' owners and renews leases.
+pub async fn settle(core: Arc<Core>) {
+    loop {
+        flush(&core).await;
+        renew(&core).await;
+        smol::Timer::after(FLUSH).await;
+    }
+}
+
+async fn flush(core: &Core) {
+    let all: Vec<(id::Shard, Vec<(Lease, End)>)> = core.ends().drain().collect();
+    for (shard, ends) in all {
+        if ends.is_empty() {
+            continue;
+        }
+        if shards::finish(core, shard, ends.clone()).is_ok() {
+            continue;
+        }
+        let ask = Ask::Finish { shard, ends };
+        match peers::ask_owner(core, shard, &ask, ASK).await {
+            Ok(Reply::Done) => {}
+            _ => keep(core, ask),
+        }
+    }
+}
+
+/// Keeps ends for the next round; a result counts for any later owner too.
+fn keep(core: &Core, ask: Ask) {
+    if let Ask::Finish { shard, ends } = ask {
+        let mut all = core.ends();
+        let waiting = all.entry(shard).or_default();
+        let room = MAX_ENDS.saturating_sub(waiting.len());
+        waiting.extend(ends.into_iter().take(room));
+    }
+}
+
+async fn renew(core: &Core) {
+    let now = core.now();
+    let mut due: HashMap<id::Shard, Vec<Lease>> = HashMap::new();
+    {
+        let mut streams = core.streams();
+        // A lease that could not be renewed in time may be another daemon's by now.
+        streams.retain(|_, stream| now.saturating_sub(stream.renewed) < LEASE);
+        let old = streams
+            .iter()
+            .filter(|(_, stream)| now.saturating_sub(stream.renewed) >= RENEW);
+        for (lease, stream) in old {
+            due.entry(stream.shard).or_default().push(*lease);
+        }
+    }
+    for (shard, leases) in due {
+        let revoked = match shards::renew(core, shard, &leases) {
+            Ok(revoked) => Some(revoked),
+            Err(_) => {
+                let ask = Ask::Renew {
+                    shard,
+                    leases: leases.clone(),
+                };
+                match peers::ask_owner(core, shard, &ask, ASK).await {
+                    Ok(Reply::Revoked(revoked)) => Some(revoked),
+                    _ => None,
+                }
+            }
+        };
+        let Some(revoked) = revoked else { continue };
+        let mut streams = core.streams();
+        for lease in leases {
+            if revoked.contains(&lease) {
+                streams.remove(&lease);
+            } else if let Some(stream) = streams.get_mut(&lease) {
+                stream.renewed = now;
+            }
+        }
+    }
+}
+
+/// Gives all batch streams back, before a shutdown.
+pub async fn give_back(core: &Core) {
+    let streams = std::mem::take(&mut *core.streams());
+    {
+        let mut ends = core.ends();
+        for (lease, stream) in streams {
+            ends.entry(stream.shard)
+                .or_default()
+                .push((lease, End::Returned));
+        }
+    }
+    flush(core).await;
+}
+
+/// Text of a server-sent error event that ends a stream.
+#[must_use]
+pub fn error_event(code: Code, message: &str) -> String {
+    let failure = bitterncart_protocol::api::Failure::new(code, message);
+    sse::event(&serde_json::to_string(&failure).unwrap_or_default())
+}
--- /dev/null
+++ b/crates/daemon/src/callers/batches.rs
@@ -0,0 +1,188 @@
+//! Batch jobs.
+
+use std::sync::Arc;
+
+use bitterncart_protocol::peer::Job;
+use bitterncart_protocol::record::{Answer, Record, Submit};
+use bitterncart_protocol::{Code, Name, api, id};
+use bitterncart_transport::http::{Request, Response, server};
+use bitterncart_transport::runtime::wall_ms;
+use serde_json::Value;
+
+use super::ticket::Ticket;
+use super::{Refusal, Result, body, customer, files, idempotency_key};
+use crate::core::Core;
+use crate::shards;
+
+/// Prefix of an output file's id; the job's id follows.
+pub(super) const OUTPUT: &str = "output-";
+
+/// Time to the due time at most, in seconds.
+const MAX_WINDOW_S: u64 = 30 * 24 * 3600;
+
+/// Takes a job; the same job again gets the first one's id.
+pub(super) async fn create(core: &Arc<Core>, request: &mut Request) -> Result<Response> {
+    let customer = customer(core, request)?;
+    let document = core.document()?;
+    let key = idempotency_key(request)?;
+    let _ticket = Ticket::admit(core, &customer)?;
+    let bytes = body(request).await?;
+    let create: api::CreateBatch = serde_json::from_slice(&bytes)
+        .map_err(|e| Refusal::new(Code::MalformedJson, e.to_string()))?;
+    let upload = files::find(core, &customer, &create.input_file_id).await?;
+    if upload.endpoint != create.endpoint {
+        let message = format!("the lines of the file name `{}`", upload.endpoint);
+        return Err(Refusal::new(Code::MalformedJson, message));
+    }
+    let model = document
+        .model(upload.model.as_str())
+        .and_then(|model| model.batch.as_ref());
+    let batch = model.ok_or(Code::NotBatchModel)?;
+    let window_s = match &create.completion_window {
+        Some(window) => seconds(window)?,
+        None => batch.due_s,
+    };
+    let job = match key {
+        Some(key) => id::Job::keyed(customer.as_str(), &key, document.log.shards),
+        None => id::Job::unkeyed(customer.as_str(), upload.file, &create.endpoint),
+    };
+    let now = wall_ms();
+    let submit = Submit {
+        job,
+        customer,
+        model: upload.model,
+        endpoint: upload.endpoint,
+        file: upload.file,
+        chunks: upload.chunks,
+        due_ms: now + window_s * 1000,
+        keep_ms: document.log.results_s * 1000,
+        at_ms: now,
+    };
+    shards::append(core, job.shard, Record::Submit(Box::new(submit.clone()))).await?;
+    // The first submission stands, so its view is what the caller gets.
+    let standing = shards::find_job(core, job).await.ok().flatten();
+    Ok(server::json(
+        200,
+        &view(&standing.unwrap_or_else(|| unseen(submit))),
+    ))
+}
+
+/// View of a job that the owner's fold has not reached yet.
+fn unseen(submit: Submit) -> Job {
+    Job {
+        submit,
+        finished: 0,
+        failed: 0,
+        cancelled_ms: None,
+        ended_ms: None,
+        results: Vec::new(),
+    }
+}
+
+fn seconds(window: &str) -> Result<u64> {
+    let wrong = || {
+        Refusal::new(
+            Code::MalformedJson,
+            "`completion_window` is a time such as 24h, 30m or 90s",
+        )
+    };
+    let unit = window.chars().last().ok_or_else(wrong)?;
+    let factor = match unit {
+        's' => 1,
+        'm' => 60,
+        'h' => 3600,
+        _ => return Err(wrong()),
+    };
+    let number = window[..window.len() - 1]
+        .parse::<u64>()
+        .map_err(|_| wrong())?;
+    let seconds = number.saturating_mul(factor);
+    if (1..=MAX_WINDOW_S).contains(&seconds) {
+        Ok(seconds)
+    } else {
+        Err(wrong())
+    }
+}
+
+/// Job of an id, if the customer owns it.
+pub(super) async fn find(core: &Core, customer: &Name, id: &str) -> Result<Job> {
+    let missing = || Refusal::new(Code::NotFound, format!("no job `{id}`"));
+    let job = id.parse::<id::Job>().map_err(|_| missing())?;
+    let view = shards::find_job(core, job).await?;
+    view.filter(|view| view.submit.customer == *customer)
+        .ok_or_else(missing)
+}
+
+/// Shows a job.
+pub(super) async fn show(core: &Core, request: &Request, id: &str) -> Result<Response> {
+    let customer = customer(core, request)?;
+    Ok(server::json(200, &view(&find(core, &customer, id).await?)))
+}
+
+/// Cancels a job; one that has ended stays as it is.
+pub(super) async fn cancel(core: &Core, request: &Request, id: &str) -> Result<Response> {
+    let customer = customer(core, request)?;
+    let mut job = find(core, &customer, id).await?;
+    if job.ended_ms.is_some() && job.cancelled_ms.is_none() {
+        return Err(Refusal::from(Code::JobTerminal));
+    }
+    let id = job.submit.job;
+    shards::append(
+        core,
+        id.shard,
+        Record::Cancel {
+            job: id,
+            at_ms: wall_ms(),
+        },
+    )
+    .await?;
+    if let Ok(Some(standing)) = shards::find_job(core, id).await {
+        job = standing;
+    }
+    Ok(server::json(200, &view(&job)))
+}
+
+fn view(job: &Job) -> api::Batch {
+    let submit = &job.submit;
+    let status = match (job.cancelled_ms, job.ended_ms) {
+        (Some(_), _) => "cancelled",
+        (None, Some(_)) => "completed",
+        (None, None) => "in_progress",
+    };
+    api::Batch {
+        id: submit.job.to_string().into(),
+        object: "batch".into(),
+        endpoint: submit.endpoint.clone(),
+        input_file_id: submit.file.to_string().into(),
+        output_file_id: format!("{OUTPUT}{}", submit.job).into(),
+        status: status.into(),
+        created_at: submit.at_ms / 1000,
+        expires_at: submit.due_ms / 1000,
+        request_counts: api::Counts {
+            total: submit.items(),
+            completed: job.finished,
+            failed: job.failed,
+        },
+    }
+}
+
+/// Line of the output.
+pub(super) fn line(job: id::Job, item: id::Item, answer: Answer) -> String {
+    let error = answer
+        .code
+        .map(|code| shards::item_error(code, &answer.body));
+    let body = serde_json::from_str(&answer.body).unwrap_or(Value::String(answer.body));
+    let response = answer.code.is_none().then_some(api::Response {
+        status_code: answer.status,
+        body,
+    });
+    let line = api::ResultLine {
+        id: format!("{job}-{}", item.0).into(),
+        custom_id: answer.custom_id,
+        response,
+        error,
+    };
+    let mut text = serde_json::to_string(&line).unwrap_or_default();
+    text.push('\n');
+    text
+}
--- /dev/null
+++ b/crates/daemon/src/callers/mod.rs
@@ -0,0 +1,194 @@
+//! The callers' HTTP API.
+
+mod batches;
+mod completions;
+mod files;
+mod refusal;
+mod relay;
+mod services;
+mod ticket;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bitterncart_protocol::{Code, Name};
+use bitterncart_transport::http::{Handler, Method, Request, Response, server};
+use serde_json::json;
+use spdlog::debug;
+
+pub use refusal::Refusal;
+
+use crate::core::Core;
+
+/// Bytes of a request body that is held in memory.
+const MAX_BODY: usize = 4 << 20;
+
+/// Header with the time for the whole answer, in milliseconds.
+const DEADLINE: &str = "X-Deadline-Ms";
+
+/// Header with the caller's key for a job or a call.
+const IDEMPOTENCY_KEY: &str = "Idempotency-Key";
+
+/// Characters of an idempotency key at most.
+const MAX_KEY: usize = 255;
+
+/// Handler of callers' requests.
+#[derive(Clone, Debug)]
+pub struct Api {
+    /// Tables.
+    pub core: Arc<Core>,
+}
+
+type Result<T> = std::result::Result<T, Refusal>;
+
+impl Handler for Api {
+    async fn handle(&self, mut request: Request) -> Response {
+        let id = format!("{}-{}", self.core.me, self.core.next_request());
+        let path = request.url().path().to_owned();
+        let mut response = match self.route(&mut request, &path).await {
+            Ok(response) => response,
+            Err(refusal) => {
+                self.core.counters.code(refusal.code);
+                debug!("refused", kv: { request = id.as_str(), path = path.as_str(), code = refusal.code.number() });
+                refusal.response()
+            }
+        };
+        response.insert_header("X-Request-Id", id.as_str());
+        response
+    }
+}
+
+impl Api {
+    async fn route(&self, request: &mut Request, path: &str) -> Result<Response> {
+        let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+        match (request.method(), segments.as_slice()) {
+            (Method::Get, ["healthz"]) => Ok(server::json(200, &json!({"status": "alive"}))),
+            (Method::Get, ["readyz"]) => self.ready(),
+            (Method::Get, ["v1", "models"]) => self.models(request),
+            (Method::Post, ["v1", "completions"] | ["v1", "chat", "completions"]) => {
+                completions::complete(&self.core, request, path).await
+            }
+            (Method::Post, ["v1", "files"]) => files::upload(&self.core, request).await,
+            (Method::Get, ["v1", "files", id, "content"]) => {
+                files::content(&self.core, request, id).await
+            }
+            (Method::Get, ["v1", "files", id]) => files::show(&self.core, request, id).await,
+            (Method::Post, ["v1", "batches"]) => batches::create(&self.core, request).await,
+            (Method::Get, ["v1", "batches", id]) => batches::show(&self.core, request, id).await,
+            (Method::Post, ["v1", "batches", id, "cancel"]) => {
+                batches::cancel(&self.core, request, id).await
+            }
+            (_, ["services", service, ..]) => {
+                services::call(&self.core, request, service, path).await
+            }
+            (
+                _,
+                ["v1", "models" | "completions" | "files" | "batches", ..] | ["healthz" | "readyz"],
+            ) => Err(Refusal::new(
+                Code::MethodNotAllowed,
+                "this path has other methods",
+            )),
+            _ => Err(Refusal::new(Code::NotFound, "no such path")),
+        }
+    }
+
+    fn ready(&self) -> Result<Response> {
+        if self.core.is_draining() {
+            return Err(Refusal::new(Code::Draining, "the instance drains"));
+        }
+        self.core.document()?;
+        Ok(server::json(200, &json!({"status": "ready"})))
+    }
+
+    fn models(&self, request: &Request) -> Result<Response> {
+        let document = self.core.document()?;
+        customer(&self.core, request)?;
+        let data: Vec<_> = document
+            .models
+            .iter()
+            .map(|model| json!({"id": model.name, "object": "model", "owned_by": document.environment}))
+            .collect();
+        Ok(server::json(200, &json!({"object": "list", "data": data})))
+    }
+}
+
+/// Customer who sent a request.
+fn customer(core: &Core, request: &Request) -> Result<Name> {
+    let header = request
+        .header("Authorization")
+        .map(|values| values.as_str());
+    let key = header.and_then(|value| value.strip_prefix("Bearer "));
+    let key = key.ok_or_else(|| Refusal::new(Code::BadCredentials, "no bearer token"))?;
+    let document = core.document()?;
+    let digest = bitterncart_protocol::hash::digest(key.as_bytes());
+    let customer = document.customer_of(&digest);
+    let customer =
+        customer.ok_or_else(|| Refusal::new(Code::BadCredentials, "no customer has this key"))?;
+    Ok(customer.name.clone())
+}
+
+/// Time for the whole answer.
+fn deadline(request: &Request, default_ms: u64) -> Result<Duration> {
+    let Some(values) = request.header(DEADLINE) else {
+        return Ok(Duration::from_millis(default_ms));
+    };
+    let ms = values.as_str().parse::<u64>().ok().filter(|ms| *ms > 0);
+    let ms = ms.ok_or_else(|| {
+        Refusal::new(
+            Code::BadHeader,
+            "X-Deadline-Ms is a number of milliseconds above 0",
+        )
+    })?;
+    Ok(Duration::from_millis(ms))
+}
+
+/// Caller's idempotency key.
+fn idempotency_key(request: &Request) -> Result<Option<String>> {
+    let Some(values) = request.header(IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    let key = values.as_str();
+    if values.iter().count() != 1 || key.is_empty() || key.len() > MAX_KEY {
+        return Err(Refusal::new(
+            Code::BadHeader,
+            "Idempotency-Key is one text of 1 to 255 characters",
+        ));
+    }
+    Ok(Some(key.to_owned()))
+}
+
+/// Whole body, up to [`MAX_BODY`].
+async fn body(request: &mut Request) -> Result<Vec<u8>> {
+    use futures_lite::AsyncReadExt;
+    if request.len().is_some_and(|length| length > MAX_BODY) {
+        return Err(Refusal::new(
+            Code::BodyTooLarge,
+            format!("the body is larger than {MAX_BODY} bytes"),
+        ));
+    }
+    let length = request.len();
+    let mut bytes = Vec::new();
+    let read = request
+        .take_body()
+        .take(MAX_BODY as u64 + 1)
+        .read_to_end(&mut bytes)
+        .await;
+    match read {
+        Err(e) if e.kind() == std::io::ErrorKind::TimedOut => {
+            Err(Refusal::new(Code::SlowSender, "the body came too slowly"))
+        }
+        Err(e) => Err(Refusal::new(
+            Code::MalformedRequest,
+            format!("the body cannot be read: {e}"),
+        )),
+        Ok(size) if size > MAX_BODY => Err(Refusal::new(
+            Code::BodyTooLarge,
+            format!("the body is larger than {MAX_BODY} bytes"),
+        )),
+        Ok(size) if length.is_some_and(|length| size < length) => Err(Refusal::new(
+            Code::MalformedRequest,
+            "the body ended before its Content-Length",
+        )),
+        Ok(_) => Ok(bytes),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/callers/services.rs
@@ -0,0 +1,111 @@
+//! Calls of plain services.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bitterncart_protocol::code::Ran;
+use bitterncart_protocol::peer::{Ask, Reply, Request as Call};
+use bitterncart_protocol::record::Outcome;
+use bitterncart_protocol::{Code, id};
+use bitterncart_transport::Error;
+use bitterncart_transport::http::{Request, Response, StatusCode};
+
+use super::ticket::Ticket;
+use super::{Refusal, Result, body, customer, deadline, idempotency_key};
+use crate::core::Core;
+use crate::{peers, service, shards};
+
+/// Passes a call on to a service.
+pub(super) async fn call(
+    core: &Arc<Core>,
+    request: &mut Request,
+    name: &str,
+    path: &str,
+) -> Result<Response> {
+    let customer = customer(core, request)?;
+    let document = core.document()?;
+    let service = document.service(name);
+    let service = service
+        .ok_or_else(|| Refusal::new(Code::UnknownService, format!("no service `{name}`")))?;
+    let left = deadline(request, service.deadline_ms)?;
+    let key = idempotency_key(request)?;
+    let ticket = Ticket::admit(core, &customer)?;
+    let call = read(request, &service.name, path).await?;
+    let repeatable = service.repeatable(&call.method, &call.path);
+    let outcome = match key {
+        Some(key) if !repeatable => {
+            let id = id::Call::keyed(customer.as_str(), name, &key);
+            keyed(core, id, call, left).await?
+        }
+        _ => service::run(core, &call, repeatable, left).await?,
+    };
+    drop(ticket);
+    respond(outcome)
+}
+
+async fn read(
+    request: &mut Request,
+    service: &bitterncart_protocol::Name,
+    path: &str,
+) -> Result<Call> {
+    let prefix = format!("/services/{service}");
+    let mut rest = path.strip_prefix(&prefix).unwrap_or("/").to_owned();
+    if rest.is_empty() {
+        rest.push('/');
+    }
+    if let Some(query) = request.url().query() {
+        rest = format!("{rest}?{query}");
+    }
+    let content_type = request.content_type().map(|mime| mime.to_string());
+    Ok(Call {
+        service: service.clone(),
+        method: request.method().to_string().into(),
+        path: rest,
+        content_type: content_type.unwrap_or_default().into(),
+        body: body(request).await?,
+    })
+}
+
+/// Runs a keyed call at the owner of its shard.
+async fn keyed(core: &Arc<Core>, call: id::Call, request: Call, left: Duration) -> Result<Outcome> {
+    let document = core.document()?;
+    let shard = call.shard(document.log.shards);
+    let own = core.shards().get(&shard).is_some_and(|desk| desk.is_mine());
+    if own {
+        return Ok(shards::keyed(core, call, request, left).await?);
+    }
+    let deadline_ms = left.as_millis().try_into().unwrap_or(u32::MAX);
+    let ask = Ask::Call {
+        call,
+        request,
+        deadline_ms,
+    };
+    match peers::ask_owner(core, shard, &ask, left).await {
+        Ok(Reply::Outcome(outcome)) => Ok(outcome),
+        Ok(Reply::Refused(code, _)) => Err(code.into()),
+        Err(Error::Connect(_)) => Err(Code::OwnerUnreachable.into()),
+        // The owner may have taken the call; a resend with the key tells.
+        _ => Ok(Outcome::Unknown),
+    }
+}
+
+fn respond(outcome: Outcome) -> Result<Response> {
+    match outcome {
+        Outcome::Answered {
+            status,
+            content_type,
+            body,
+        } => {
+            let status = StatusCode::try_from(status).unwrap_or(StatusCode::BadGateway);
+            let mut response = Response::new(status);
+            response.set_body(body);
+            if !content_type.is_empty() {
+                response.insert_header("Content-Type", content_type.as_str());
+            }
+            response.insert_header("X-Ran", Ran::Ran.as_str());
+            Ok(response)
+        }
+        Outcome::NotRun(code) => Err(code.into()),
+        Outcome::Unknown => Err(Code::OutcomeUnknown.into()),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,92 @@
+//! `bitterncartd`: the entry daemon.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use argh::FromArgs;
+use async_signal::{Signal, Signals};
+use bitterncart_daemon::Daemon;
+use bitterncart_protocol::Settings;
+use futures_lite::{StreamExt, future};
+use spdlog::error;
+use spdlog::formatter::JsonFormatter;
+use spdlog::sink::{Sink, StdStreamSink};
+
+/// Entry daemon for online and batch inference.
+#[derive(FromArgs)]
+struct Args {
+    /// settings file: JSON with comments
+    #[argh(positional)]
+    settings: PathBuf,
+    /// check the settings and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let settings = match read(&args.settings) {
+        Ok(settings) => settings,
+        Err(lines) => {
+            eprintln!("{lines}");
+            return ExitCode::from(2);
+        }
+    };
+    if args.check {
+        println!("{}: valid", args.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    log_json();
+    let daemon = match Daemon::start(settings) {
+        Ok(daemon) => daemon,
+        Err(e) => {
+            error!("cannot start", kv: { why: = e });
+            return ExitCode::FAILURE;
+        }
+    };
+    smol::block_on(future::or(daemon.ordered_to_drain(), terminated()));
+    let clean = smol::block_on(daemon.drain());
+    if clean {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+/// Waits for the platform's order to stop.
+async fn terminated() {
+    match Signals::new([Signal::Term, Signal::Int]) {
+        Ok(mut signals) => drop(signals.next().await),
+        Err(_) => future::pending().await,
+    }
+}
+
+fn read(path: &PathBuf) -> Result<Settings, String> {
+    let file = path.display();
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| format!("{file}: cannot be read: {e}; name the settings file"))?;
+    Settings::parse(&text).map_err(|problems| {
+        let lines: Vec<String> = problems
+            .iter()
+            .map(|problem| format!("{file}: {problem}"))
+            .collect();
+        lines.join("\n")
+    })
+}
+
+fn log_json() {
+    let sink = StdStreamSink::builder()
+        .stdout()
+        .formatter(JsonFormatter::new())
+        .build();
+    let Ok(sink) = sink else { return };
+    let logger = spdlog::default_logger().fork_with(|logger| {
+        *logger.sinks_mut() = vec![Arc::new(sink) as Arc<dyn Sink>];
+        Ok(())
+    });
+    if let Ok(logger) = logger {
+        logger.set_flush_level_filter(spdlog::LevelFilter::All);
+        spdlog::set_default_logger(logger);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/service.rs
@@ -0,0 +1,143 @@
+//! Calls of plain services.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bitterncart_coordination::retry::{Attempt, Failure, Verdict};
+use bitterncart_coordination::routing::{Class, Key, Query};
+use bitterncart_protocol::Code;
+use bitterncart_protocol::peer::Request;
+use bitterncart_protocol::record::Outcome;
+use bitterncart_transport::http::{Client, Method};
+
+use crate::core::Core;
+use crate::engine::failure;
+
+/// Runs a call that has been announced: at most one attempt that may have run.
+pub async fn run_announced(core: &Arc<Core>, request: &Request, left: Duration) -> Outcome {
+    match run(core, request, false, left).await {
+        Ok(outcome) => outcome,
+        Err(code) if code.ran() == bitterncart_protocol::code::Ran::NotRun => Outcome::NotRun(code),
+        Err(_) => Outcome::Unknown,
+    }
+}
+
+/// Runs a call; one that may not be repeated has no second attempt after its
+/// first byte may have been sent.
+///
+/// # Errors
+///
+/// The code of the failure.
+pub async fn run(
+    core: &Arc<Core>,
+    request: &Request,
+    repeatable: bool,
+    left: Duration,
+) -> Result<Outcome, Code> {
+    let until = core.now() + left;
+    let mut tried: Vec<Key> = Vec::new();
+    let mut may_have_run = false;
+    core.budget().earn();
+    loop {
+        let now = core.now();
+        let left = until.saturating_sub(now);
+        let query = Query {
+            serves: request.service.as_str(),
+            prefix: None,
+            left,
+            tried: &tried,
+        };
+        let chosen = core.routing().choose(now, query);
+        let Some(key) = chosen else {
+            return Err(if may_have_run {
+                Code::BackendFailed
+            } else {
+                Code::NoReplica
+            });
+        };
+        tried.push(key);
+        let failure = match attempt(core, key, request, left).await {
+            Ok(outcome) => return Ok(outcome),
+            Err(failure) => failure,
+        };
+        may_have_run |= !failure.not_run();
+        let left = until.saturating_sub(core.now());
+        let attempt = Attempt {
+            failure,
+            repeatable,
+            made: tried.len() as u32,
+            left,
+        };
+        let verdict = core.budget().judge(attempt);
+        match verdict {
+            Verdict::Retry => core.counters.code(failure.reason()),
+            Verdict::Stop(code) => {
+                let ran = code.ran() != bitterncart_protocol::code::Ran::NotRun;
+                return Err(if may_have_run && !ran {
+                    Code::BackendFailed
+                } else {
+                    code
+                });
+            }
+        }
+    }
+}
+
+async fn attempt(
+    core: &Core,
+    key: Key,
+    request: &Request,
+    left: Duration,
+) -> Result<Outcome, Failure> {
+    let address = core.routing().replica(key).map(|replica| replica.address);
+    let address = address.ok_or(Failure::Connect)?;
+    core.routing().start(key, Class::Online, None);
+    let result = exchange(core, address, request, left).await;
+    let now = core.now();
+    let mut routing = core.routing();
+    routing.end(key, Class::Online);
+    match result {
+        // A server that answers 503 to a call says that it did not take it.
+        Ok(Outcome::Answered { status: 503, .. }) => {
+            routing.leaving(key);
+            Err(Failure::Refused)
+        }
+        Ok(outcome) => {
+            routing.alive(key);
+            Ok(outcome)
+        }
+        Err(failure) => {
+            routing.failed(now, key);
+            Err(failure)
+        }
+    }
+}
+
+async fn exchange(
+    core: &Core,
+    address: std::net::SocketAddr,
+    request: &Request,
+    left: Duration,
+) -> Result<Outcome, Failure> {
+    let method = request
+        .method
+        .parse::<Method>()
+        .map_err(|_| Failure::Refused)?;
+    let mut http = Client::request(method, address, &request.path).map_err(|e| failure(&e))?;
+    if !request.body.is_empty() {
+        http.set_body(request.body.clone());
+        http.insert_header("Content-Type", request.content_type.as_str());
+    }
+    let client = core.http.head(left).body(left);
+    let mut response = client.send(address, http).await.map_err(|e| failure(&e))?;
+    let content_type = response
+        .content_type()
+        .map(|mime| mime.to_string())
+        .unwrap_or_default();
+    let body = client.bytes(&mut response).await.map_err(|e| failure(&e))?;
+    Ok(Outcome::Answered {
+        status: response.status().into(),
+        content_type: content_type.into(),
+        body,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/shards/warden.rs
@@ -0,0 +1,69 @@
+//! Which shards this daemon reads.
+//!
+//! A daemon reads a shard if it should own it or does; so control traffic does
+//! not grow with the number of shards.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bitterncart_protocol::id;
+use spdlog::warn;
+
+use super::{Desk, commit, maintain, recover, tail};
+use crate::core::Core;
+
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// Keeps the desks of a daemon until its runtime stops.
+pub async fn watch(core: Arc<Core>) {
+    loop {
+        if let Ok(document) = core.document() {
+            for number in (0..document.log.shards).map(id::Shard) {
+                look(&core, number).await;
+            }
+        }
+        smol::Timer::after(LOOK).await;
+    }
+}
+
+async fn look(core: &Arc<Core>, number: id::Shard) {
+    let desk = core.shards().get(&number).cloned();
+    let wanted = !core.is_draining() && core.winner(number).as_ref() == Some(&core.me);
+    match desk {
+        Some(desk) if !wanted && !desk.is_mine() => close(core, &desk),
+        None if wanted => open(core, number).await,
+        _ => {}
+    }
+}
+
+fn close(core: &Core, desk: &Desk) {
+    core.shards().remove(&desk.number);
+    desk.changed.notify(usize::MAX);
+    desk.filled.notify(usize::MAX);
+}
+
+async fn open(core: &Arc<Core>, number: id::Shard) {
+    let shard = match recover(core, number).await {
+        Ok(shard) => shard,
+        Err(e) => {
+            core.log_answered(false);
+            warn!("shard cannot be read", kv: { shard = number.0, why: = e });
+            return;
+        }
+    };
+    let desk = Arc::new(Desk::new(number, core.me.clone(), shard, core.now()));
+    let weak = Arc::downgrade(&desk);
+    let shards: &mut BTreeMap<_, _> = &mut core.shards();
+    shards.insert(number, desk);
+    core.runtime
+        .spawn(tail::run(Arc::clone(core), weak.clone()))
+        .detach();
+    core.runtime
+        .spawn(commit::run(Arc::clone(core), weak.clone()))
+        .detach();
+    core.runtime
+        .spawn(maintain::run(Arc::clone(core), weak))
+        .detach();
+}
--- /dev/null
+++ b/crates/daemon/src/status.rs
@@ -0,0 +1,57 @@
+//! Status of a daemon for operators.
+
+use bitterncart_protocol::admin::Status;
+use bitterncart_protocol::peer::Member;
+use bitterncart_state::invariant;
+use compact_str::CompactString;
+
+use crate::core::Core;
+
+/// Status of a daemon now.
+#[must_use]
+pub fn status(core: &Core) -> Status {
+    let now = core.now();
+    let version = core.version();
+    let mut replicas = core.routing().view();
+    for row in &mut replicas {
+        row.slots = core
+            .sharing()
+            .get_mut(&row.name)
+            .map(|sharing| sharing.allowed(now));
+    }
+    let members: Vec<Member> = {
+        let members = core.members();
+        std::iter::once(members.me().clone())
+            .chain(members.known().cloned())
+            .collect()
+    };
+    let desks: Vec<_> = core.shards().values().cloned().collect();
+    Status {
+        daemon: core.me.0.clone(),
+        data_centre: core.settings.data_centre.clone(),
+        version: version.as_ref().map_or(0, |version| version.number),
+        digest: version.map(|version| version.digest).unwrap_or_default(),
+        draining: core.is_draining(),
+        waiting_for: waiting_for(core),
+        members,
+        shards: desks.iter().map(|desk| desk.view()).collect(),
+        replicas,
+        customers: core.admission().view(),
+        counters: core.counters.view(),
+        invariant_checks: invariant::checks(),
+    }
+}
+
+fn waiting_for(core: &Core) -> Vec<CompactString> {
+    let mut waits = Vec::new();
+    if core.document().is_err() {
+        waits.push("a first configuration".into());
+    }
+    if core.is_log_failed() {
+        waits.push("the log".into());
+    }
+    if core.is_draining() {
+        waits.push("requests under way to finish".into());
+    }
+    waits
+}
--- /dev/null
+++ b/crates/protocol/src/hash.rs
@@ -0,0 +1,45 @@
+//! Stable hashes that every daemon computes alike.
+
+use blake3::Hasher;
+
+/// Hash of several parts, each delimited by its length.
+///
+/// ```
+/// use bitterncart_protocol::hash;
+///
+/// assert_ne!(hash::parts(&[b"ab", b"c"]), hash::parts(&[b"a", b"bc"]));
+/// ```
+#[must_use]
+pub fn parts(parts: &[&[u8]]) -> u128 {
+    let mut hasher = Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let bytes = hasher.finalize();
+    let mut first = [0; 16];
+    first.copy_from_slice(&bytes.as_bytes()[..16]);
+    u128::from_le_bytes(first)
+}
+
+/// Hex digest of a whole text, as documents and keys are compared.
+#[must_use]
+pub fn digest(bytes: &[u8]) -> String {
+    blake3::hash(bytes).to_hex().to_string()
+}
+
+/// Rendezvous score of a member for a key; the highest score owns the key.
+#[must_use]
+pub fn score(key: &[u8], member: &[u8]) -> u64 {
+    (parts(&[key, member]) >> 64) as u64
+}
+
+/// Member with the highest rendezvous score for `key`.
+pub fn rendezvous<'a, T: ?Sized + AsRef<[u8]>>(
+    key: &[u8],
+    members: impl IntoIterator<Item = &'a T>,
+) -> Option<&'a T> {
+    members
+        .into_iter()
+        .max_by_key(|member| score(key, (*member).as_ref()))
+}
--- /dev/null
+++ b/crates/transport/src/heartbeat.rs
@@ -0,0 +1,90 @@
+//! Datagrams of the membership protocol, authenticated by the fleet's secret.
+//!
+//! Plain UDP and not quinn: a probe goes to another member each second, and a
+//! QUIC handshake for each would cost many times the probe.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use bitterncart_protocol::peer::Packet;
+use smol::net::UdpSocket;
+
+const MAC_BYTES: usize = 16;
+const MAX_DATAGRAM: usize = 8 << 10;
+const UDP_IP_HEADER_BYTES: u64 = 28;
+
+/// Socket for membership packets.
+#[derive(Clone, Debug)]
+pub struct Socket {
+    socket: UdpSocket,
+    key: [u8; 32],
+    wire_bytes: Arc<AtomicU64>,
+}
+
+impl Socket {
+    /// Binds an address.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be bound.
+    pub async fn bind(address: SocketAddr, secret: &str) -> io::Result<Self> {
+        let socket = UdpSocket::bind(address).await?;
+        let key = blake3::derive_key("bitterncart heartbeat v1", secret.as_bytes());
+        Ok(Self {
+            socket,
+            key,
+            wire_bytes: Arc::default(),
+        })
+    }
+
+    /// Bytes sent and received so far, IP and UDP headers among them.
+    #[must_use]
+    pub fn wire_bytes(&self) -> u64 {
+        self.wire_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Sends a packet; a lost one is the protocol's business.
+    pub async fn send(&self, to: SocketAddr, packet: &Packet) {
+        let Ok(body) = postcard::to_stdvec(packet) else {
+            return;
+        };
+        let mut datagram = self.mac(&body).to_vec();
+        datagram.extend(body);
+        self.count(datagram.len());
+        drop(self.socket.send_to(&datagram, to).await);
+    }
+
+    /// Receives the next packet that is authentic.
+    pub async fn receive(&self) -> Packet {
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        loop {
+            let Ok((size, _)) = self.socket.recv_from(&mut buffer).await else {
+                continue;
+            };
+            self.count(size);
+            if let Some(packet) = self.open(&buffer[..size]) {
+                return packet;
+            }
+        }
+    }
+
+    fn open(&self, datagram: &[u8]) -> Option<Packet> {
+        let (mac, body) = datagram.split_at_checked(MAC_BYTES)?;
+        // Comparing hashes of the codes keeps the time independent of their content.
+        let authentic = blake3::hash(mac) == blake3::hash(&self.mac(body));
+        authentic.then(|| postcard::from_bytes(body).ok()).flatten()
+    }
+
+    fn mac(&self, body: &[u8]) -> [u8; MAC_BYTES] {
+        let mut mac = [0; MAC_BYTES];
+        mac.copy_from_slice(&blake3::keyed_hash(&self.key, body).as_bytes()[..MAC_BYTES]);
+        mac
+    }
+
+    fn count(&self, size: usize) {
+        self.wire_bytes
+            .fetch_add(size as u64 + UDP_IP_HEADER_BYTES, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/trial/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
