Gather a daemon's part in a shard into one decision type

Cause: the daemon's shard table held decisions (what a page changes, which records may be appended, when a call may run) that tests could not drive.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,3 @@
+//! Load, experiments and slopes.
+
+pub mod durable;
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -26,7 +26,7 @@
 const DIRECT: Duration = Duration::from_millis(300);
 
 /// Time that a suspect has to refute.
-pub const SUSPICION: Duration = Duration::from_millis(3000);
+pub const SUSPICION: Duration = Duration::from_millis(1500);
 
 /// Time that a dead member is remembered, so that old news does not revive it.
 const TOMBSTONE: Duration = Duration::from_secs(600);
@@ -410,17 +410,36 @@
         if before.is_none() && !is_alive {
             return;
         }
+        let replaced = is_alive && before.is_none() && self.replace(now, member);
         let entry = Entry {
             member: member.clone(),
             since: now,
         };
         self.members.insert(member.daemon.clone(), entry);
         self.spread(member.daemon.clone());
-        if was_alive != is_alive {
+        if was_alive != is_alive || replaced {
             actions.push(Action::Changed);
         }
     }
 
+    /// A new life at an address ends the one before.
+    fn replace(&mut self, now: Duration, member: &Member) -> bool {
+        let mut ended = Vec::new();
+        for entry in self.members.values_mut() {
+            let same = entry.member.heartbeat == member.heartbeat;
+            if same && entry.member.health <= Health::Suspect {
+                entry.member.health = Health::Dead;
+                entry.since = now;
+                ended.push(entry.member.daemon.clone());
+            }
+        }
+        let any = !ended.is_empty();
+        for daemon in ended {
+            self.spread(daemon);
+        }
+        any
+    }
+
     fn refute(&mut self, said: &Member) {
         let wrong = said.health != Health::Alive && self.me.health == Health::Alive;
         if wrong && said.incarnation >= self.me.incarnation {
--- a/crates/coordination/src/ownership.rs
+++ b/crates/coordination/src/ownership.rs
@@ -13,7 +13,7 @@
 use bitterncart_state::Shard;
 
 /// Time that an owner has to answer a challenge.
-pub const ANSWER: Duration = Duration::from_secs(3);
+pub const ANSWER: Duration = Duration::from_secs(1);
 
 /// First wait after an answered challenge; doubles with each.
 const BACKOFF: Duration = Duration::from_secs(5);
@@ -52,8 +52,8 @@
 pub enum Action {
     /// A record that anyone may append.
     Open(Record),
-    /// A record of the owner, with its epoch.
-    Owned(id::Epoch, Record),
+    /// A record of the owner.
+    Owned(Record),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -179,7 +179,7 @@
             self.outranked = None;
         }
         if view.shard.is_challenged() {
-            return self.pace(now, Action::Owned(view.shard.epoch(), Record::Present));
+            return self.pace(now, Action::Owned(Record::Present));
         }
         let since = if outranked {
             *self.outranked.get_or_insert(now)
@@ -188,7 +188,7 @@
         };
         let hand_over = outranked && now.saturating_sub(since) >= HANDOVER;
         if (view.draining || hand_over) && view.unfinished == 0 {
-            return self.pace(now, Action::Owned(view.shard.epoch(), Record::Release));
+            return self.pace(now, Action::Owned(Record::Release));
         }
         None
     }
--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -89,6 +89,12 @@
         self.level = (self.level + SHARE).min(BURST);
     }
 
+    /// Whether a retry could be afforded now.
+    #[must_use]
+    pub fn can_retry(&self) -> bool {
+        self.level >= 1.0
+    }
+
     /// Judges a failed attempt.
     pub fn judge(&mut self, attempt: Attempt) -> Verdict {
         let may_run = attempt.repeatable || attempt.failure.not_run();
@@ -103,7 +109,7 @@
                 left: Duration::ZERO,
                 ..
             } => Verdict::Stop(Code::BackendTimeout),
-            Attempt { made, failure, .. } if made >= MAX_ATTEMPTS || self.level < 1.0 => {
+            Attempt { made, failure, .. } if made >= MAX_ATTEMPTS || !self.can_retry() => {
                 Verdict::Stop(exhausted(failure))
             }
             _ => {
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -32,6 +32,9 @@
 /// Time that a replica stays out at most.
 const OUT_MAX: Duration = Duration::from_secs(8);
 
+/// Time after which a server that said it leaves may say that it stays.
+const STAYS: Duration = Duration::from_secs(5);
+
 /// Time to first token assumed before one was measured.
 const FIRST_GUESS: Duration = Duration::from_millis(50);
 
@@ -51,8 +54,8 @@
     Up,
     /// Left out until then; a probe or a trial request lets it back in.
     Out(Duration),
-    /// Goes for good.
-    Leaving,
+    /// Said that it leaves, at that time.
+    Leaving(Duration),
 }
 
 /// Replica as this daemon knows it.
@@ -86,7 +89,7 @@
         match self.state {
             State::Up => true,
             State::Out(until) => now >= until && self.online + self.batch == 0,
-            State::Leaving => false,
+            State::Leaving(_) => false,
         }
     }
 
@@ -179,9 +182,9 @@
     }
 
     /// Takes the platform's list; it lags, so a leaving sign is not undone by it.
-    pub fn list(&mut self, instances: &[Instance]) {
+    pub fn list(&mut self, now: Duration, instances: &[Instance]) {
         for instance in instances.iter().filter(|i| i.kind != instance::Kind::Entry) {
-            self.list_one(instance);
+            self.list_one(now, instance);
         }
         let gone: Vec<Key> = self
             .replicas
@@ -197,36 +200,46 @@
         }
     }
 
-    fn list_one(&mut self, instance: &Instance) {
+    fn list_one(&mut self, now: Duration, instance: &Instance) {
         let key = self.by_name.get(&instance.name).copied();
         let leaving = instance.state == instance::State::Leaving;
         match key.and_then(|key| self.replicas.get_mut(key)) {
             Some(replica) if replica.address == instance.address => {
-                if leaving {
-                    replica.state = State::Leaving;
+                if leaving && !matches!(replica.state, State::Leaving(_)) {
+                    replica.state = State::Leaving(now);
                 }
             }
             Some(replica) => {
                 // The name came back at another address: a new server.
                 replica.address = instance.address;
-                replica.state = if leaving { State::Leaving } else { State::Up };
+                replica.state = if leaving {
+                    State::Leaving(now)
+                } else {
+                    State::Up
+                };
                 replica.failures = 0;
                 replica.prefixes.clear();
             }
             None => {
-                let key = self.replicas.insert(self.new_replica(instance, leaving));
+                let key = self
+                    .replicas
+                    .insert(self.new_replica(now, instance, leaving));
                 self.by_name.insert(instance.name.clone(), key);
             }
         }
     }
 
-    fn new_replica(&self, instance: &Instance, leaving: bool) -> Replica {
+    fn new_replica(&self, now: Duration, instance: &Instance, leaving: bool) -> Replica {
         Replica {
             name: instance.name.clone(),
             serves: instance.serves.clone(),
             data_centre: instance.data_centre.clone(),
             address: instance.address,
-            state: if leaving { State::Leaving } else { State::Up },
+            state: if leaving {
+                State::Leaving(now)
+            } else {
+                State::Up
+            },
             online: 0,
             batch: 0,
             max_sequences: self.sequences.get(&instance.serves).copied().unwrap_or(1),
@@ -320,7 +333,7 @@
     pub fn alive(&mut self, key: Key) {
         if let Some(replica) = self.replicas.get_mut(key) {
             replica.failures = 0;
-            if replica.state != State::Leaving {
+            if !matches!(replica.state, State::Leaving(_)) {
                 replica.state = State::Up;
             }
         }
@@ -338,25 +351,31 @@
         if let Some(replica) = self.replicas.get_mut(key) {
             let factor = 1 << replica.failures.min(5);
             replica.failures += 1;
-            if replica.state != State::Leaving {
+            if !matches!(replica.state, State::Leaving(_)) {
                 replica.state = State::Out(now + (OUT * factor).min(OUT_MAX));
             }
         }
     }
 
     /// Notes that a replica takes no new work any more.
-    pub fn leaving(&mut self, key: Key) {
+    pub fn leaving(&mut self, now: Duration, key: Key) {
         if let Some(replica) = self.replicas.get_mut(key) {
-            replica.state = State::Leaving;
+            replica.state = State::Leaving(now);
         }
     }
 
     /// Takes a lagging report.
-    pub fn report(&mut self, key: Key, load: Load) {
+    pub fn report(&mut self, now: Duration, key: Key, load: Load) {
         if let Some(replica) = self.replicas.get_mut(key) {
             replica.load = load;
-            if load.leaving {
-                replica.state = State::Leaving;
+            match replica.state {
+                // The report lags, so it cannot take a fresh sign back.
+                State::Leaving(since) if !load.leaving && now >= since + STAYS => {
+                    replica.state = State::Up;
+                }
+                State::Leaving(_) => {}
+                _ if load.leaving => replica.state = State::Leaving(now),
+                _ => {}
             }
         }
     }
@@ -374,7 +393,7 @@
                 state: match replica.state {
                     State::Up => "up".into(),
                     State::Out(_) => "out".into(),
-                    State::Leaving => "leaving".into(),
+                    State::Leaving(_) => "leaving".into(),
                 },
                 online: replica.online,
                 batch: replica.batch,
--- a/crates/daemon/src/batch.rs
+++ b/crates/daemon/src/batch.rs
@@ -270,7 +270,7 @@
             let mine = core
                 .shards()
                 .get(&number)
-                .is_some_and(|desk| desk.is_mine());
+                .is_some_and(|handle| handle.is_mine());
             asked += usize::from(!mine);
             let work = pull(core, number, &replica.model, free as u16, mine).await;
             if work.is_empty() {
--- a/crates/daemon/src/callers/batches.rs
+++ b/crates/daemon/src/callers/batches.rs
@@ -9,7 +9,7 @@
 use bitterncart_transport::runtime::wall_ms;
 use serde_json::Value;
 
-use super::ticket::Ticket;
+use super::permit::Permit;
 use super::{Refusal, Result, body, customer, files, idempotency_key};
 use crate::core::Core;
 use crate::shards;
@@ -25,7 +25,7 @@
     let customer = customer(core, request)?;
     let document = core.document()?;
     let key = idempotency_key(request)?;
-    let _ticket = Ticket::admit(core, &customer)?;
+    let _permit = Permit::admit(core, &customer)?;
     let bytes = body(request).await?;
     let create: api::CreateBatch = serde_json::from_slice(&bytes)
         .map_err(|e| Refusal::new(Code::MalformedJson, e.to_string()))?;
--- a/crates/daemon/src/callers/completions.rs
+++ b/crates/daemon/src/callers/completions.rs
@@ -11,8 +11,8 @@
 use bitterncart_transport::http::{Body, Request, Response, StatusCode, server};
 use serde_json::Value;
 
+use super::permit::Permit;
 use super::relay::{Question, Relay};
-use super::ticket::Ticket;
 use super::{Refusal, Result, body, customer, deadline};
 use crate::batch::{error_event, whole_response};
 use crate::core::Core;
@@ -34,14 +34,14 @@
     let completion = parse(&bytes, path)?;
     let deadline_ms = online_deadline(&document, &completion)?;
     let until = core.now() + deadline(request, deadline_ms)?;
-    let ticket = Ticket::admit(core, &customer)?;
+    let permit = Permit::admit(core, &customer)?;
     let question = question(&document, &completion, &bytes, path, until)?;
     let mut relay = Relay::new(core, question);
     let first = relay.next().await?;
     if completion.stream {
-        Ok(stream(core, relay, ticket, first))
+        Ok(stream(core, relay, permit, first))
     } else {
-        whole(core, relay, ticket, first, &completion, path).await
+        whole(core, relay, permit, first, &completion, path).await
     }
 }
 
@@ -111,7 +111,7 @@
 async fn whole(
     core: &Core,
     mut relay: Relay,
-    mut ticket: Ticket,
+    mut permit: Permit,
     first: Option<Token>,
     completion: &Completion,
     path: &str,
@@ -120,23 +120,23 @@
     let mut next = first;
     while let Some(token) = next {
         text.push_str(&token.text);
-        ticket.tokens += 1;
+        permit.tokens += 1;
         next = relay.next().await?;
     }
-    answered(core, &ticket);
+    answered(core, &permit);
     let mut body = whole_response(path, &completion.model, &text);
-    body["usage"] = serde_json::json!({"completion_tokens": ticket.tokens});
+    body["usage"] = serde_json::json!({"completion_tokens": permit.tokens});
     Ok(server::json(200, &body))
 }
 
-fn answered(core: &Core, ticket: &Ticket) {
+fn answered(core: &Core, permit: &Permit) {
     core.counters.add(Count::OnlineAnswered, 1);
-    core.counters.add(Count::OnlineTokens, ticket.tokens.into());
+    core.counters.add(Count::OnlineTokens, permit.tokens.into());
 }
 
-fn stream(core: &Arc<Core>, relay: Relay, ticket: Ticket, first: Option<Token>) -> Response {
+fn stream(core: &Arc<Core>, relay: Relay, permit: Permit, first: Option<Token>) -> Response {
     let (sender, receiver) = async_channel::bounded(BUFFER);
-    let task = pump(Arc::clone(core), relay, ticket, first, sender);
+    let task = pump(Arc::clone(core), relay, permit, first, sender);
     core.runtime.spawn(task).detach();
     let mut response = Response::new(StatusCode::Ok);
     response.insert_header("Content-Type", "text/event-stream");
@@ -148,7 +148,7 @@
 async fn pump(
     core: Arc<Core>,
     mut relay: Relay,
-    mut ticket: Ticket,
+    mut permit: Permit,
     first: Option<Token>,
     sender: Sender<std::io::Result<Vec<u8>>>,
 ) {
@@ -166,9 +166,9 @@
         if sender.send(Ok(text.into_bytes())).await.is_err() {
             return;
         }
-        ticket.tokens += u32::from(more);
+        permit.tokens += u32::from(more);
         if is_done {
-            answered(&core, &ticket);
+            answered(&core, &permit);
         }
         if !more {
             return;
--- a/crates/daemon/src/callers/files.rs
+++ b/crates/daemon/src/callers/files.rs
@@ -15,7 +15,7 @@
 use futures_lite::{Stream, StreamExt, stream};
 use serde_json::json;
 
-use super::ticket::Ticket;
+use super::permit::Permit;
 use super::{Refusal, Result, batches, customer};
 use crate::core::Core;
 use crate::shards;
@@ -39,7 +39,7 @@
 pub(super) async fn upload(core: &Arc<Core>, request: &mut Request) -> Result<Response> {
     let customer = customer(core, request)?;
     let document = core.document()?;
-    let _ticket = Ticket::admit(core, &customer)?;
+    let _permit = Permit::admit(core, &customer)?;
     let mut writer = Writer::new(core, customer, document.log.shards);
     let content_type = request
         .header("Content-Type")
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -3,10 +3,10 @@
 mod batches;
 mod completions;
 mod files;
+mod permit;
 mod refusal;
 mod relay;
 mod services;
-mod ticket;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/daemon/src/callers/ticket.rs
+++ b/crates/daemon/src/callers/permit.rs
@@ -10,14 +10,14 @@
 
 /// Admitted request; dropping it ends it.
 #[derive(Debug)]
-pub(super) struct Ticket {
+pub(super) struct Permit {
     core: Arc<Core>,
     customer: Name,
     /// Tokens made for it so far.
     pub(super) tokens: u32,
 }
 
-impl Ticket {
+impl Permit {
     /// Admits a request of a customer.
     pub(super) fn admit(core: &Arc<Core>, customer: &Name) -> Result<Self, Refusal> {
         if core.is_draining() {
@@ -33,7 +33,7 @@
     }
 }
 
-impl Drop for Ticket {
+impl Drop for Permit {
     fn drop(&mut self) {
         self.core
             .admission()
--- a/crates/daemon/src/callers/relay.rs
+++ b/crates/daemon/src/callers/relay.rs
@@ -17,8 +17,9 @@
 use crate::core::Core;
 use crate::engine::{Broken, Sequence, Token, request_prefix};
 
-/// Factor on the first-token bound after which a replica is taken for silent.
-const PATIENCE: u32 = 2;
+/// Share of the first-token bound after which a replica is taken for silent,
+/// so that another attempt can still meet the bound.
+const PATIENCE: f64 = 0.5;
 
 /// What is asked of the engines.
 #[derive(Clone, Debug)]
@@ -97,7 +98,7 @@
                 &self.question.endpoint,
                 &self.question.body,
                 self.made,
-                (self.question.ttft * PATIENCE).min(left),
+                self.patience(left),
             );
             self.sequence = Some(started.await?);
         }
@@ -107,6 +108,16 @@
         }
     }
 
+    /// Time for a first token; without another attempt to make, all that is left.
+    fn patience(&self, left: Duration) -> Duration {
+        let can_retry = self.core.budget().can_retry();
+        if can_retry {
+            self.question.ttft.mul_f64(PATIENCE).min(left)
+        } else {
+            left
+        }
+    }
+
     fn choose(&self, left: Duration) -> Option<Key> {
         let prefix = request_prefix(&self.question.body);
         let query = Query {
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -10,7 +10,7 @@
 use bitterncart_transport::Error;
 use bitterncart_transport::http::{Request, Response, StatusCode};
 
-use super::ticket::Ticket;
+use super::permit::Permit;
 use super::{Refusal, Result, body, customer, deadline, idempotency_key};
 use crate::core::Core;
 use crate::{peers, service, shards};
@@ -29,7 +29,7 @@
         .ok_or_else(|| Refusal::new(Code::UnknownService, format!("no service `{name}`")))?;
     let left = deadline(request, service.deadline_ms)?;
     let key = idempotency_key(request)?;
-    let ticket = Ticket::admit(core, &customer)?;
+    let permit = Permit::admit(core, &customer)?;
     let call = read(request, &service.name, path).await?;
     let repeatable = service.repeatable(&call.method, &call.path);
     let outcome = match key {
@@ -39,7 +39,7 @@
         }
         _ => service::run(core, &call, repeatable, left).await?,
     };
-    drop(ticket);
+    drop(permit);
     respond(outcome)
 }
 
@@ -70,7 +70,10 @@
 async fn keyed(core: &Arc<Core>, call: id::Call, request: Call, left: Duration) -> Result<Outcome> {
     let document = core.document()?;
     let shard = call.shard(document.log.shards);
-    let own = core.shards().get(&shard).is_some_and(|desk| desk.is_mine());
+    let own = core
+        .shards()
+        .get(&shard)
+        .is_some_and(|handle| handle.is_mine());
     if own {
         return Ok(shards::keyed(core, call, request, left).await?);
     }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -1,7 +1,7 @@
 //! Tables that all tasks of a daemon share.
 //!
 //! Lock order: configuration, membership, admission, routing, interest,
-//! sharing, budget, log pacing, shards, one shard's desk, batch streams, ends.
+//! sharing, budget, log pacing, shards, one shard's handle, batch streams, ends.
 //! A task holds a lock for one short step and never across a wait.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -22,7 +22,7 @@
 use event_listener::Event;
 
 use crate::counters::Counters;
-use crate::shards::Desk;
+use crate::shards::Handle;
 
 /// The platform's log as this daemon meets it.
 pub type Log = log::Service;
@@ -80,7 +80,7 @@
     sharing: Mutex<HashMap<Name, Sharing>>,
     budget: Mutex<Budget>,
     pace: Mutex<Bucket>,
-    shards: Mutex<BTreeMap<id::Shard, Arc<Desk>>>,
+    shards: Mutex<BTreeMap<id::Shard, Arc<Handle>>>,
     streams: Mutex<BTreeMap<Lease, Stream>>,
     ends: Mutex<HashMap<id::Shard, Vec<(Lease, End)>>>,
     bodies: Mutex<VecDeque<(Chunk, Lines)>>,
@@ -125,7 +125,7 @@
         /// Retry budget.
         budget: Budget;
         /// Shards that this daemon reads.
-        shards: BTreeMap<id::Shard, Arc<Desk>>;
+        shards: BTreeMap<id::Shard, Arc<Handle>>;
         /// Batch streams.
         streams: BTreeMap<Lease, Stream>;
         /// Ends of attempts on their way to the shards' owners.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -129,7 +129,7 @@
 }
 
 fn is_idle(core: &Core) -> bool {
-    let owns = core.shards().values().any(|desk| desk.is_mine());
+    let owns = core.shards().values().any(|handle| handle.is_mine());
     core.running.load(Ordering::SeqCst) == 0 && !owns
 }
 
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -16,7 +16,7 @@
 use crate::{batch, peers};
 
 /// Time between two tokens after which an engine is taken for silent.
-pub const GAP: Duration = Duration::from_secs(2);
+pub const GAP: Duration = Duration::from_secs(1);
 
 /// Time for telling a replica's owner of pressure.
 const TELL: Duration = Duration::from_millis(500);
@@ -209,7 +209,7 @@
     let now = core.now();
     let mut routing = core.routing();
     if closing {
-        routing.leaving(key);
+        routing.leaving(now, key);
     } else {
         routing.failed(now, key);
     }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -64,19 +64,19 @@
 
 impl Answerer {
     fn refused(&self, code: Code, shard: id::Shard) -> Reply {
-        let desk = self.core.shards().get(&shard).cloned();
-        let owner = desk
-            .and_then(|desk| desk.view().owner)
+        let handle = self.core.shards().get(&shard).cloned();
+        let owner = handle
+            .and_then(|handle| handle.view().owner)
             .filter(|owner| *owner != self.core.me);
         Reply::Refused(code, owner.or_else(|| self.core.winner(shard)))
     }
 
-    fn own(&self, shard: id::Shard) -> Option<Arc<shards::Desk>> {
+    fn own(&self, shard: id::Shard) -> Option<Arc<shards::Handle>> {
         self.core
             .shards()
             .get(&shard)
             .cloned()
-            .filter(|desk| desk.is_mine())
+            .filter(|handle| handle.is_mine())
     }
 
     async fn call(
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -235,7 +235,7 @@
     loop {
         match instances::read(core.settings.instances).await {
             Ok(list) => {
-                core.routing().list(&list);
+                core.routing().list(core.now(), &list);
                 let entries = list.iter().filter(|instance| instance.kind == Kind::Entry);
                 core.members()
                     .list(entries.map(|instance| instance.address));
@@ -291,7 +291,7 @@
                 .filter(|(_, replica)| match replica.state {
                     routing::State::Up => true,
                     routing::State::Out(until) => now >= until,
-                    routing::State::Leaving => false,
+                    routing::State::Leaving(_) => true,
                 });
             asked.map(|(key, _)| key).collect()
         };
@@ -323,7 +323,7 @@
     match load {
         Ok(load) => {
             routing.alive(key);
-            routing.report(key, load);
+            routing.report(now, key, load);
         }
         Err(_) => routing.failed(now, key),
     }
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -99,7 +99,7 @@
     match result {
         // A server that answers 503 to a call says that it did not take it.
         Ok(Outcome::Answered { status: 503, .. }) => {
-            routing.leaving(key);
+            routing.leaving(now, key);
             Err(Failure::Refused)
         }
         Ok(outcome) => {
--- a/crates/daemon/src/shards/call.rs
+++ b/crates/daemon/src/shards/call.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bitterncart_coordination::call::{Step, decide};
+use bitterncart_coordination::call::Step;
 use bitterncart_protocol::peer::Request;
-use bitterncart_protocol::record::{Outcome, Record};
+use bitterncart_protocol::record::Outcome;
 use bitterncart_protocol::{Code, hash, id};
 use bitterncart_transport::runtime::wall_ms;
 use futures_lite::future;
 
-use super::Desk;
+use super::Handle;
 use crate::core::Core;
 use crate::service;
 
@@ -34,29 +34,28 @@
 ) -> Result<Outcome, Code> {
     let document = core.document()?;
     let number = call.shard(document.log.shards);
-    let desk = core
+    let handle = core
         .shards()
         .get(&number)
         .cloned()
         .ok_or(Code::OwnerUnreachable)?;
     let digest = digest(&request);
+    let nonce = rand::random();
     let step = {
-        let mut table = desk.table();
-        if !table.may_start(core.now()) {
+        let mut participant = handle.participant();
+        if !participant.may_start(core.now()) {
             return Err(Code::OwnerUnreachable);
         }
-        let running = table.running.contains(&call);
-        let step = decide(&table.shard, call, digest, running);
-        if step == Step::Announce {
-            table.running.insert(call);
-        }
-        step
+        participant.call(call, nonce, digest, wall_ms())
     };
     match step {
         Step::Replay(outcome) => Ok(outcome),
         Step::Conflict => Err(Code::KeyConflict),
-        Step::Join => Ok(join(&desk, call, digest, left).await),
-        Step::Announce => announce(core, &desk, call, request, left).await,
+        Step::Join => Ok(join(&handle, call, digest, left).await),
+        Step::Announce => {
+            handle.wake();
+            announce(core, &handle, call, nonce, request, left).await
+        }
     }
 }
 
@@ -68,10 +67,10 @@
     ])
 }
 
-async fn join(desk: &Desk, call: id::Call, digest: u128, left: Duration) -> Outcome {
-    let settled = wait_for(desk, left, || {
-        let table = desk.table();
-        let known = table.shard.call(call)?;
+async fn join(handle: &Handle, call: id::Call, digest: u128, left: Duration) -> Outcome {
+    let settled = wait_for(handle, left, || {
+        let participant = handle.participant();
+        let known = participant.shard().call(call)?;
         (known.request == digest).then(|| known.outcome.clone())?
     });
     settled.await.unwrap_or(Outcome::Unknown)
@@ -79,60 +78,38 @@
 
 async fn announce(
     core: &Arc<Core>,
-    desk: &Arc<Desk>,
+    handle: &Arc<Handle>,
     call: id::Call,
+    nonce: u64,
     request: Request,
     left: Duration,
 ) -> Result<Outcome, Code> {
-    let nonce = rand::random();
-    let intent = Record::Intent {
-        call,
-        nonce,
-        request: digest(&request),
-        at_ms: wall_ms(),
-    };
-    let epoch = desk.table().shard.epoch();
-    desk.push([intent]);
-    let announced = wait_for(desk, ANNOUNCE.min(left), || {
-        let table = desk.table();
-        let known = table.shard.call(call)?;
-        let stands = known.epoch == epoch && known.nonce == nonce && known.outcome.is_none();
-        (stands && table.running.contains(&call)).then_some(())
+    let announced = wait_for(handle, ANNOUNCE.min(left), || {
+        handle.participant().is_announced(call, nonce).then_some(())
     });
     if announced.await.is_none() {
         // This task alone would run the call, and it never will.
-        let outcome = Outcome::NotRun(Code::LogUnavailable);
-        desk.push([Record::Outcome {
-            call,
-            nonce,
-            outcome: outcome.clone(),
-        }]);
-        desk.table().running.remove(&call);
-        return Ok(outcome);
+        handle
+            .participant()
+            .withdraw(call, nonce, Code::LogUnavailable);
+        handle.wake();
+        return Ok(Outcome::NotRun(Code::LogUnavailable));
     }
     // The call goes on when the asker is gone, so that its outcome is recorded.
-    let (core_of, desk_of) = (Arc::clone(core), Arc::clone(desk));
-    let run = core.runtime.spawn(async move {
-        let outcome = service::run_announced(&core_of, &request, left).await;
-        desk_of.push([Record::Outcome {
-            call,
-            nonce,
-            outcome: outcome.clone(),
-        }]);
-        outcome
-    });
     let (sender, receiver) = async_channel::bounded(1);
-    core.runtime
-        .spawn(async move {
-            let outcome = run.await;
-            sender.send(outcome).await.ok();
-        })
-        .detach();
+    let (core_of, handle_of) = (Arc::clone(core), Arc::clone(handle));
+    let run = async move {
+        let outcome = service::run_announced(&core_of, &request, left).await;
+        handle_of.participant().settle(call, nonce, outcome.clone());
+        handle_of.wake();
+        sender.send(outcome).await.ok();
+    };
+    core.runtime.spawn(run).detach();
     let outcome = receiver.recv().await.unwrap_or(Outcome::Unknown);
-    wait_for(desk, CONFIRM, || {
-        let table = desk.table();
-        table
-            .shard
+    wait_for(handle, CONFIRM, || {
+        let participant = handle.participant();
+        participant
+            .shard()
             .call(call)
             .and_then(|known| known.outcome.clone())
     })
@@ -141,10 +118,10 @@
 }
 
 /// Value that `find` returns once the fold has it; `None` when time is up.
-async fn wait_for<T>(desk: &Desk, bound: Duration, find: impl Fn() -> Option<T>) -> Option<T> {
+async fn wait_for<T>(handle: &Handle, bound: Duration, find: impl Fn() -> Option<T>) -> Option<T> {
     let look = async {
         loop {
-            let changed = desk.changed.listen();
+            let changed = handle.changed.listen();
             if let Some(found) = find() {
                 return Some(found);
             }
--- a/crates/daemon/src/shards/commit.rs
+++ b/crates/daemon/src/shards/commit.rs
@@ -13,7 +13,7 @@
 use bitterncart_transport::log::Log as _;
 use spdlog::warn;
 
-use super::Desk;
+use super::Handle;
 use crate::core::Core;
 use crate::counters::Count;
 
@@ -79,34 +79,34 @@
     append(core, &shard.stream(), group.encode()).await
 }
 
-/// Commits the records of a desk until it is closed.
-pub(super) async fn run(core: Arc<Core>, desk: Weak<Desk>) {
+/// Commits the records of a handle until it is closed.
+pub(super) async fn run(core: Arc<Core>, handle: Weak<Handle>) {
     loop {
-        let Some(open) = desk.upgrade() else { return };
+        let Some(open) = handle.upgrade() else { return };
         let filled = open.filled.listen();
-        let waits = !open.table().pending.is_empty();
+        let waits = open.participant().pending() > 0;
         drop(open);
         if !waits {
             filled.await;
             continue;
         }
         core.turn_to_append().await;
-        let Some(open) = desk.upgrade() else { return };
-        let group = open.table().take_group();
+        let Some(open) = handle.upgrade() else { return };
+        let group = open.participant().take_group();
         drop(open);
         if let Some(group) = group {
-            commit(&core, &desk, &group).await;
+            commit(&core, &handle, &group).await;
         }
     }
 }
 
 /// Appends a group until it is confirmed or its epoch no longer stands.
-async fn commit(core: &Core, desk: &Weak<Desk>, group: &Group) {
+async fn commit(core: &Core, handle: &Weak<Handle>, group: &Group) {
     let payload = group.encode();
     let mut wait = BACKOFF;
     loop {
-        let Some(open) = desk.upgrade() else { return };
-        let stands = open.is_mine() && Some(open.table().shard.epoch()) == group.epoch;
+        let Some(open) = handle.upgrade() else { return };
+        let stands = open.participant().stands(group);
         let stream = open.number.stream();
         drop(open);
         if !stands || append(core, &stream, payload.clone()).await.is_ok() {
--- a/crates/daemon/src/shards/maintain.rs
+++ b/crates/daemon/src/shards/maintain.rs
@@ -10,7 +10,7 @@
 use bitterncart_transport::log::Log as _;
 use bitterncart_transport::runtime::wall_ms;
 
-use super::{Desk, append_open};
+use super::{Handle, append_open};
 use crate::core::Core;
 
 /// Time between two rounds.
@@ -25,13 +25,13 @@
 /// Attempts at an item when its model has left the document.
 const DEFAULT_ATTEMPTS: u8 = 3;
 
-/// Maintains a shard until its desk is closed.
-pub(super) async fn run(core: Arc<Core>, desk: Weak<Desk>) {
+/// Maintains a shard until its handle is closed.
+pub(super) async fn run(core: Arc<Core>, handle: Weak<Handle>) {
     loop {
         smol::Timer::after(ROUND).await;
-        let Some(open) = desk.upgrade() else { return };
+        let Some(open) = handle.upgrade() else { return };
         let now = core.now();
-        if !open.table().may_start(now) {
+        if !open.participant().may_start(now) {
             continue;
         }
         expire(&core, &open);
@@ -53,42 +53,32 @@
     batch.map_or(DEFAULT_ATTEMPTS, |batch| batch.attempts)
 }
 
-fn expire(core: &Core, desk: &Desk) {
-    let now = core.now();
-    let mut table = desk.table();
-    let table = &mut *table;
-    let Some(queue) = table.queue.as_mut() else {
-        return;
-    };
-    let (records, lapses) = queue.expire(now, &table.shard, DEFAULT_ATTEMPTS);
-    table.pending.extend(records);
+fn expire(core: &Core, handle: &Handle) {
+    let lapses = handle.participant().expire(core.now(), DEFAULT_ATTEMPTS);
     for _ in 0..lapses {
         core.counters.code(Code::RetryLeaseExpired);
     }
-    desk.filled.notify(usize::MAX);
+    handle.wake();
 }
 
-async fn snapshot(core: &Core, desk: &Desk, period: Duration) {
+async fn snapshot(core: &Core, handle: &Handle, period: Duration) {
     let now = core.now();
-    let due = {
-        let table = desk.table();
-        let old = now.saturating_sub(table.snapshot_at) > period;
-        table.since_snapshot >= SNAPSHOT_ENTRIES || (old && table.since_snapshot > 0)
-    };
-    if !due {
-        return;
-    }
     let (bytes, counted) = {
-        let table = desk.table();
-        (table.shard.snapshot(), table.since_snapshot)
+        let participant = handle.participant();
+        let snapshots = *handle.snapshots();
+        let old = now.saturating_sub(snapshots.at) > period;
+        if snapshots.entries < SNAPSHOT_ENTRIES && !(old && snapshots.entries > 0) {
+            return;
+        }
+        (participant.shard().snapshot(), snapshots.entries)
     };
-    if append_open(core, &desk.number.snapshots(), &bytes)
+    if append_open(core, &handle.number.snapshots(), &bytes)
         .await
         .is_ok()
     {
-        let mut table = desk.table();
-        table.since_snapshot -= counted;
-        table.snapshot_at = now;
+        let mut snapshots = handle.snapshots();
+        snapshots.entries -= counted;
+        snapshots.at = now;
     }
 }
 
@@ -98,27 +88,27 @@
 }
 
 /// Writes results and input again that would expire before their job.
-async fn carry(core: &Core, desk: &Desk, retention_ms: u64) {
+async fn carry(core: &Core, handle: &Handle, retention_ms: u64) {
     let before = wall_ms().saturating_sub(retention_ms / 2);
-    for due in find_due(desk, before) {
+    for due in find_due(handle, before) {
         let record = match due {
-            Due::Results(job, place) => carry_results(core, desk.number, job, place).await,
+            Due::Results(job, place) => carry_results(core, handle.number, job, place).await,
             Due::Input(job, index, chunk) => move_input(core, job, index, chunk).await,
         };
         if let Some(record) = record {
-            desk.push([record]);
+            handle.push([record]);
         }
     }
 }
 
-fn find_due(desk: &Desk, before: u64) -> Vec<Due> {
-    let table = desk.table();
-    if !table.pending.is_empty() {
+fn find_due(handle: &Handle, before: u64) -> Vec<Due> {
+    let participant = handle.participant();
+    if participant.pending() > 0 {
         // Carried records go after those that callers wait for.
         return Vec::new();
     }
     let mut due = Vec::new();
-    for (_, job) in table.shard.jobs() {
+    for (_, job) in participant.shard().jobs() {
         let id = job.submit.job;
         let results = job.results.iter().filter(|place| place.at_ms < before);
         due.extend(results.map(|place| Due::Results(id, *place)));
--- a/crates/daemon/src/shards/warden.rs
+++ b/crates/daemon/src/shards/manager.rs
@@ -10,13 +10,13 @@
 use bitterncart_protocol::id;
 use spdlog::warn;
 
-use super::{Desk, commit, maintain, recover, tail};
+use super::{Handle, commit, maintain, recover, tail};
 use crate::core::Core;
 
 /// Time between two looks.
 const LOOK: Duration = Duration::from_millis(250);
 
-/// Keeps the desks of a daemon until its runtime stops.
+/// Keeps the handles of a daemon until its runtime stops.
 pub async fn watch(core: Arc<Core>) {
     loop {
         if let Ok(document) = core.document() {
@@ -29,19 +29,19 @@
 }
 
 async fn look(core: &Arc<Core>, number: id::Shard) {
-    let desk = core.shards().get(&number).cloned();
+    let handle = core.shards().get(&number).cloned();
     let wanted = !core.is_draining() && core.winner(number).as_ref() == Some(&core.me);
-    match desk {
-        Some(desk) if !wanted && !desk.is_mine() => close(core, &desk),
+    match handle {
+        Some(handle) if !wanted && !handle.is_mine() => close(core, &handle),
         None if wanted => open(core, number).await,
         _ => {}
     }
 }
 
-fn close(core: &Core, desk: &Desk) {
-    core.shards().remove(&desk.number);
-    desk.changed.notify(usize::MAX);
-    desk.filled.notify(usize::MAX);
+fn close(core: &Core, handle: &Handle) {
+    core.shards().remove(&handle.number);
+    handle.changed.notify(usize::MAX);
+    handle.filled.notify(usize::MAX);
 }
 
 async fn open(core: &Arc<Core>, number: id::Shard) {
@@ -53,10 +53,10 @@
             return;
         }
     };
-    let desk = Arc::new(Desk::new(number, core.me.clone(), shard, core.now()));
-    let weak = Arc::downgrade(&desk);
+    let handle = Arc::new(Handle::new(number, core.me.clone(), shard, core.now()));
+    let weak = Arc::downgrade(&handle);
     let shards: &mut BTreeMap<_, _> = &mut core.shards();
-    shards.insert(number, desk);
+    shards.insert(number, handle);
     core.runtime
         .spawn(tail::run(Arc::clone(core), weak.clone()))
         .detach();
--- a/crates/daemon/src/shards/mod.rs
+++ b/crates/daemon/src/shards/mod.rs
@@ -2,17 +2,17 @@
 
 mod call;
 mod commit;
-mod desk;
+mod handle;
 mod maintain;
+mod manager;
 mod recover;
 mod serve;
 mod tail;
-mod warden;
 
 pub use call::keyed;
-pub use desk::Desk;
+pub use handle::Handle;
+pub use manager::watch;
 pub use recover::{lines, recover};
 pub use serve::{append, find_file, find_job, finish, item_error, pull, renew, results};
-pub use warden::watch;
 
 pub(crate) use commit::append_open;
--- a/crates/daemon/src/shards/recover.rs
+++ b/crates/daemon/src/shards/recover.rs
@@ -4,10 +4,8 @@
 use std::time::Duration;
 
 use bitterncart_protocol::id;
-use bitterncart_protocol::log::Page;
-use bitterncart_protocol::record::{Chunk, Group};
+use bitterncart_protocol::record::Chunk;
 use bitterncart_state::Shard;
-use bitterncart_state::shard::Event;
 use bitterncart_transport::Error;
 use bitterncart_transport::log::Log as _;
 use spdlog::error;
@@ -32,7 +30,7 @@
             });
         }
         let next = page.next;
-        apply(&mut shard, &page);
+        shard.read(&page);
         if shard.next() >= next {
             return Ok(shard);
         }
@@ -59,21 +57,6 @@
     Ok(Shard::default())
 }
 
-/// Applies a page and returns what it changed.
-pub(super) fn apply(shard: &mut Shard, page: &Page) -> Vec<Event> {
-    let mut events = Vec::new();
-    for entry in &page.entries {
-        if entry.offset < shard.next() {
-            continue;
-        }
-        match Group::decode(&entry.payload) {
-            Some(group) => events.extend(shard.apply(entry.offset, entry.at_ms, &group)),
-            None => shard.skip(entry.offset),
-        }
-    }
-    events
-}
-
 /// Lines of a chunk of input.
 ///
 /// # Errors
--- a/crates/daemon/src/shards/serve.rs
+++ b/crates/daemon/src/shards/serve.rs
@@ -6,12 +6,12 @@
 use bitterncart_protocol::peer::{Ask, End, Job, Lease, Reply, Work};
 use bitterncart_protocol::record::{Record, Upload};
 use bitterncart_protocol::{Code, Name, api, id};
+use bitterncart_state::job::Job as StoredJob;
 use bitterncart_transport::runtime::wall_ms;
 use serde_json::value::RawValue;
 
-use super::desk::MAX_WAITING;
 use super::maintain::attempts;
-use super::{Desk, lines, recover};
+use super::{Handle, lines, recover};
 use crate::core::Core;
 use crate::peers;
 
@@ -21,9 +21,9 @@
 /// Time for another daemon's answer about a job.
 const VIEW: Duration = Duration::from_secs(2);
 
-fn owned(core: &Core, number: id::Shard) -> Option<Arc<Desk>> {
-    let desk = core.shards().get(&number).cloned()?;
-    desk.is_mine().then_some(desk)
+fn owned(core: &Core, number: id::Shard) -> Option<Arc<Handle>> {
+    let handle = core.shards().get(&number).cloned()?;
+    handle.is_mine().then_some(handle)
 }
 
 /// Leases items of a model and reads their bodies.
@@ -37,30 +37,20 @@
     model: &Name,
     count: u16,
 ) -> Result<Vec<Work>, Code> {
-    let desk = owned(core, number).ok_or(Code::OwnerUnreachable)?;
+    let handle = owned(core, number).ok_or(Code::OwnerUnreachable)?;
     let leases = {
+        let mut participant = handle.participant();
         let now = core.now();
-        let mut table = desk.table();
-        let table = &mut *table;
-        if !table.may_start(now) || core.is_draining() {
+        if !participant.may_start(now) || core.is_draining() {
             return Err(Code::OwnerUnreachable);
         }
-        match table.queue.as_mut() {
-            Some(queue) if table.pending.len() < MAX_WAITING => queue.pull(
-                now,
-                wall_ms(),
-                &table.shard,
-                model,
-                usize::from(count.min(MAX_PULL)),
-            ),
-            _ => Vec::new(),
-        }
+        participant.pull(now, wall_ms(), model, usize::from(count.min(MAX_PULL)))
     };
     let mut work = Vec::new();
     for lease in leases {
-        match body(core, &desk, lease).await {
+        match body(core, &handle, lease).await {
             Some(item) => work.push(item),
-            None => give_back(&desk, lease),
+            None => handle.participant().finish(lease, End::Returned, u8::MAX),
         }
     }
     Ok(work)
@@ -74,10 +64,10 @@
     body: &'a RawValue,
 }
 
-async fn body(core: &Core, desk: &Desk, lease: Lease) -> Option<Work> {
+async fn body(core: &Core, handle: &Handle, lease: Lease) -> Option<Work> {
     let (chunk, line, endpoint, due_ms) = {
-        let table = desk.table();
-        let job = table.shard.find(lease.job)?;
+        let participant = handle.participant();
+        let job = participant.shard().find(lease.job)?;
         let (index, line) = job.locate(lease.item)?;
         let submit = &job.submit;
         (
@@ -90,11 +80,7 @@
     let lines = lines(core, chunk).await.ok()?;
     let line: Line<'_> = serde_json::from_str(lines.get(line as usize)?).ok()?;
     let custom_id = line.custom_id;
-    let mut table = desk.table();
-    let table = &mut *table;
-    if let Some(queue) = table.queue.as_mut() {
-        queue.name(&table.shard, lease, custom_id.clone());
-    }
+    handle.participant().name(lease, custom_id.clone());
     Some(Work {
         lease,
         custom_id,
@@ -104,38 +90,23 @@
     })
 }
 
-fn give_back(desk: &Desk, lease: Lease) {
-    let mut table = desk.table();
-    let table = &mut *table;
-    if let Some(queue) = table.queue.as_mut() {
-        queue.finish(&table.shard, lease, End::Returned, u8::MAX);
-    }
-}
-
 /// Takes the ends of attempts.
 ///
 /// # Errors
 ///
 /// [`Code::OwnerUnreachable`] if this daemon does not own the shard.
 pub fn finish(core: &Core, number: id::Shard, ends: Vec<(Lease, End)>) -> Result<(), Code> {
-    let desk = owned(core, number).ok_or(Code::OwnerUnreachable)?;
-    let mut records = Vec::new();
+    let handle = owned(core, number).ok_or(Code::OwnerUnreachable)?;
     for (lease, end) in ends {
-        let model = {
-            let table = desk.table();
-            table
-                .shard
-                .find(lease.job)
-                .map(|job| job.submit.model.clone())
+        let mut participant = handle.participant();
+        let job = participant.shard().find(lease.job);
+        let Some(model) = job.map(|job| job.submit.model.clone()) else {
+            continue;
         };
-        let Some(model) = model else { continue };
         let attempts = attempts(core, model.as_str());
-        let mut table = desk.table();
-        let table = &mut *table;
-        let queue = table.queue.as_mut();
-        records.extend(queue.and_then(|queue| queue.finish(&table.shard, lease, end, attempts)));
+        participant.finish(lease, end, attempts);
     }
-    desk.push(records);
+    handle.wake();
     Ok(())
 }
 
@@ -145,57 +116,56 @@
 ///
 /// [`Code::OwnerUnreachable`] if this daemon does not own the shard.
 pub fn renew(core: &Core, number: id::Shard, leases: &[Lease]) -> Result<Vec<Lease>, Code> {
-    let desk = owned(core, number).ok_or(Code::OwnerUnreachable)?;
+    let handle = owned(core, number).ok_or(Code::OwnerUnreachable)?;
     let now = core.now();
-    let mut table = desk.table();
-    let table = &mut *table;
-    let queue = table.queue.as_mut().ok_or(Code::OwnerUnreachable)?;
-    Ok(queue.renew(now, &table.shard, leases))
+    Ok(handle.participant().renew(now, leases))
 }
 
-/// Job by its owner, or by a fold on demand when no owner is reachable.
+/// Job by its owner, or by a fold on demand.
+///
+/// A fold on demand answers when no owner is reachable, and when the owner's
+/// fold has not reached a job that was just submitted elsewhere.
 ///
 /// # Errors
 ///
 /// [`Code::LogUnavailable`] if neither answers.
 pub async fn find_job(core: &Core, job: id::Job) -> Result<Option<Job>, Code> {
-    if let Some(desk) = owned(core, job.shard) {
-        return Ok(desk
-            .table()
-            .shard
-            .find(job)
-            .map(bitterncart_state::job::Job::view));
-    }
-    match peers::ask_owner(core, job.shard, &Ask::Job(job), VIEW).await {
-        Ok(Reply::Job(view)) => Ok(view.map(|view| *view)),
-        _ => {
-            let shard = recover(core, job.shard)
-                .await
-                .map_err(|_| Code::LogUnavailable)?;
-            Ok(shard.find(job).map(bitterncart_state::job::Job::view))
-        }
+    let known = match owned(core, job.shard) {
+        Some(handle) => handle.participant().shard().find(job).map(StoredJob::view),
+        None => match peers::ask_owner(core, job.shard, &Ask::Job(job), VIEW).await {
+            Ok(Reply::Job(view)) => view.map(|view| *view),
+            _ => None,
+        },
+    };
+    if known.is_some() {
+        return Ok(known);
     }
+    let shard = recover(core, job.shard)
+        .await
+        .map_err(|_| Code::LogUnavailable)?;
+    Ok(shard.find(job).map(StoredJob::view))
 }
 
-/// File by its owner, or by a fold on demand when no owner is reachable.
+/// File by its owner, or by a fold on demand.
 ///
 /// # Errors
 ///
 /// [`Code::LogUnavailable`] if neither answers.
 pub async fn find_file(core: &Core, file: id::File) -> Result<Option<Upload>, Code> {
-    if let Some(desk) = owned(core, file.shard) {
-        return Ok(desk.table().shard.file(file).cloned());
-    }
-    match peers::ask_owner(core, file.shard, &Ask::File(file), VIEW).await {
-        Ok(Reply::File(Some(upload))) => Ok(Some(*upload)),
-        // The owner's fold may lag behind a file that was just uploaded elsewhere.
-        _ => {
-            let shard = recover(core, file.shard)
-                .await
-                .map_err(|_| Code::LogUnavailable)?;
-            Ok(shard.file(file).cloned())
-        }
+    let known = match owned(core, file.shard) {
+        Some(handle) => handle.participant().shard().file(file).cloned(),
+        None => match peers::ask_owner(core, file.shard, &Ask::File(file), VIEW).await {
+            Ok(Reply::File(upload)) => upload.map(|upload| *upload),
+            _ => None,
+        },
+    };
+    if known.is_some() {
+        return Ok(known);
     }
+    let shard = recover(core, file.shard)
+        .await
+        .map_err(|_| Code::LogUnavailable)?;
+    Ok(shard.file(file).cloned())
 }
 
 /// Results of a job in one entry of its shard's stream.
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -25,7 +25,7 @@
             .chain(members.known().cloned())
             .collect()
     };
-    let desks: Vec<_> = core.shards().values().cloned().collect();
+    let handles: Vec<_> = core.shards().values().cloned().collect();
     Status {
         daemon: core.me.0.clone(),
         data_centre: core.settings.data_centre.clone(),
@@ -34,7 +34,7 @@
         draining: core.is_draining(),
         waiting_for: waiting_for(core),
         members,
-        shards: desks.iter().map(|desk| desk.view()).collect(),
+        shards: handles.iter().map(|handle| handle.view()).collect(),
         replicas,
         customers: core.admission().view(),
         counters: core.counters.view(),
--- a/crates/state/src/shard.rs
+++ b/crates/state/src/shard.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use bitterncart_protocol::id;
+use bitterncart_protocol::log::Page;
 use bitterncart_protocol::record::{Answer, Chunk, Group, Outcome, Reason, Record, Submit, Upload};
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
@@ -204,9 +205,18 @@
         events
     }
 
-    /// Moves past an entry that no version of us wrote.
-    pub fn skip(&mut self, offset: u64) {
-        self.next = self.next.max(offset + 1);
+    /// Applies a page of the stream and tells what it changed.
+    pub fn read(&mut self, page: &Page) -> Vec<Event> {
+        let mut events = Vec::new();
+        for entry in &page.entries {
+            match Group::decode(&entry.payload) {
+                _ if entry.offset < self.next => {}
+                Some(group) => events.extend(self.apply(entry.offset, entry.at_ms, &group)),
+                // No version of us wrote it, or a newer one did.
+                None => self.next = entry.offset + 1,
+            }
+        }
+        events
     }
 
     fn apply_open(&mut self, place: Place, record: &Record, events: &mut Vec<Event>) {
--- a/crates/transport/src/http/sse.rs
+++ b/crates/transport/src/http/sse.rs
@@ -52,7 +52,9 @@
                 .strip_prefix("data:")
                 .map(str::trim_start)
             {
-                _ if size == 0 => return Err(Error::broken("the stream ended early")),
+                _ if size == 0 => {
+                    return Err(Error::malformed("the stream ended without its end mark"));
+                }
                 Some(DONE) => return Ok(None),
                 Some(data) => return Ok(Some(data.to_owned())),
                 None => {}
--- a/crates/trial/src/chaos.rs
+++ b/crates/trial/src/chaos.rs
@@ -95,7 +95,7 @@
         let site = Arc::clone(site);
         let choice = rng.random::<u32>() as usize;
         threads.push(std::thread::spawn(move || {
-            bring(&site, kind, choice, length)
+            bring(&site, kind, choice, length);
         }));
     }
     for thread in threads {
@@ -242,9 +242,9 @@
 fn pause(site: &Site, index: usize, on: bool) {
     if let Some(daemon) = &site.entries()[index].daemon {
         if on {
-            daemon.workers.pause()
+            daemon.workers.pause();
         } else {
-            daemon.workers.resume()
+            daemon.workers.resume();
         }
     }
 }
--- a/crates/trial/src/client.rs
+++ b/crates/trial/src/client.rs
@@ -127,7 +127,9 @@
             let data = match events.next(PATIENCE).await {
                 Ok(Some(data)) => data,
                 Ok(None) => return Ok(End::Whole(text)),
-                Err(_) => return Ok(End::CutOff),
+                // Only a body that ended in good order without a word is cut off.
+                Err(Error::Malformed(_)) => return Ok(End::CutOff),
+                Err(e) => return Err(e),
             };
             let passed = since.elapsed();
             since = Instant::now();
--- a/crates/trial/src/trial.rs
+++ b/crates/trial/src/trial.rs
@@ -106,7 +106,7 @@
         let reverted = Watch::start(&site);
         let batch = self.start_batch(&site, started + length + GRACE);
         chaos::run(&site, self.level, self.seed, started + length, |text| {
-            self.say(text)
+            self.say(text);
         });
         while started.elapsed() < length {
             thread::sleep(LOOK);
