Let schedules hold all other daemons still during a takeover

Cause: random steps alone almost never completed a challenge and a claim. Change: one step runs a whole takeover while the others stand still. Conclusion: the checks can fail, so their passing says something.

--- a/crates/bench/src/durable/op.rs
+++ b/crates/bench/src/durable/op.rs
@@ -53,6 +53,8 @@
     Run(usize),
     /// A daemon dies and comes back with nothing.
     Restart(usize),
+    /// All other daemons are held still while a daemon takes the shard over.
+    TakeOver(usize),
     /// A daemon changes its mind on whether another one lives.
     Believe(usize, usize, bool),
 }
@@ -84,6 +86,7 @@
         3 => (node.clone(), 0..KEYS).prop_map(|(n, k)| Op::Call(n, k)),
         4 => node.clone().prop_map(Op::Run),
         1 => node.clone().prop_map(Op::Restart),
+        2 => node.clone().prop_map(Op::TakeOver),
         2 => (node.clone(), node, arbitrary::<bool>()).prop_map(|(a, b, up)| Op::Believe(a, b, up)),
     ]
 }
--- a/crates/bench/src/durable/world.rs
+++ b/crates/bench/src/durable/world.rs
@@ -253,12 +253,26 @@
             Op::Call(node, key) => self.call(node, key),
             Op::Run(node) => self.run_calls(node),
             Op::Restart(node) => self.nodes[node] = self.start(),
+            Op::TakeOver(node) => self.take_over(node),
             Op::Believe(node, other, alive) => {
-                self.nodes[node].believes[other] = alive || node == other
+                self.nodes[node].believes[other] = alive || node == other;
             }
         }
     }
 
+    fn take_over(&mut self, node: usize) {
+        const STEPS: u32 = 10;
+        const STEP: Duration = Duration::from_millis(400);
+        let before = self.nodes[node].believes;
+        self.nodes[node].believes = std::array::from_fn(|other| other == node);
+        for _ in 0..STEPS {
+            self.now += STEP;
+            self.read(node);
+            self.look(node, Fate::Lands);
+        }
+        self.nodes[node].believes = before;
+    }
+
     fn read(&mut self, node: usize) {
         let page = self.page(self.nodes[node].participant.shard().next());
         let page = rewrite(self.broken, self.nodes[node].participant.shard(), page);
