--- a/crates/protocol/src/jsonc.rs
+++ b/crates/protocol/src/jsonc.rs
@@ -8,6 +8,8 @@
 use jsonc_parser::ast::Value as Node;
 use jsonc_parser::common::Ranged;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+use jsonschema::ValidationError;
+use jsonschema::error::ValidationErrorKind;
 use schemars::{JsonSchema, schema_for};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -115,7 +117,7 @@
         .map_err(|e| syntax(1, format!("the schema is broken: {e}")))?;
     let mut problems: Vec<Problem> = validator
         .iter_errors(&value)
-        .map(|e| lines.problem(e.instance_path.to_string(), e.to_string()))
+        .flat_map(|error| explain(&lines, &error))
         .collect();
     problems.extend(
         duplicates
@@ -131,6 +133,30 @@
     }
 }
 
+/// Says of one error of the schema what is wrong and what to write.
+fn explain(lines: &Lines<'_>, error: &ValidationError<'_>) -> Vec<Problem> {
+    let path = error.instance_path.to_string();
+    match &error.kind {
+        ValidationErrorKind::AdditionalProperties { unexpected } => unexpected
+            .iter()
+            .map(|name| {
+                let path = format!("{path}/{name}");
+                lines.problem(
+                    path,
+                    "there is no such field; correct its name or remove it",
+                )
+            })
+            .collect(),
+        ValidationErrorKind::Required { .. } => {
+            vec![lines.problem(path, format!("{error}; add it"))]
+        }
+        ValidationErrorKind::Type { .. } => {
+            vec![lines.problem(path, format!("{error}; write a value of that type"))]
+        }
+        _ => vec![lines.problem(path, format!("{error}; write a value that fits"))],
+    }
+}
+
 fn duplicate_fields(node: &Node<'_>, path: &str) -> Vec<String> {
     match node {
         Node::Object(object) => {
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -9,6 +9,9 @@
 use crate::Name;
 use crate::jsonc::{self, Problem};
 
+/// An IP number and a port; names are not looked up.
+const ADDRESS: &str = r"^([0-9]{1,3}(\.[0-9]{1,3}){3}|\[[0-9A-Fa-f:.]+\]):[0-9]{1,5}$";
+
 /// Settings of one daemon: where it listens and where the platform is.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -18,16 +21,22 @@
     /// Data centre.
     pub data_centre: Name,
     /// TCP address for callers.
+    #[schemars(with = "String", regex(pattern = ADDRESS))]
     pub callers: SocketAddr,
     /// TCP address for operators.
+    #[schemars(with = "String", regex(pattern = ADDRESS))]
     pub admin: SocketAddr,
     /// UDP address for requests between daemons.
+    #[schemars(with = "String", regex(pattern = ADDRESS))]
     pub peers: SocketAddr,
     /// UDP address for membership packets.
+    #[schemars(with = "String", regex(pattern = ADDRESS))]
     pub heartbeats: SocketAddr,
     /// TCP address of the log service.
+    #[schemars(with = "String", regex(pattern = ADDRESS))]
     pub log: SocketAddr,
     /// TCP address of the instance list.
+    #[schemars(with = "String", regex(pattern = ADDRESS))]
     pub instances: SocketAddr,
     /// UDP address of a statsd server.
     #[serde(default)]
