Add experiments in virtual time beside baselines

Cause: the sharing policy had no figures, and none of its baselines. Change: bitterncart-bench run and compare drive routing, sharing, interest and the retry budget over modelled engines; baselines no-rule, fixed, online-only, batch-only; SVG plots.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,3 +1,5 @@
 //! Load, experiments and slopes.
 
+pub mod compare;
 pub mod durable;
+pub mod sim;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,2 +1,176 @@
-//! Placeholder.
-fn main() {}
+//! `bitterncart-bench`: load, experiments and slopes.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use argh::FromArgs;
+use bitterncart_bench::compare::Comparison;
+use bitterncart_bench::durable::{self, Broken};
+use bitterncart_bench::sim::{Experiment, Fault, Policy};
+use bitterncart_protocol::Document;
+
+/// Measure bitterncart.
+#[derive(FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Run(Run),
+    Compare(Compare),
+    Durable(Durable),
+}
+
+/// run one policy in virtual time and print a JSON report
+#[derive(FromArgs)]
+#[argh(subcommand, name = "run")]
+struct Run {
+    /// environment document
+    #[argh(option)]
+    document: PathBuf,
+    /// shared, no-rule, fixed, online-only or batch-only
+    #[argh(option, default = "Policy::Shared")]
+    policy: Policy,
+    /// seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// virtual time, in seconds
+    #[argh(option, default = "240")]
+    seconds: u64,
+    /// mean online load as a share of the engines' most tokens a second
+    #[argh(option, default = "0.25")]
+    load: f64,
+    /// none or replicas
+    #[argh(option, default = "Fault::None")]
+    faults: Fault,
+}
+
+/// run all policies on the same seed and print their ratios
+#[derive(FromArgs)]
+#[argh(subcommand, name = "compare")]
+struct Compare {
+    /// environment document
+    #[argh(option)]
+    document: PathBuf,
+    /// seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// virtual time, in seconds
+    #[argh(option, default = "240")]
+    seconds: u64,
+    /// mean online load as a share of the engines' most tokens a second
+    #[argh(option, default = "0.25")]
+    load: f64,
+    /// none or replicas
+    #[argh(option, default = "Fault::None")]
+    faults: Fault,
+    /// text or json
+    #[argh(option, default = "String::from(\"text\")")]
+    report: String,
+    /// file for a plot, SVG
+    #[argh(option)]
+    plot: Option<PathBuf>,
+}
+
+/// run random schedules of the durable decisions
+#[derive(FromArgs)]
+#[argh(subcommand, name = "durable")]
+struct Durable {
+    /// seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// schedules
+    #[argh(option, default = "10000")]
+    cases: u32,
+    /// rule to break on purpose: stale-epoch, early-ack or repeat-call
+    #[argh(option)]
+    broken: Option<Broken>,
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let result = match args.command {
+        Command::Run(args) => run(&args),
+        Command::Compare(args) => compare(&args),
+        Command::Durable(args) => durable::run(args.seed, args.cases, args.broken).map(|checks| {
+            println!(
+                "{} schedules clean, {checks} invariants checked",
+                args.cases
+            );
+        }),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("{why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn experiment(
+    document: &PathBuf,
+    seed: u64,
+    seconds: u64,
+    load: f64,
+    fault: Fault,
+) -> Result<Experiment, String> {
+    let path = document.display();
+    let text =
+        std::fs::read_to_string(document).map_err(|e| format!("{path}: cannot be read: {e}"))?;
+    let document = Document::parse(&text).map_err(|problems| {
+        problems
+            .iter()
+            .map(|problem| format!("{path}: {problem}\n"))
+            .collect::<String>()
+    })?;
+    Ok(Experiment {
+        document,
+        seed,
+        length: Duration::from_secs(seconds),
+        daemons: 2,
+        load,
+        fault,
+    })
+}
+
+fn run(args: &Run) -> Result<(), String> {
+    let experiment = experiment(
+        &args.document,
+        args.seed,
+        args.seconds,
+        args.load,
+        args.faults,
+    )?;
+    let row = experiment
+        .run(args.policy)
+        .row(args.policy.name(), experiment.length);
+    println!(
+        "{}",
+        serde_json::to_string(&row).map_err(|e| e.to_string())?
+    );
+    Ok(())
+}
+
+fn compare(args: &Compare) -> Result<(), String> {
+    let experiment = experiment(
+        &args.document,
+        args.seed,
+        args.seconds,
+        args.load,
+        args.faults,
+    )?;
+    let comparison = Comparison::run(experiment);
+    if let Some(path) = &args.plot {
+        comparison.plot(path)?;
+    }
+    match args.report.as_str() {
+        "json" => println!("{}", comparison.json()),
+        _ => println!("{}", comparison.text()),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/src/sim/policy.rs
@@ -0,0 +1,62 @@
+//! Policies that are compared.
+
+use std::str::FromStr;
+
+/// How batch work shares the engines with online work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Policy {
+    /// The sharing policy of the product.
+    Shared,
+    /// Baseline: as many batch sequences as an engine runs, whatever online does.
+    NoRule,
+    /// Baseline: a quarter of an engine's sequences for batch at all times.
+    Fixed,
+    /// Baseline: online traffic alone.
+    OnlineOnly,
+    /// Baseline: batch work alone.
+    BatchOnly,
+}
+
+impl Policy {
+    /// All policies, the product's first.
+    pub const ALL: [Self; 5] = [
+        Self::Shared,
+        Self::NoRule,
+        Self::Fixed,
+        Self::OnlineOnly,
+        Self::BatchOnly,
+    ];
+
+    /// Name on the command line.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Shared => "shared",
+            Self::NoRule => "no-rule",
+            Self::Fixed => "fixed",
+            Self::OnlineOnly => "online-only",
+            Self::BatchOnly => "batch-only",
+        }
+    }
+
+    /// Whether online traffic runs.
+    #[must_use]
+    pub fn has_online(self) -> bool {
+        self != Self::BatchOnly
+    }
+
+    /// Whether batch work runs.
+    #[must_use]
+    pub fn has_batch(self) -> bool {
+        self != Self::OnlineOnly
+    }
+}
+
+impl FromStr for Policy {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let known = Self::ALL.into_iter().find(|policy| policy.name() == text);
+        known.ok_or_else(|| "write shared, no-rule, fixed, online-only or batch-only".to_owned())
+    }
+}
