Cut batch slots in proportion and count each engine step once

Cause: every token of a step fed the mean, so one slow step halved the slots. Change: one sample a step; a cut by target over measured gap, 0.5 to 0.95; the document's weight moves the share of the bound that batch may fill from 0.55 to 0.95.

--- a/crates/bench/src/sim/metrics.rs
+++ b/crates/bench/src/sim/metrics.rs
@@ -51,7 +51,7 @@
     pub itl: Latency,
     /// Time to the whole answer, from arrival.
     pub whole: Latency,
-    /// Longest time after the start of a burst with batch in the reserve.
+    /// Longest stretch in a burst with batch in the reserve.
     pub give_way: Duration,
     /// Samples over time.
     pub samples: Vec<Sample>,
@@ -90,7 +90,7 @@
     pub batch_items_per_s: f64,
     /// Batch streams that gave way, a second.
     pub gave_way_per_s: f64,
-    /// Longest time after the start of a burst with batch in the reserve.
+    /// Longest stretch in a burst with batch in the reserve.
     pub give_way_ms: f64,
     /// Share of prompts whose prefix was cached.
     pub prefix_hits: f64,
--- a/crates/coordination/src/sharing.rs
+++ b/crates/coordination/src/sharing.rs
@@ -2,7 +2,7 @@
 //!
 //! Engines know no priority, so what is not sent is the only priority there
 //! is. The owner of a replica holds a number of batch slots: it grows by a
-//! step while online is on time and halves when a first token or a token is
+//! step while online is on time and is cut when a first token or a token is
 //! late. A reserve stays free for a burst, and online use that other daemons
 //! report is subtracted at once. A new owner starts at zero.
 
@@ -14,9 +14,24 @@
 /// Time between two steps up.
 const STEP: Duration = Duration::from_millis(100);
 
-/// Time after a halving during which late tokens still stem from before it.
+/// Time after a cut during which late tokens still stem from before it.
 const SETTLE: Duration = Duration::from_millis(300);
 
+/// Factor of the slots after a report of a late token.
+const LATE_CUT: f64 = 0.5;
+
+/// Factors of the slots between which a cut lies.
+const CUT: std::ops::RangeInclusive<f64> = 0.5..=0.95;
+
+/// Time within which tokens stem from the same step of the engine.
+const SAME_STEP: Duration = Duration::from_millis(2);
+
+/// Weight of a gap above the mean; the mean then stands for the tail.
+const RISE: f64 = 0.1;
+
+/// Weight of a gap below the mean.
+const FALL: f64 = 0.02;
+
 /// Time after which a daemon's report of use counts for nothing.
 const STALE: Duration = Duration::from_secs(5);
 
@@ -38,7 +53,7 @@
 impl Bounds {
     /// Share of the time between tokens that batch may fill.
     fn itl_target(&self) -> Duration {
-        self.itl.mul_f64(0.7 + 0.25 * self.batch_weight)
+        self.itl.mul_f64(0.55 + 0.4 * self.batch_weight)
     }
 
     fn ttft_target(&self) -> Duration {
@@ -62,8 +77,9 @@
     bounds: Bounds,
     limit: f64,
     stepped: Duration,
-    halved: Option<Duration>,
+    cut_at: Option<Duration>,
     gap: Duration,
+    sampled: Duration,
     online: HashMap<id::Daemon, Use>,
 }
 
@@ -75,8 +91,9 @@
             bounds,
             limit: 0.0,
             stepped: now,
-            halved: None,
+            cut_at: None,
             gap: Duration::ZERO,
+            sampled: Duration::ZERO,
             online: HashMap::new(),
         }
     }
@@ -90,24 +107,29 @@
     pub fn online(&mut self, now: Duration, daemon: &id::Daemon, running: u32, late: bool) {
         self.online.insert(daemon.clone(), Use { running, at: now });
         if late {
-            self.halve(now);
+            self.cut(now, LATE_CUT);
         }
     }
 
     /// Notes the time between two tokens of any sequence on the replica.
     pub fn token(&mut self, now: Duration, gap: Duration) {
-        // A fast-rising, slow-falling mean stands for the tail.
-        let weight = if gap > self.gap { 0.2 } else { 0.02 };
+        // All sequences get their token in one step of the engine; one speaks for it.
+        if now.saturating_sub(self.sampled) < SAME_STEP {
+            return;
+        }
+        self.sampled = now;
+        let weight = if gap > self.gap { RISE } else { FALL };
         self.gap = self.gap.mul_f64(1.0 - weight) + gap.mul_f64(weight);
-        if self.gap > self.bounds.itl_target() {
-            self.halve(now);
+        let target = self.bounds.itl_target();
+        if self.gap > target {
+            self.cut(now, target.as_secs_f64() / self.gap.as_secs_f64());
         }
     }
 
     /// Notes the time to the first token of an online sequence.
     pub fn first(&mut self, now: Duration, ttft: Duration) {
         if ttft > self.bounds.ttft_target() {
-            self.halve(now);
+            self.cut(now, LATE_CUT);
         }
     }
 
@@ -134,7 +156,7 @@
 
     fn step_up(&mut self, now: Duration) {
         let settling = self
-            .halved
+            .cut_at
             .is_some_and(|at| now.saturating_sub(at) < SETTLE);
         if settling || now.saturating_sub(self.stepped) < STEP {
             return;
@@ -153,15 +175,17 @@
             (self.limit + self.bounds.step() * near).min(f64::from(self.bounds.max_sequences));
     }
 
-    fn halve(&mut self, now: Duration) {
+    /// Cuts the slots by a factor, once for what one cause made late.
+    fn cut(&mut self, now: Duration, factor: f64) {
         let settling = self
-            .halved
+            .cut_at
             .is_some_and(|at| now.saturating_sub(at) < SETTLE);
         if settling {
             return;
         }
-        self.halved = Some(now);
-        self.limit = self.limit.min(f64::from(self.room(now))) / 2.0;
+        self.cut_at = Some(now);
+        let factor = factor.clamp(*CUT.start(), *CUT.end());
+        self.limit = self.limit.min(f64::from(self.room(now))) * factor;
         self.gap = self.gap.min(self.bounds.itl_target());
     }
 }
