Learn how many sequences a replica runs, and give batch the rest

Cause: the learned limit was batch's alone, so a burst stood on top of it until late tokens cut it, 300 ms apart. Change: the owner learns the total; batch is the total less online, so each online sequence pushes one batch sequence out at once.

--- a/crates/coordination/src/sharing.rs
+++ b/crates/coordination/src/sharing.rs
@@ -1,10 +1,11 @@
 //! Batch slots of one replica.
 //!
 //! Engines know no priority, so what is not sent is the only priority there
-//! is. The owner of a replica holds a number of batch slots: it grows by a
-//! step while online is on time and is cut when a first token or a token is
-//! late. A reserve stays free for a burst, and online use that other daemons
-//! report is subtracted at once. A new owner starts at zero.
+//! is. The owner of a replica learns how many sequences the replica runs within
+//! the document's bounds: the number grows by a step while tokens are on time
+//! and is cut when one is late. Batch has what online leaves of it, so a burst
+//! pushes batch out sequence by sequence, at once. A reserve stays free, and a
+//! new owner starts at zero.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -75,7 +76,7 @@
 #[derive(Clone, Debug)]
 pub struct Sharing {
     bounds: Bounds,
-    limit: f64,
+    total: f64,
     stepped: Duration,
     cut_at: Option<Duration>,
     gap: Duration,
@@ -89,7 +90,7 @@
     pub fn new(now: Duration, bounds: Bounds) -> Self {
         Self {
             bounds,
-            limit: 0.0,
+            total: 0.0,
             stepped: now,
             cut_at: None,
             gap: Duration::ZERO,
@@ -136,7 +137,13 @@
     /// Batch sequences allowed now.
     pub fn allowed(&mut self, now: Duration) -> u32 {
         self.step_up(now);
-        self.limit.min(f64::from(self.room(now))).max(0.0) as u32
+        self.batch_room(now)
+    }
+
+    fn batch_room(&self, now: Duration) -> u32 {
+        let online = self.online_running(now);
+        let learned = (self.total as u32).saturating_sub(online);
+        learned.min(self.room(online))
     }
 
     /// Online sequences that daemons reported.
@@ -149,8 +156,8 @@
             .sum()
     }
 
-    fn room(&self, now: Duration) -> u32 {
-        let taken = self.bounds.reserve + self.online_running(now);
+    fn room(&self, online: u32) -> u32 {
+        let taken = self.bounds.reserve + online;
         self.bounds.max_sequences.saturating_sub(taken)
     }
 
@@ -163,29 +170,27 @@
         }
         // A gap well below its bound leaves room for larger steps.
         let headroom = 1.0 - self.gap.as_secs_f64() / self.bounds.itl_target().as_secs_f64();
-        let near = if headroom > 0.25 {
-            2.0
-        } else if headroom > 0.08 {
-            0.5
-        } else {
-            0.0
+        let near = match headroom {
+            headroom if headroom > 0.25 => 2.0,
+            headroom if headroom > 0.08 => 0.5,
+            _ => 0.0,
         };
         self.stepped = now;
-        self.limit =
-            (self.limit + self.bounds.step() * near).min(f64::from(self.bounds.max_sequences));
+        let most = f64::from(self.bounds.max_sequences);
+        self.total = (self.total + self.bounds.step() * near).min(most);
     }
 
-    /// Cuts the slots by a factor, once for what one cause made late.
+    /// Cuts the sequences by a factor, once for what one cause made late.
     fn cut(&mut self, now: Duration, factor: f64) {
         let settling = self
             .cut_at
             .is_some_and(|at| now.saturating_sub(at) < SETTLE);
-        if settling {
+        // What online alone makes late is not for batch to mend.
+        if settling || self.batch_room(now) == 0 {
             return;
         }
         self.cut_at = Some(now);
-        let factor = factor.clamp(*CUT.start(), *CUT.end());
-        self.limit = self.limit.min(f64::from(self.room(now))) * factor;
+        self.total *= factor.clamp(*CUT.start(), *CUT.end());
         self.gap = self.gap.min(self.bounds.itl_target());
     }
 }
