Give each run of a batch stream a number, and measure slopes

A stream that gave way could take one more token from its stopped run after its next run had begun from the tokens before, so that token stood twice. Ruled out: the fold (one result for the item), the engine's resume (it starts at the number it is told). Change: coordination::Streams numbers the runs; only the newest adds tokens or ends the stream. bitterncart-bench slope measures costs against sizes. Conclusion: what one attempt may still do after it was stopped is now decided in one place.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod compare;
 pub mod durable;
 pub mod sim;
+pub mod slope;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -8,6 +8,7 @@
 use bitterncart_bench::compare::Comparison;
 use bitterncart_bench::durable::{self, Broken};
 use bitterncart_bench::sim::{Experiment, Fault, Policy};
+use bitterncart_bench::slope;
 use bitterncart_protocol::Document;
 
 /// Measure bitterncart.
@@ -23,6 +24,7 @@
     Run(Run),
     Compare(Compare),
     Durable(Durable),
+    Slope(SlopeArgs),
 }
 
 /// run one policy in virtual time and print a JSON report
@@ -91,11 +93,27 @@
     broken: Option<Broken>,
 }
 
+/// measure a cost against sizes and fit a line
+#[derive(FromArgs)]
+#[argh(subcommand, name = "slope")]
+struct SlopeArgs {
+    /// name of the slope, or all
+    #[argh(positional)]
+    name: String,
+    /// text or json
+    #[argh(option, default = "String::from(\"text\")")]
+    report: String,
+}
+
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
+    spdlog::default_logger().set_level_filter(spdlog::LevelFilter::MoreSevereEqual(
+        spdlog::Level::Critical,
+    ));
     let result = match args.command {
         Command::Run(args) => run(&args),
         Command::Compare(args) => compare(&args),
+        Command::Slope(args) => measure(&args),
         Command::Durable(args) => durable::run(args.seed, args.cases, args.broken).map(|checks| {
             println!(
                 "{} schedules clean, {checks} invariants checked",
@@ -156,6 +174,25 @@
     Ok(())
 }
 
+fn measure(args: &SlopeArgs) -> Result<(), String> {
+    let names: Vec<&str> = if args.name == "all" {
+        slope::NAMES.into()
+    } else {
+        vec![args.name.as_str()]
+    };
+    for name in names {
+        let slope = slope::measure(name)?;
+        match args.report.as_str() {
+            "json" => println!(
+                "{}",
+                serde_json::to_string(&slope).map_err(|e| e.to_string())?
+            ),
+            _ => println!("{}", slope.text()),
+        }
+    }
+    Ok(())
+}
+
 fn compare(args: &Compare) -> Result<(), String> {
     let experiment = experiment(
         &args.document,
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod retry;
 pub mod routing;
 pub mod sharing;
+pub mod streams;
 
 pub use admission::Admission;
 pub use bucket::Bucket;
@@ -25,3 +26,4 @@
 pub use queue::Queue;
 pub use routing::Routing;
 pub use sharing::Sharing;
+pub use streams::Streams;
--- a/crates/daemon/src/batch.rs
+++ b/crates/daemon/src/batch.rs
@@ -9,10 +9,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bitterncart_coordination::queue::LEASE;
 use bitterncart_coordination::retry::Failure;
 use bitterncart_coordination::routing::{Class, Key, State};
 use bitterncart_coordination::sharing::{Bounds, Sharing};
+use bitterncart_coordination::streams::{Ended, Run, Start};
 use bitterncart_protocol::peer::{Ask, End, Lease, Reply, Work};
 use bitterncart_protocol::record::Answer;
 use bitterncart_protocol::{Code, Document, Name, id};
@@ -21,7 +21,7 @@
 use rand::Rng;
 use serde_json::{Value, json};
 
-use crate::core::{Core, Stream};
+use crate::core::Core;
 use crate::counters::Count;
 use crate::engine::{Broken, Sequence};
 use crate::{peers, shards};
@@ -32,9 +32,6 @@
 /// Time between two rounds of ends and renewals.
 const FLUSH: Duration = Duration::from_millis(50);
 
-/// Time between two renewals of a lease.
-const RENEW: Duration = Duration::from_secs(4);
-
 /// Time for another daemon's answer.
 const ASK: Duration = Duration::from_secs(2);
 
@@ -194,44 +191,25 @@
     })
 }
 
-fn running(core: &Core, key: Key) -> usize {
-    core.streams()
-        .values()
-        .filter(|stream| stream.replica == Some(key))
-        .count()
-}
-
 /// Stops the newest streams above the allowed number.
 fn give_way(core: &Core, replica: &Owned) {
-    let mut streams = core.streams();
-    let on_replica: Vec<Lease> = streams
-        .iter()
-        .filter(|(_, stream)| stream.replica == Some(replica.key))
-        .map(|(lease, _)| *lease)
-        .collect();
-    let excess = on_replica.len().saturating_sub(replica.allowed);
-    for lease in on_replica.iter().rev().take(excess) {
-        if let Some(stream) = streams.get_mut(lease) {
-            stream.replica = None;
-            stream.stop = None;
-            core.counters.add(Count::BatchGaveWay, 1);
-            core.counters.code(Code::RetryGiveWay);
-        }
+    let stopped = core.streams().give_way(replica.key, replica.allowed);
+    for _ in 0..stopped {
+        core.counters.add(Count::BatchGaveWay, 1);
+        core.counters.code(Code::RetryGiveWay);
     }
 }
 
+fn free(core: &Core, replica: &Owned) -> usize {
+    replica
+        .allowed
+        .saturating_sub(core.streams().running(replica.key))
+}
+
 /// Goes on with streams that were set aside.
 fn resume(core: &Arc<Core>, replica: &Owned) {
-    let free = replica.allowed.saturating_sub(running(core, replica.key));
-    let aside: Vec<Lease> = {
-        let streams = core.streams();
-        let of_model = streams.iter().filter(|(_, stream)| {
-            stream.replica.is_none()
-                && stream.stop.is_none()
-                && model_of(&stream.work) == replica.model
-        });
-        of_model.map(|(lease, _)| *lease).take(free).collect()
-    };
+    let free = free(core, replica);
+    let aside = core.streams().aside(&replica.model, free);
     for lease in aside {
         launch(core, lease, replica.key);
     }
@@ -254,7 +232,7 @@
     };
     let mut asked = 0;
     for replica in owned {
-        let free = replica.allowed.saturating_sub(running(core, replica.key));
+        let free = free(core, replica);
         if free == 0 || asked >= PULLS {
             continue;
         }
@@ -308,91 +286,81 @@
 
 fn take(core: &Arc<Core>, shard: id::Shard, work: Work, key: Key) {
     let lease = work.lease;
-    let stream = Stream {
-        replica: None,
-        shard,
-        work,
-        tokens: Vec::new(),
-        stop: None,
-        renewed: core.now(),
-    };
-    core.streams().insert(lease, stream);
+    let model = model_of(&work);
+    core.streams().insert(core.now(), shard, model, work);
     launch(core, lease, key);
 }
 
 fn launch(core: &Arc<Core>, lease: Lease, key: Key) {
     let (stop, stopped) = async_channel::bounded::<()>(1);
-    if let Some(stream) = core.streams().get_mut(&lease) {
-        stream.replica = Some(key);
-        stream.stop = Some(stop);
-    }
+    let Some(start) = core.streams().launch(lease, key, stop) else {
+        return;
+    };
     let core_of = Arc::clone(core);
     let task = async move {
-        let run = async { Some(attempt(&core_of, lease, key).await) };
+        let run = start.run;
+        let attempt = async { Some(attempt(&core_of, start, key).await) };
         // The channel closes when the stream gives way or is dropped.
         let stop = async {
             stopped.recv().await.ok();
             None
         };
-        if let Some(end) = future::or(run, stop).await {
-            ended(&core_of, lease, end);
+        if let Some(end) = future::or(stop, attempt).await {
+            ended(&core_of, lease, run, end);
         }
     };
     core.runtime.spawn(task).detach();
 }
 
-/// Takes the end of a stream that was not stopped.
-fn ended(core: &Core, lease: Lease, end: End) {
-    let Some(stream) = core.streams().remove(&lease) else {
+/// How a run ended.
+enum Outcome {
+    /// All tokens are there.
+    Whole,
+    /// The attempt ended otherwise.
+    Other(End),
+}
+
+/// Takes the end of a run that was not stopped.
+fn ended(core: &Core, lease: Lease, run: Run, outcome: Outcome) {
+    let Some(ended) = core.streams().end(lease, run) else {
         return;
     };
-    if matches!(end, End::Finished(_)) {
-        core.counters.add(Count::BatchFinished, 1);
-    }
+    let end = match outcome {
+        Outcome::Whole => {
+            core.counters.add(Count::BatchFinished, 1);
+            finished(&ended)
+        }
+        Outcome::Other(end) => end,
+    };
     let mut ends = core.ends();
-    let waiting = ends.entry(stream.shard).or_default();
+    let waiting = ends.entry(ended.shard).or_default();
     if waiting.len() < MAX_ENDS {
         waiting.push((lease, end));
     }
 }
 
-async fn attempt(core: &Arc<Core>, lease: Lease, key: Key) -> End {
-    let begun = core
-        .streams()
-        .get(&lease)
-        .map(|stream| (stream.work.clone(), stream.tokens.len()));
-    let Some((work, done)) = begun else {
-        return End::Returned;
-    };
+async fn attempt(core: &Arc<Core>, start: Start, key: Key) -> Outcome {
+    let Start { run, work, done } = start;
     let Ok(request) = serde_json::from_str::<Value>(&work.body) else {
-        return End::Failed(Code::MalformedJson);
+        return Outcome::Other(End::Failed(Code::MalformedJson));
     };
     let patience = patience(core, &work);
-    let started = Sequence::start(
-        core,
-        key,
-        Class::Batch,
-        &work.endpoint,
-        &request,
-        done,
-        patience,
-    )
-    .await;
+    let endpoint = &work.endpoint;
+    let started =
+        Sequence::start(core, key, Class::Batch, endpoint, &request, done, patience).await;
     let mut sequence = match started {
         Ok(sequence) => sequence,
-        Err(broken) => return judge(core, &work, broken),
+        Err(broken) => return Outcome::Other(judge(core, &work, broken)),
     };
     loop {
         match sequence.next().await {
             Ok(Some(token)) => {
-                let mut streams = core.streams();
-                let Some(stream) = streams.get_mut(&lease) else {
-                    return End::Returned;
-                };
-                stream.tokens.push(token.text);
+                if !core.streams().token(work.lease, run, token.text) {
+                    return Outcome::Other(End::Returned);
+                }
             }
-            Ok(None) => return finished(core, lease, &work),
-            Err(broken) => return judge(core, &work, broken),
+            Ok(None) => return Outcome::Whole,
+            Err(broken) => return Outcome::Other(judge(core, &work, broken)),
         }
     }
 }
@@ -429,13 +397,9 @@
     }
 }
 
-fn finished(core: &Core, lease: Lease, work: &Work) -> End {
-    let text = core
-        .streams()
-        .get(&lease)
-        .map(|stream| stream.tokens.concat())
-        .unwrap_or_default();
-    let body = whole_response(&work.endpoint, &model_of(work), &text).to_string();
+fn finished(ended: &Ended) -> End {
+    let work = &ended.work;
+    let body = whole_response(&work.endpoint, &model_of(work), &ended.text).to_string();
     End::Finished(Answer {
         custom_id: work.custom_id.clone(),
         status: 200,
@@ -499,16 +463,8 @@
 async fn renew(core: &Core) {
     let now = core.now();
     let mut due: HashMap<id::Shard, Vec<Lease>> = HashMap::new();
-    {
-        let mut streams = core.streams();
-        // A lease that could not be renewed in time may be another daemon's by now.
-        streams.retain(|_, stream| now.saturating_sub(stream.renewed) < LEASE);
-        let old = streams
-            .iter()
-            .filter(|(_, stream)| now.saturating_sub(stream.renewed) >= RENEW);
-        for (lease, stream) in old {
-            due.entry(stream.shard).or_default().push(*lease);
-        }
+    for (shard, lease) in core.streams().due(now) {
+        due.entry(shard).or_default().push(lease);
     }
     for (shard, leases) in due {
         let revoked = match shards::renew(core, shard, &leases) {
@@ -528,9 +484,9 @@
         let mut streams = core.streams();
         for lease in leases {
             if revoked.contains(&lease) {
-                streams.remove(&lease);
-            } else if let Some(stream) = streams.get_mut(&lease) {
-                stream.renewed = now;
+                streams.revoke(&lease);
+            } else {
+                streams.renewed(now, &lease);
             }
         }
     }
@@ -538,13 +494,11 @@
 
 /// Gives all batch streams back, before a shutdown.
 pub async fn give_back(core: &Core) {
-    let streams = std::mem::take(&mut *core.streams());
+    let given_back = core.streams().take_all();
     {
         let mut ends = core.ends();
-        for (lease, stream) in streams {
-            ends.entry(stream.shard)
-                .or_default()
-                .push((lease, End::Returned));
+        for (shard, lease) in given_back {
+            ends.entry(shard).or_default().push((lease, End::Returned));
         }
     }
     flush(core).await;
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -12,7 +12,7 @@
 use bitterncart_coordination::retry::Budget;
 use bitterncart_coordination::routing::{self, Routing};
 use bitterncart_coordination::{Admission, Bucket, Interest, Membership, Sharing};
-use bitterncart_protocol::peer::{End, Lease, Member, Work};
+use bitterncart_protocol::peer::{End, Lease, Member};
 use bitterncart_protocol::record::Chunk;
 use bitterncart_protocol::{Code, Document, Name, Settings, hash, id};
 use bitterncart_state::Config;
@@ -36,22 +36,8 @@
 /// Share of the log's appends that the daemons plan to use together.
 const APPEND_SHARE: f64 = 0.8;
 
-/// Batch stream at an engine, or set aside for one.
-#[derive(Debug)]
-pub struct Stream {
-    /// Replica that runs it; `None` while it is set aside.
-    pub replica: Option<routing::Key>,
-    /// Shard that leased it.
-    pub shard: id::Shard,
-    /// What it runs.
-    pub work: Work,
-    /// Tokens so far.
-    pub tokens: Vec<String>,
-    /// Tells the stream to stop.
-    pub stop: Option<async_channel::Sender<()>>,
-    /// When the lease was last known to stand.
-    pub renewed: Duration,
-}
+/// Batch streams; a run stops when its channel closes.
+pub type Streams = bitterncart_coordination::Streams<async_channel::Sender<()>>;
 
 /// Tables of one daemon.
 #[derive(Debug)]
@@ -81,7 +67,7 @@
     budget: Mutex<Budget>,
     pace: Mutex<Bucket>,
     shards: Mutex<BTreeMap<id::Shard, Arc<Handle>>>,
-    streams: Mutex<BTreeMap<Lease, Stream>>,
+    streams: Mutex<Streams>,
     ends: Mutex<HashMap<id::Shard, Vec<(Lease, End)>>>,
     bodies: Mutex<VecDeque<(Chunk, Lines)>>,
     /// Fires when the configuration changes.
@@ -127,7 +113,7 @@
         /// Shards that this daemon reads.
         shards: BTreeMap<id::Shard, Arc<Handle>>;
         /// Batch streams.
-        streams: BTreeMap<Lease, Stream>;
+        streams: Streams;
         /// Ends of attempts on their way to the shards' owners.
         ends: HashMap<id::Shard, Vec<(Lease, End)>>;
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -46,7 +46,7 @@
     ///
     /// If an address cannot be bound.
     pub fn start(settings: Settings) -> Result<Self, Error> {
-        let (runtime, workers) = Runtime::start(settings.workers);
+        let (runtime, workers) = Runtime::start("daemon", settings.workers);
         let peers = peer::Peers::bind(settings.peers, &settings.fleet_secret)?;
         let heartbeat = heartbeat::Socket::bind(settings.heartbeats, &settings.fleet_secret);
         let heartbeat = smol::block_on(heartbeat).map_err(Error::connect)?;
--- a/crates/daemon/src/shards/tail.rs
+++ b/crates/daemon/src/shards/tail.rs
@@ -63,7 +63,7 @@
     }
     let mut streams = core.streams();
     for lease in &applied.revoked {
-        streams.remove(lease);
+        streams.revoke(lease);
     }
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -36,7 +36,7 @@
     address: SocketAddr,
     make: impl FnOnce(&Runtime) -> H,
 ) -> Result<Running, Error> {
-    let (runtime, workers) = Runtime::start(1);
+    let (runtime, workers) = Runtime::start("standin", 1);
     let server = smol::block_on(Server::bind(runtime.clone(), address)).map_err(Error::connect)?;
     let address = server.address().map_err(Error::connect)?;
     let handler = make(&runtime);
--- a/crates/transport/src/runtime.rs
+++ b/crates/transport/src/runtime.rs
@@ -43,9 +43,9 @@
 const LOOK: Duration = Duration::from_millis(20);
 
 impl Runtime {
-    /// Starts a pool of `workers` threads.
+    /// Starts a pool of `workers` threads with a name.
     #[must_use]
-    pub fn start(workers: u16) -> (Self, Workers) {
+    pub fn start(name: &str, workers: u16) -> (Self, Workers) {
         let shared = Arc::new(Shared {
             stopped: AtomicBool::new(false),
             paused: AtomicBool::new(false),
@@ -55,7 +55,11 @@
         let threads = (0..workers.max(1))
             .map(|_| {
                 let (shared, executor) = (Arc::clone(&shared), Arc::clone(&executor));
-                thread::spawn(move || shared.work(&executor))
+                thread::Builder::new()
+                    .name(name.to_owned())
+                    .spawn(move || shared.work(&executor))
+                    // A machine without room for a thread runs no daemon.
+                    .expect("a thread starts")
             })
             .collect();
         let runtime = Self {
