--- a/crates/bench/src/durable/op.rs
+++ b/crates/bench/src/durable/op.rs
@@ -51,6 +51,8 @@
     Call(usize, u8),
     /// A daemon runs calls that were announced.
     Run(usize),
+    /// A daemon gives up on calls whose announcement did not come back.
+    Withdraw(usize),
     /// A daemon dies and comes back with nothing.
     Restart(usize),
     /// All other daemons are held still while a daemon takes the shard over.
@@ -85,6 +87,7 @@
         1 => node.clone().prop_map(Op::Expire),
         3 => (node.clone(), 0..KEYS).prop_map(|(n, k)| Op::Call(n, k)),
         4 => node.clone().prop_map(Op::Run),
+        1 => node.clone().prop_map(Op::Withdraw),
         1 => node.clone().prop_map(Op::Restart),
         2 => node.clone().prop_map(Op::TakeOver),
         2 => (node.clone(), node, arbitrary::<bool>()).prop_map(|(a, b, up)| Op::Believe(a, b, up)),
--- a/crates/bench/src/durable/world.rs
+++ b/crates/bench/src/durable/world.rs
@@ -14,7 +14,7 @@
 use bitterncart_state::Shard;
 use bitterncart_state::shard::Event;
 
-use super::op::{Fate, JOBS, NODES, Op};
+use super::op::{Fate, JOBS, KEYS, NODES, Op};
 
 /// Items of each job.
 const ITEMS: u32 = 4;
@@ -252,6 +252,7 @@
             }
             Op::Call(node, key) => self.call(node, key),
             Op::Run(node) => self.run_calls(node),
+            Op::Withdraw(node) => self.withdraw(node),
             Op::Restart(node) => self.nodes[node] = self.start(),
             Op::TakeOver(node) => self.take_over(node),
             Op::Believe(node, other, alive) => {
@@ -380,6 +381,16 @@
         }
     }
 
+    fn withdraw(&mut self, node: usize) {
+        let this = &mut self.nodes[node];
+        for announced in std::mem::take(&mut this.announced) {
+            let (call, nonce) = (announced.call, announced.nonce);
+            if !this.participant.is_announced(call, nonce) {
+                this.participant.withdraw(call, nonce, Code::LogUnavailable);
+            }
+        }
+    }
+
     fn check(&mut self) -> Result<(), String> {
         let page = rewrite(
             self.broken,
@@ -467,8 +478,14 @@
                 self.step(Op::Read(node));
                 self.step(Op::Look(node, Fate::Lands));
                 self.step(Op::Expire(node));
-                self.step(Op::Run(node));
+                for key in 0..KEYS {
+                    self.step(Op::Call(node, key));
+                }
                 self.step(Op::Commit(node, Fate::Lands));
+                self.step(Op::Read(node));
+                self.step(Op::Run(node));
+                // A call that waits too long is given up, as the daemon does.
+                self.step(Op::Withdraw(node));
                 self.pull(node, u8::MAX);
                 for worker in 0..self.workers.len().min(usize::from(u8::MAX)) {
                     self.finish(worker as u8, node, true);
@@ -484,6 +501,13 @@
     }
 
     fn is_finished(&self) -> bool {
+        let settled = |key: u8| {
+            let known = self.reference.call(id::Call(key.into()));
+            known.is_some_and(|call| !matches!(call.outcome, Some(Outcome::NotRun(_))))
+        };
+        if !(0..KEYS).all(settled) {
+            return false;
+        }
         (0..JOBS)
             .filter(|job| self.accepted.contains(job))
             .all(|job| {
--- a/crates/coordination/src/participant.rs
+++ b/crates/coordination/src/participant.rs
@@ -5,7 +5,7 @@
 //! pages of the stream and takes groups to append; nothing an owner decides
 //! takes effect before it has come back in a page.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::time::Duration;
 
 use bitterncart_protocol::log::Page;
@@ -57,7 +57,7 @@
     queue: Option<Queue>,
     read: Duration,
     pending: Vec<Record>,
-    running: HashSet<id::Call>,
+    running: HashMap<id::Call, u64>,
 }
 
 impl Participant {
@@ -70,7 +70,7 @@
             queue: None,
             read: Duration::ZERO,
             pending: Vec::new(),
-            running: HashSet::new(),
+            running: HashMap::new(),
         }
     }
 
@@ -119,7 +119,8 @@
                 self.running.clear();
                 self.queue = self.is_mine().then(|| Queue::new(&self.shard));
             }
-            Event::Settled(call) => {
+            // An older announcement of the call may end while a newer one waits.
+            Event::Settled(call, nonce) if self.running.get(call) == Some(nonce) => {
                 self.running.remove(call);
             }
             _ => {}
@@ -238,9 +239,9 @@
 
     /// Decides a keyed call; on [`Step::Announce`] its announcement is queued.
     pub fn call(&mut self, call: id::Call, nonce: u64, request: u128, at_ms: u64) -> Step {
-        let step = call::decide(&self.shard, call, request, self.running.contains(&call));
+        let step = call::decide(&self.shard, call, request, self.running.contains_key(&call));
         if step == Step::Announce {
-            self.running.insert(call);
+            self.running.insert(call, nonce);
             self.pending.push(Record::Intent {
                 call,
                 nonce,
@@ -258,7 +259,7 @@
         let stands = known.is_some_and(|known| {
             known.epoch == self.shard.epoch() && known.nonce == nonce && known.outcome.is_none()
         });
-        stands && self.is_mine() && self.running.contains(&call)
+        stands && self.is_mine() && self.running.get(&call) == Some(&nonce)
     }
 
     /// Queues the outcome of a call that ran or certainly did not.
@@ -281,7 +282,9 @@
     /// Withdraws a call whose announcement did not come back in time.
     pub fn withdraw(&mut self, call: id::Call, nonce: u64, code: Code) {
         self.settle(call, nonce, Outcome::NotRun(code));
-        self.running.remove(&call);
+        if self.running.get(&call) == Some(&nonce) {
+            self.running.remove(&call);
+        }
     }
 
     /// Row for operators.
--- /dev/null
+++ b/crates/coordination/tests/participant.rs
@@ -0,0 +1,183 @@
+//! One daemon's part in a shard: ownership, keyed calls, stale groups.
+
+use std::time::Duration;
+
+use bitterncart_coordination::Participant;
+use bitterncart_coordination::call::Step;
+use bitterncart_coordination::participant::Surroundings;
+use bitterncart_protocol::log::{Entry, Page};
+use bitterncart_protocol::record::{Group, Outcome, Record};
+use bitterncart_protocol::{Code, id};
+use bitterncart_state::Shard;
+use bitterncart_testing::cases;
+
+const CALL: id::Call = id::Call(1);
+const REQUEST: u128 = 5;
+const STEP: Duration = Duration::from_millis(500);
+
+/// Log of one shard.
+#[derive(Default)]
+struct Log {
+    entries: Vec<Entry>,
+}
+
+impl Log {
+    fn append(&mut self, group: &Group) {
+        let offset = self.entries.len() as u64;
+        self.entries.push(Entry {
+            offset,
+            at_ms: offset,
+            payload: group.encode(),
+        });
+    }
+
+    fn open(&mut self, record: Record) {
+        self.append(&Group {
+            epoch: None,
+            records: vec![record],
+        });
+    }
+
+    fn read(&self, now: Duration, participant: &mut Participant) {
+        let from = participant.shard().next();
+        let entries = self
+            .entries
+            .iter()
+            .filter(|entry| entry.offset >= from)
+            .cloned()
+            .collect();
+        let page = Page {
+            first: 0,
+            next: self.entries.len() as u64,
+            entries,
+        };
+        participant.apply(now, &page);
+    }
+
+    fn claims(&self) -> usize {
+        let groups = self
+            .entries
+            .iter()
+            .filter_map(|entry| Group::decode(&entry.payload));
+        let is_claim = |record: &Record| matches!(record, Record::Claim { .. });
+        groups
+            .flat_map(|group| group.records)
+            .filter(is_claim)
+            .count()
+    }
+}
+
+fn participant(name: &str) -> Participant {
+    Participant::new(id::Daemon::from(name), Shard::default())
+}
+
+fn alone(name: &id::Daemon) -> Surroundings<'_> {
+    Surroundings {
+        winner: Some(name),
+        owner_alive: false,
+        draining: false,
+    }
+}
+
+fn owner(log: &mut Log) -> Participant {
+    let me = id::Daemon::from("a");
+    let mut participant = participant("a");
+    let claim = participant
+        .look(STEP, alone(&me))
+        .expect("a vacant shard is claimed");
+    log.open(claim);
+    log.read(STEP, &mut participant);
+    assert!(participant.is_mine());
+    participant
+}
+
+#[test]
+fn call_runs_after_an_older_announcement_was_withdrawn() {
+    let mut log = Log::default();
+    let mut owner = owner(&mut log);
+    assert_eq!(owner.call(CALL, 1, REQUEST, 0), Step::Announce);
+    let late = owner.take_group().expect("the announcement waits");
+    owner.withdraw(CALL, 1, Code::LogUnavailable);
+    assert_eq!(owner.call(CALL, 2, REQUEST, 0), Step::Announce);
+    log.append(&late);
+    let next = owner
+        .take_group()
+        .expect("the withdrawal and the next announcement wait");
+    log.append(&next);
+    log.read(STEP, &mut owner);
+    assert!(!owner.is_announced(CALL, 1));
+    assert!(owner.is_announced(CALL, 2));
+}
+
+#[test]
+fn announced_call_whose_owner_died_is_unknown() {
+    let mut log = Log::default();
+    let mut first = owner(&mut log);
+    first.call(CALL, 1, REQUEST, 0);
+    log.append(&first.take_group().expect("the announcement waits"));
+    let mut second = take_over(&mut log, "b");
+    assert_eq!(
+        second.call(CALL, 2, REQUEST, 0),
+        Step::Replay(Outcome::Unknown)
+    );
+}
+
+/// Takes the shard over from an owner that does not answer.
+fn take_over(log: &mut Log, name: &str) -> Participant {
+    let me = id::Daemon::from(name);
+    let mut participant = participant(name);
+    for step in 1..20 {
+        let now = STEP * step;
+        log.read(now, &mut participant);
+        if let Some(record) = participant.look(now, alone(&me)) {
+            log.open(record);
+        }
+    }
+    log.read(STEP * 20, &mut participant);
+    assert!(
+        participant.is_mine(),
+        "an owner that does not answer loses the shard"
+    );
+    participant
+}
+
+#[test]
+fn stale_owner_changes_nothing() {
+    let mut log = Log::default();
+    let mut first = owner(&mut log);
+    first.call(CALL, 1, REQUEST, 0);
+    let stale = first.take_group().expect("the announcement waits");
+    let mut second = take_over(&mut log, "b");
+    log.append(&stale);
+    log.read(STEP, &mut second);
+    log.read(STEP, &mut first);
+    assert!(second.shard().call(CALL).is_none());
+    assert!(!first.is_mine());
+    assert!(!first.is_announced(CALL, 1));
+    first.push([Record::Present]);
+    assert_eq!(first.take_group(), None);
+}
+
+cases! {
+    fn sides_that_reach_the_log_do_not_alternate(seconds: u32, claims: usize) {
+        let mut log = Log::default();
+        let names = [id::Daemon::from("a"), id::Daemon::from("b")];
+        let mut sides = [participant("a"), participant("b")];
+        for step in 1..=seconds * 2 {
+            let now = STEP * step;
+            for (side, name) in sides.iter_mut().zip(&names) {
+                log.read(now, side);
+                // Each side believes the other one dead.
+                if let Some(record) = side.look(now, alone(name)) {
+                    log.open(record);
+                }
+                if let Some(group) = side.take_group() {
+                    log.append(&group);
+                }
+            }
+        }
+        assert_eq!(log.claims(), claims);
+    }
+    for_a_minute(60, 1);
+    for_an_hour(3600, 1);
+}
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -15,6 +15,12 @@
 use crate::core::Core;
 use crate::{peers, service, shards};
 
+/// Time for a shard that changes its owner to have a new one.
+const OWNER: Duration = Duration::from_secs(3);
+
+/// Time between two questions for the owner.
+const OWNER_PAUSE: Duration = Duration::from_millis(150);
+
 /// Passes a call on to a service.
 pub(super) async fn call(
     core: &Arc<Core>,
@@ -68,6 +74,27 @@
 
 /// Runs a keyed call at the owner of its shard.
 async fn keyed(core: &Arc<Core>, call: id::Call, request: Call, left: Duration) -> Result<Outcome> {
+    let until = core.now() + left;
+    let wait_until = core.now() + OWNER.min(left);
+    loop {
+        let left = until.saturating_sub(core.now());
+        let refusal = match try_keyed(core, call, request.clone(), left).await {
+            Err(refusal) if refusal.code == Code::OwnerUnreachable => refusal,
+            result => return result,
+        };
+        if core.now() >= wait_until || core.is_log_failed() {
+            return Err(refusal);
+        }
+        smol::Timer::after(OWNER_PAUSE).await;
+    }
+}
+
+async fn try_keyed(
+    core: &Arc<Core>,
+    call: id::Call,
+    request: Call,
+    left: Duration,
+) -> Result<Outcome> {
     let document = core.document()?;
     let shard = call.shard(document.log.shards);
     let own = core
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -39,7 +39,12 @@
     question: &Ask,
     bound: Duration,
 ) -> Result<Reply, Error> {
-    let mut next = core.winner(shard);
+    // The fold knows the owner better than the rendezvous while shards move.
+    let handle = core.shards().get(&shard).cloned();
+    let owner = handle.and_then(|handle| handle.view().owner);
+    let mut next = owner
+        .filter(|owner| *owner != core.me)
+        .or_else(|| core.winner(shard));
     for _ in 0..HOPS {
         let Some(daemon) = next.filter(|daemon| *daemon != core.me) else {
             break;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -18,7 +18,7 @@
 use futures_lite::StreamExt;
 use serde_json::json;
 
-use crate::fault::Switch;
+use crate::fault::{Faults, Switch};
 use crate::reply;
 
 /// Text in a prompt that no attempt can complete.
@@ -94,6 +94,8 @@
 struct State {
     waiting: VecDeque<Sequence>,
     running: Vec<Sequence>,
+    /// Streams whose other end has lost track of them.
+    frozen: Vec<Sequence>,
     prefixes: VecDeque<u64>,
     events: Vec<(Instant, Cached)>,
     reports: VecDeque<(Instant, Load)>,
@@ -159,6 +161,10 @@
                 continue;
             }
             let faults = self.faults.get();
+            if faults.freeze {
+                self.freeze();
+                continue;
+            }
             let slow = if faults.slow > 0.0 { faults.slow } else { 1.0 };
             let step = self.model.step(running, admitted, cached).mul_f64(slow);
             smol::Timer::after(step).await;
@@ -170,6 +176,17 @@
         }
     }
 
+    /// Lets the open streams go silent and takes the fault back.
+    fn freeze(&self) {
+        let mut state = self.lock();
+        let running = std::mem::take(&mut state.running);
+        state.frozen.extend(running);
+        self.faults.set(Faults {
+            freeze: false,
+            ..self.faults.get()
+        });
+    }
+
     /// Admits waiting sequences in order of arrival, whatever their class.
     fn admit(&self) -> (usize, usize, usize) {
         let mut state = self.lock();
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -20,6 +20,8 @@
     pub silent: bool,
     /// Breaks every connection.
     pub broken: bool,
+    /// Streams that are open now go silent for good; new ones work.
+    pub freeze: bool,
     /// Takes no new work and says so.
     pub leaving: bool,
     /// Share of answers that are lost after the action took effect.
--- a/crates/state/src/shard.rs
+++ b/crates/state/src/shard.rs
@@ -40,8 +40,8 @@
     Ended(Key),
     /// A keyed call may run now.
     Announced(id::Call),
-    /// A keyed call ended.
-    Settled(id::Call),
+    /// The announcement of a keyed call with this nonce ended.
+    Settled(id::Call, u64),
 }
 
 /// Fold of a shard's stream.
@@ -420,7 +420,7 @@
             return None;
         }
         call.outcome = Some(outcome.clone());
-        Some(Event::Settled(id))
+        Some(Event::Settled(id, nonce))
     }
 
     fn keep(&mut self, id: id::Job, key: Key) {
