Keep the owners by rendezvous until the membership changes

Change: coordination::Placement keeps owners for one generation of the membership. Reads of the instance list, load reports and questions for batch work are paced, so that an idle daemon's bytes do not grow with the list or the number of shards. A draining daemon leaves before its streams end, so the others take its shards over at once.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -28,6 +28,9 @@
 /// Time that a suspect has to refute.
 pub const SUSPICION: Duration = Duration::from_millis(1500);
 
+/// Time between two looks at all members.
+const CHECK: Duration = Duration::from_millis(250);
+
 /// Time that a dead member is remembered, so that old news does not revive it.
 const TOMBSTONE: Duration = Duration::from_secs(600);
 
@@ -85,6 +88,8 @@
     seeds: Vec<SocketAddr>,
     seq: u64,
     next_probe: Duration,
+    next_check: Duration,
+    generation: u64,
     rng: SmallRng,
 }
 
@@ -102,6 +107,8 @@
             seeds: Vec::new(),
             seq: 0,
             next_probe: Duration::ZERO,
+            next_check: Duration::ZERO,
+            generation: 0,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -121,6 +128,12 @@
             .collect();
     }
 
+    /// Number that rises whenever the set of live members changes.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// Whether a daemon seems alive; a suspect still counts.
     #[must_use]
     pub fn is_alive(&self, daemon: &id::Daemon) -> bool {
@@ -155,6 +168,7 @@
     pub fn leave(&mut self) -> Vec<Action> {
         self.me.incarnation += 1;
         self.me.health = Health::Left;
+        self.generation += 1;
         let targets: Vec<SocketAddr> = self.live().map(|member| member.heartbeat).collect();
         targets.into_iter().map(|to| self.ping(to)).collect()
     }
@@ -163,7 +177,10 @@
     pub fn tick(&mut self, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
         self.check_probe(now, &mut actions);
-        self.check_suspects(now, &mut actions);
+        if now >= self.next_check {
+            self.next_check = now + CHECK;
+            self.check_suspects(now, &mut actions);
+        }
         if now >= self.next_probe && self.me.health == Health::Alive {
             self.next_probe = now + PERIOD;
             self.start_probe(now, &mut actions);
@@ -299,6 +316,7 @@
             }
         }
         if !dead.is_empty() {
+            self.generation += 1;
             actions.push(Action::Changed);
         }
         for daemon in dead {
@@ -418,6 +436,7 @@
         self.members.insert(member.daemon.clone(), entry);
         self.spread(member.daemon.clone());
         if was_alive != is_alive || replaced {
+            self.generation += 1;
             actions.push(Action::Changed);
         }
     }
--- a/crates/daemon/src/batch.rs
+++ b/crates/daemon/src/batch.rs
@@ -35,8 +35,13 @@
 /// Time for another daemon's answer.
 const ASK: Duration = Duration::from_secs(2);
 
-/// Wait before an empty shard is asked again; grows with the number of shards.
-const EMPTY: Duration = Duration::from_millis(100);
+/// First wait before an empty shard is asked again, for each shard there is;
+/// doubles up to [`EMPTY_MAX`].
+const EMPTY: Duration = Duration::from_millis(25);
+
+/// Longest wait before an empty shard is asked again, for each shard there is:
+/// an idle daemon asks two of them a second, whatever their number.
+const EMPTY_MAX: Duration = Duration::from_millis(500);
 
 /// Questions to other daemons for work in one look.
 const PULLS: usize = 2;
@@ -54,10 +59,44 @@
     allowed: usize,
 }
 
+/// Replica of this daemon's data centre.
+struct Local {
+    key: Key,
+    name: Name,
+    model: Name,
+    data_centre: Name,
+    up: bool,
+    online: u32,
+}
+
 /// Shards known to have had no work of a model.
 #[derive(Default)]
 struct Empty {
-    until: HashMap<(id::Shard, Name), Duration>,
+    shards: HashMap<(id::Shard, Name), Wait>,
+}
+
+/// When a shard is asked again.
+#[derive(Clone, Copy)]
+struct Wait {
+    until: Duration,
+    wait: Duration,
+}
+
+impl Empty {
+    fn is_due(&self, now: Duration, key: &(id::Shard, Name)) -> bool {
+        self.shards.get(key).is_none_or(|wait| now >= wait.until)
+    }
+
+    fn note(&mut self, now: Duration, key: (id::Shard, Name), shards: u16) {
+        let shards = u32::from(shards);
+        let before = self
+            .shards
+            .get(&key)
+            .map_or(EMPTY * shards, |wait| wait.wait * 2);
+        let wait = before.min(EMPTY_MAX * shards);
+        let until = now + wait.mul_f64(rand::rng().random_range(0.5..1.0));
+        self.shards.insert(key, Wait { until, wait });
+    }
 }
 
 /// Notes another daemon's or this daemon's online use of a replica.
@@ -133,34 +172,39 @@
         return Vec::new();
     };
     let now = core.now();
-    let local: Vec<_> = {
+    let local: Vec<Local> = {
         let routing = core.routing();
         let local = routing.replicas().filter(|(_, replica)| replica.is_local());
-        local.map(|(key, replica)| (key, replica.clone())).collect()
+        local
+            .map(|(key, replica)| Local {
+                key,
+                name: replica.name.clone(),
+                model: replica.serves.clone(),
+                data_centre: replica.data_centre.clone(),
+                up: replica.state == State::Up,
+                online: replica.online,
+            })
+            .collect()
     };
     let mut owned = Vec::new();
-    for (key, replica) in local {
+    for replica in local {
         let owner = core.replica_owner(&replica.name, &replica.data_centre);
         let mine = owner.is_some_and(|owner| owner.daemon == core.me);
-        let bounds = bounds(&document, &replica.serves).filter(|_| mine);
+        let bounds = bounds(&document, &replica.model).filter(|_| mine);
         let mut sharing = core.sharing();
         let Some(bounds) = bounds else {
             sharing.remove(&replica.name);
             continue;
         };
         let slots = sharing
-            .entry(replica.name.clone())
+            .entry(replica.name)
             .or_insert_with(|| Sharing::new(now, bounds));
         slots.configure(bounds);
         slots.online(now, &core.me, replica.online, false);
-        let allowed = if replica.state == State::Up {
-            slots.allowed(now)
-        } else {
-            0
-        };
+        let allowed = if replica.up { slots.allowed(now) } else { 0 };
         owned.push(Owned {
-            key,
-            model: replica.serves,
+            key: replica.key,
+            model: replica.model,
             allowed: allowed as usize,
         });
     }
@@ -242,7 +286,7 @@
         for number in numbers {
             let key = (number, replica.model.clone());
             let now = core.now();
-            if asked >= PULLS || empty.until.get(&key).is_some_and(|until| now < *until) {
+            if asked >= PULLS || !empty.is_due(now, &key) {
                 continue;
             }
             let mine = core
@@ -252,13 +296,10 @@
             asked += usize::from(!mine);
             let work = pull(core, number, &replica.model, free as u16, mine).await;
             if work.is_empty() {
-                // The more shards there are, the less often each is asked.
-                let wait = EMPTY * u32::from(shards) / 4 + EMPTY;
-                empty
-                    .until
-                    .insert(key, now + wait.mul_f64(rand::rng().random_range(0.5..1.5)));
+                empty.note(now, key, shards);
                 continue;
             }
+            empty.shards.remove(&key);
             for item in work {
                 take(core, number, item, replica.key);
             }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -1,7 +1,7 @@
 //! Tables that all tasks of a daemon share.
 //!
-//! Lock order: configuration, membership, admission, routing, interest,
-//! sharing, budget, log pacing, shards, one shard's handle, batch streams, ends.
+//! Lock order: configuration, membership, placement, admission, routing, interest,
+//! sharing, budget, log pacing, shards, one shard's part, batch streams, ends.
 //! A task holds a lock for one short step and never across a wait.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -11,10 +11,10 @@
 
 use bitterncart_coordination::retry::Budget;
 use bitterncart_coordination::routing::{self, Routing};
-use bitterncart_coordination::{Admission, Bucket, Interest, Membership, Sharing};
+use bitterncart_coordination::{Admission, Bucket, Interest, Membership, Placement, Sharing};
 use bitterncart_protocol::peer::{End, Lease, Member};
 use bitterncart_protocol::record::Chunk;
-use bitterncart_protocol::{Code, Document, Name, Settings, hash, id};
+use bitterncart_protocol::{Code, Document, Name, Settings, id};
 use bitterncart_state::Config;
 use bitterncart_state::config::Version;
 use bitterncart_transport::http::Client;
@@ -60,6 +60,7 @@
     pub counters: Counters,
     config: Mutex<Config>,
     members: Mutex<Membership>,
+    placement: Mutex<Placement>,
     admission: Mutex<Admission>,
     routing: Mutex<Routing>,
     interest: Mutex<Interest>,
@@ -134,6 +135,7 @@
             counters: Counters::new(settings.statsd),
             config: Mutex::default(),
             members: Mutex::new(Membership::new(me, seed)),
+            placement: Mutex::default(),
             admission: Mutex::default(),
             routing: Mutex::new(Routing::new(settings.data_centre.clone())),
             interest: Mutex::default(),
@@ -213,22 +215,15 @@
     #[must_use]
     pub fn winner(&self, shard: id::Shard) -> Option<id::Daemon> {
         let members = self.members();
-        let key = shard.stream();
-        members
-            .live()
-            .max_by_key(|member| hash::score(key.as_bytes(), member.daemon.as_bytes()))
-            .map(|member| member.daemon.clone())
+        lock(&self.placement).shard(&members, shard)
     }
 
     /// Live daemon of a replica's data centre that owns the replica.
     #[must_use]
     pub fn replica_owner(&self, name: &Name, data_centre: &Name) -> Option<Member> {
         let members = self.members();
-        members
-            .live()
-            .filter(|member| member.data_centre == *data_centre)
-            .max_by_key(|member| hash::score(name.as_str().as_bytes(), member.daemon.as_bytes()))
-            .cloned()
+        let owner = lock(&self.placement).replica(&members, name, data_centre)?;
+        members.member(&owner).cloned()
     }
 
     /// Takes a new configuration or membership into the tables that depend on them.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -117,10 +117,13 @@
         core.start_draining();
         info!("draining", kv: { daemon = core.me.0.as_str() });
         smol::Timer::after(UNREADY).await;
+        // The others take the shards over while streams still finish here.
+        platform::leave(core).await;
         batch::give_back(core).await;
         while core.now() < until && !is_idle(core) {
             smol::Timer::after(LOOK).await;
         }
+        // Said once more, for those who missed it.
         platform::leave(core).await;
         let clean = is_idle(core);
         info!("drained", kv: { daemon = core.me.0.as_str(), clean });
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -26,7 +26,7 @@
 const STREAM: &str = "configuration";
 
 /// Wait of one read of the configuration stream.
-const CONFIG_WAIT: Duration = Duration::from_secs(2);
+const CONFIG_WAIT: Duration = Duration::from_secs(5);
 
 /// Wait after a failed read.
 const PAUSE: Duration = Duration::from_millis(500);
@@ -34,15 +34,22 @@
 /// Time between two looks at a peer's configuration.
 const PEER_CONFIG: Duration = Duration::from_secs(3);
 
-/// Time between two reads of the instance list.
+/// Time between two reads of the instance list at least.
 const LIST: Duration = Duration::from_secs(1);
 
+/// Bytes of the instance list that a daemon reads a second; a longer list is
+/// read less often.
+const LIST_BYTES_PER_S: f64 = 1000.0;
+
 /// Time between two steps of the membership protocol.
 const MEMBERSHIP_STEP: Duration = Duration::from_millis(50);
 
 /// Time between two rounds of load reports.
 const LOAD: Duration = Duration::from_millis(500);
 
+/// Rounds between two reports of a replica that is up.
+const UP_ROUNDS: u32 = 4;
+
 /// Time for one load report; a replica that takes longer is silent.
 const LOAD_ANSWER: Duration = Duration::from_secs(1);
 
@@ -232,9 +239,11 @@
 
 /// Follows the instance list.
 pub async fn follow_list(core: Arc<Core>) {
+    let mut pause = LIST;
     loop {
         match instances::read(core.settings.instances).await {
-            Ok(list) => {
+            Ok((list, bytes)) => {
+                pause = LIST.max(Duration::from_secs_f64(bytes as f64 / LIST_BYTES_PER_S));
                 core.routing().list(core.now(), &list);
                 let entries = list.iter().filter(|instance| instance.kind == Kind::Entry);
                 core.members()
@@ -242,7 +251,7 @@
             }
             Err(e) => warn!("instance list cannot be read", kv: { why: = e }),
         }
-        smol::Timer::after(LIST).await;
+        smol::Timer::after(pause).await;
     }
 }
 
@@ -276,20 +285,23 @@
 /// Tells the others that this daemon leaves.
 pub async fn leave(core: &Core) {
     let actions = core.members().leave();
+    core.reconfigure();
     act(core, actions).await;
 }
 
 /// Asks replicas for their load: those that this daemon owns, and those that
 /// are out, so that they come back.
 pub async fn watch_load(core: Arc<Core>) {
+    let mut round = 0;
     loop {
+        round += 1;
         let due: Vec<routing::Key> = {
             let now = core.now();
             let routing = core.routing();
             let asked = routing
                 .replicas()
                 .filter(|(_, replica)| match replica.state {
-                    routing::State::Up => true,
+                    routing::State::Up => round % UP_ROUNDS == 0,
                     routing::State::Out(until) => now >= until,
                     routing::State::Leaving(_) => true,
                 });
--- a/crates/transport/src/instances.rs
+++ b/crates/transport/src/instances.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bitterncart_protocol::instance::Instance;
+use http_types::Method;
 
 use crate::Error;
 use crate::http::Client;
@@ -11,14 +12,14 @@
 /// Time for one read of the list.
 const READ: Duration = Duration::from_secs(3);
 
-/// Reads the list.
+/// Reads the list and tells its size in bytes.
 ///
 /// # Errors
 ///
 /// If the service does not answer or answers in another shape.
-pub async fn read(address: SocketAddr) -> Result<Vec<Instance>, Error> {
-    Client::default()
-        .head(READ)
-        .get(address, "/instances")
-        .await
+pub async fn read(address: SocketAddr) -> Result<(Vec<Instance>, usize), Error> {
+    let request = Client::request(Method::Get, address, "/instances")?;
+    let bytes = Client::default().head(READ).fetch(address, request).await?;
+    let list = serde_json::from_slice(&bytes).map_err(Error::malformed)?;
+    Ok((list, bytes.len()))
 }
