Pace appends from an equal share upwards, and weigh the design

Cause: a fixed equal share of the log's limit leaves a daemon of 400 0.6 appends a second while most daemons append nothing; an upload of 760 chunks would take 21 minutes. Change: coordination::Pace starts at the share, takes 5 % more with each confirmed append up to half of the limit, and falls back to the share on a refusal or failure. Conclusion: an outage's end does not stampede the log, and one busy daemon is not held at a four-hundredth.

--- a/crates/bench/src/slope/mod.rs
+++ b/crates/bench/src/slope/mod.rs
@@ -50,12 +50,12 @@
 pub const NAMES: [&str; 10] = [
     "peers",
     "replicas",
-    "shards",
-    "fleet",
     "jobs",
     "items",
     "customers",
     "changes",
+    "shards",
+    "fleet",
     "calls",
     "tokens",
 ];
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -11,7 +11,7 @@
 
 use bitterncart_coordination::retry::Budget;
 use bitterncart_coordination::routing::{self, Routing};
-use bitterncart_coordination::{Admission, Bucket, Interest, Membership, Placement, Sharing};
+use bitterncart_coordination::{Admission, Interest, Membership, Pace, Placement, Sharing};
 use bitterncart_protocol::peer::{End, Lease, Member};
 use bitterncart_protocol::record::Chunk;
 use bitterncart_protocol::{Code, Document, Name, Settings, id};
@@ -33,9 +33,6 @@
 /// Chunks of input kept in memory.
 const BODIES: usize = 16;
 
-/// Share of the log's appends that the daemons plan to use together.
-const APPEND_SHARE: f64 = 0.8;
-
 /// Batch streams; a run stops when its channel closes.
 pub type Streams = bitterncart_coordination::Streams<async_channel::Sender<()>>;
 
@@ -66,7 +63,7 @@
     interest: Mutex<Interest>,
     sharing: Mutex<HashMap<Name, Sharing>>,
     budget: Mutex<Budget>,
-    pace: Mutex<Bucket>,
+    pace: Mutex<Pace>,
     shards: Mutex<BTreeMap<id::Shard, Arc<Handle>>>,
     streams: Mutex<Streams>,
     ends: Mutex<HashMap<id::Shard, Vec<(Lease, End)>>>,
@@ -141,7 +138,7 @@
             interest: Mutex::default(),
             sharing: Mutex::default(),
             budget: Mutex::default(),
-            pace: Mutex::new(Bucket::new(1.0, 1.0)),
+            pace: Mutex::default(),
             shards: Mutex::default(),
             streams: Mutex::default(),
             ends: Mutex::default(),
@@ -263,25 +260,31 @@
             .iter()
             .map(|model| (model.name.clone(), model.max_sequences));
         self.routing().configure(distances, sequences);
-        let rate = f64::from(document.log.appends_per_s) * APPEND_SHARE / daemons as f64;
-        lock(&self.pace).adjust(now, rate, rate.max(1.0));
+        lock(&self.pace).configure(now, document.log.appends_per_s, daemons);
     }
 
     /// Waits for this daemon's turn to append.
     pub async fn turn_to_append(&self) {
         loop {
             let now = self.now();
-            let wait = {
-                let mut pace = lock(&self.pace);
-                if pace.take(now, 1.0) {
-                    return;
-                }
-                pace.wait(now, 1.0)
-            };
+            let turn = lock(&self.pace).take(now);
+            let Err(wait) = turn else { return };
             smol::Timer::after(wait.max(Duration::from_millis(1))).await;
         }
     }
 
+    /// Notes how an append went.
+    pub fn appended(&self, confirmed: bool) {
+        self.log_answered(confirmed);
+        let now = self.now();
+        let mut pace = lock(&self.pace);
+        if confirmed {
+            pace.confirmed(now);
+        } else {
+            pace.failed(now);
+        }
+    }
+
     /// Lines of a chunk that is in memory.
     #[must_use]
     pub fn cached_lines(&self, chunk: &Chunk) -> Option<Lines> {
--- a/crates/daemon/src/shards/commit.rs
+++ b/crates/daemon/src/shards/commit.rs
@@ -31,7 +31,7 @@
     core.turn_to_append().await;
     let size = payload.len() as u64;
     let result = core.log.append(stream, payload).await;
-    core.log_answered(result.is_ok());
+    core.appended(result.is_ok());
     match &result {
         Ok(_) => {
             core.counters.add(Count::LogAppends, 1);
