Read one entry where one is needed

Cause: results and chunks of input were read with pages of 4 MB, of which one entry was used. Change: Log::entry asks for one entry. Bodies of answers have a module of their own (they stood in batch and serve).

--- a/crates/daemon/src/batch.rs
+++ b/crates/daemon/src/batch.rs
@@ -16,11 +16,11 @@
 use bitterncart_protocol::peer::{Ask, End, Lease, Reply, Work};
 use bitterncart_protocol::record::Answer;
 use bitterncart_protocol::{Code, Document, Name, id};
-use bitterncart_transport::http::sse;
 use futures_lite::future;
 use rand::Rng;
-use serde_json::{Value, json};
+use serde_json::Value;
 
+use crate::answer::whole_response;
 use crate::core::Core;
 use crate::counters::Count;
 use crate::engine::{Broken, Sequence};
@@ -449,22 +449,6 @@
     })
 }
 
-/// Response that is not streamed.
-#[must_use]
-pub fn whole_response(endpoint: &str, model: &Name, text: &str) -> Value {
-    let choice = if endpoint.ends_with("/chat/completions") {
-        json!({"index": 0, "message": {"role": "assistant", "content": text}, "finish_reason": "stop"})
-    } else {
-        json!({"index": 0, "text": text, "finish_reason": "stop"})
-    };
-    let object = if endpoint.ends_with("/chat/completions") {
-        "chat.completion"
-    } else {
-        "text_completion"
-    };
-    json!({"id": "cmpl", "object": object, "model": model.as_str(), "choices": [choice]})
-}
-
 /// Brings ends to the shards' owners and renews leases.
 pub async fn settle(core: Arc<Core>) {
     loop {
@@ -544,10 +528,3 @@
     }
     flush(core).await;
 }
-
-/// Text of a server-sent error event that ends a stream.
-#[must_use]
-pub fn error_event(code: Code, message: &str) -> String {
-    let failure = bitterncart_protocol::api::Failure::new(code, message);
-    sse::event(&serde_json::to_string(&failure).unwrap_or_default())
-}
--- a/crates/daemon/src/callers/batches.rs
+++ b/crates/daemon/src/callers/batches.rs
@@ -170,7 +170,7 @@
 pub(super) fn line(job: id::Job, item: id::Item, answer: Answer) -> String {
     let error = answer
         .code
-        .map(|code| shards::item_error(code, &answer.body));
+        .map(|code| api::Failure::new(code, answer.body.clone()).error);
     let body = serde_json::from_str(&answer.body).unwrap_or(Value::String(answer.body));
     let response = answer.code.is_none().then_some(api::Response {
         status_code: answer.status,
--- a/crates/daemon/src/callers/completions.rs
+++ b/crates/daemon/src/callers/completions.rs
@@ -14,7 +14,7 @@
 use super::permit::Permit;
 use super::relay::{Question, Relay};
 use super::{Refusal, Result, body, customer, deadline};
-use crate::batch::{error_event, whole_response};
+use crate::answer::{error_event, whole_response};
 use crate::core::Core;
 use crate::counters::Count;
 use crate::engine::Token;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! last is in the platform's log.
 
 pub mod admin;
+pub mod answer;
 pub mod batch;
 pub mod callers;
 pub mod core;
--- a/crates/daemon/src/shards/maintain.rs
+++ b/crates/daemon/src/shards/maintain.rs
@@ -146,15 +146,9 @@
     job: id::Job,
     offset: u64,
 ) -> Result<Vec<(id::Item, Answer)>, Code> {
-    let page = core
-        .log
-        .read(&number.stream(), offset, Duration::ZERO)
-        .await;
-    let page = page.map_err(|_| Code::LogUnavailable)?;
-    let entry = page
-        .entries
-        .first()
-        .filter(|entry| entry.offset == offset)
+    let entry = core.log.entry(&number.stream(), offset).await;
+    let entry = entry
+        .map_err(|_| Code::LogUnavailable)?
         .ok_or(Code::NotFound)?;
     let group = Group::decode(&entry.payload).ok_or(Code::NotFound)?;
     let mut found = Vec::new();
--- a/crates/daemon/src/shards/mod.rs
+++ b/crates/daemon/src/shards/mod.rs
@@ -13,6 +13,6 @@
 pub use handle::Handle;
 pub use manager::watch;
 pub use recover::{lines, recover};
-pub use serve::{append, find_file, find_job, finish, item_error, pull, renew, results};
+pub use serve::{append, find_file, find_job, finish, pull, renew, results};
 
 pub(crate) use commit::append_open;
--- a/crates/daemon/src/shards/recover.rs
+++ b/crates/daemon/src/shards/recover.rs
@@ -45,11 +45,8 @@
         let Some(from) = end.next.checked_sub(back).filter(|from| *from >= end.first) else {
             break;
         };
-        let page = core.log.read(&stream, from, Duration::ZERO).await?;
-        let newest = page
-            .entries
-            .first()
-            .and_then(|entry| Shard::restore(&entry.payload));
+        let entry = core.log.entry(&stream, from).await?;
+        let newest = entry.and_then(|entry| Shard::restore(&entry.payload));
         if let Some(shard) = newest {
             return Ok(shard);
         }
@@ -66,14 +63,7 @@
     if let Some(lines) = core.cached_lines(&chunk) {
         return Ok(lines);
     }
-    let page = core
-        .log
-        .read(&chunk.shard.bodies(), chunk.offset, Duration::ZERO)
-        .await?;
-    let entry = page
-        .entries
-        .first()
-        .filter(|entry| entry.offset == chunk.offset);
+    let entry = core.log.entry(&chunk.shard.bodies(), chunk.offset).await?;
     let entry = entry.ok_or_else(|| Error::malformed("the log no longer holds the input"))?;
     let text = String::from_utf8_lossy(&entry.payload);
     let lines: Lines = Arc::new(text.lines().map(str::to_owned).collect());
--- a/crates/daemon/src/shards/serve.rs
+++ b/crates/daemon/src/shards/serve.rs
@@ -5,7 +5,7 @@
 
 use bitterncart_protocol::peer::{Ask, End, Job, Lease, Reply, Work};
 use bitterncart_protocol::record::{Record, Upload};
-use bitterncart_protocol::{Code, Name, api, id};
+use bitterncart_protocol::{Code, Name, id};
 use bitterncart_state::job::Job as StoredJob;
 use bitterncart_transport::runtime::wall_ms;
 use serde_json::value::RawValue;
@@ -193,9 +193,3 @@
     };
     super::append_open(core, &shard.stream(), &group.encode()).await
 }
-
-/// Error body of a failed item.
-#[must_use]
-pub fn item_error(code: Code, message: &str) -> api::Error {
-    api::Failure::new(code, message).error
-}
--- a/crates/transport/src/log.rs
+++ b/crates/transport/src/log.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bitterncart_protocol::log::{Appended, Page};
+use bitterncart_protocol::log::{Appended, Entry, Page};
 use http_types::Method;
 
 use crate::Error;
@@ -34,8 +34,22 @@
         from: u64,
         wait: Duration,
     ) -> impl Future<Output = Result<Page, Error>> + Send;
+
+    /// Reads the entry at an offset; `None` if it has expired or is not there yet.
+    ///
+    /// # Errors
+    ///
+    /// If the service does not answer.
+    fn entry(
+        &self,
+        stream: &str,
+        offset: u64,
+    ) -> impl Future<Output = Result<Option<Entry>, Error>> + Send;
 }
 
+/// Least that can be asked for; the first entry comes whatever its size.
+const ONE_ENTRY_BYTES: usize = 1;
+
 /// Bytes of one page at most.
 pub const PAGE_BYTES: usize = 4 << 20;
 
@@ -69,8 +83,31 @@
     }
 
     async fn read(&self, stream: &str, from: u64, wait: Duration) -> Result<Page, Error> {
+        self.page(stream, from, PAGE_BYTES, wait).await
+    }
+
+    async fn entry(&self, stream: &str, offset: u64) -> Result<Option<Entry>, Error> {
+        let page = self
+            .page(stream, offset, ONE_ENTRY_BYTES, Duration::ZERO)
+            .await?;
+        Ok(page
+            .entries
+            .into_iter()
+            .next()
+            .filter(|entry| entry.offset == offset))
+    }
+}
+
+impl Service {
+    async fn page(
+        &self,
+        stream: &str,
+        from: u64,
+        max_bytes: usize,
+        wait: Duration,
+    ) -> Result<Page, Error> {
         let path = format!(
-            "/streams/{stream}?from={from}&max_bytes={PAGE_BYTES}&wait_ms={}",
+            "/streams/{stream}?from={from}&max_bytes={max_bytes}&wait_ms={}",
             wait.as_millis()
         );
         let client = Client::default().head(wait + APPEND);
