Log refusals with their request id at the level that is shown

Cause: refusals were debug records, which no default configuration shows. Change: info, with request id, path and code. Conclusion: a caller's X-Request-Id leads to the record.

--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -14,7 +14,7 @@
 use bitterncart_protocol::{Code, Name};
 use bitterncart_transport::http::{Handler, Method, Request, Response, server};
 use serde_json::json;
-use spdlog::debug;
+use spdlog::info;
 
 pub use refusal::Refusal;
 
@@ -49,7 +49,7 @@
             Ok(response) => response,
             Err(refusal) => {
                 self.core.counters.code(refusal.code);
-                debug!("refused", kv: { request = id.as_str(), path = path.as_str(), code = refusal.code.number() });
+                info!("refused", kv: { request = id.as_str(), path = path.as_str(), code = refusal.code.number() });
                 refusal.response()
             }
         };
