Hold a fault in one place, and start idle deployments in one

Cause: on reading the change again, the trial's faults set, waited and reset a switch in four copies with a literal each; two slopes built the same deployment; one line of the slopes did nothing. Change: chaos::hold over named faults; slope's idle() builds its deployment. The faults, their values and lengths are the same. Conclusion: a new fault is a name and one line.

--- a/crates/bench/src/slope/deployments.rs
+++ b/crates/bench/src/slope/deployments.rs
@@ -76,13 +76,19 @@
     }
 }
 
-fn idle(site: &Site) -> [f64; 3] {
+/// Costs of idle daemons that own a number of shards together.
+fn idle(shards: u16, daemons: u32) -> Result<[f64; 3], String> {
+    let text = document(|document| {
+        small(document);
+        document.log.shards = shards;
+    })?;
+    let site = Site::start(&text, daemons)?;
     thread::sleep(SETTLE);
     let reading = Reading::take();
     thread::sleep(MEASURE);
     let costs = reading.since();
-    drop(site.callers());
-    costs
+    drop(site);
+    Ok(costs)
 }
 
 /// Shards that one idle daemon owns.
@@ -90,14 +96,9 @@
     const SIZES: [u16; 4] = [1, 8, 32, 64];
     let mut points = Vec::new();
     for size in SIZES {
-        let text = document(|document| {
-            small(document);
-            document.log.shards = size;
-        })?;
-        let site = Site::start(&text, 1)?;
         points.push(Point {
             size: size.into(),
-            costs: idle(&site).into(),
+            costs: idle(size, 1)?.into(),
         });
     }
     let costs = [
@@ -118,12 +119,7 @@
     const SIZES: [u16; 4] = [3, 6, 12, 24];
     let mut points = Vec::new();
     for size in SIZES {
-        let text = document(|document| {
-            small(document);
-            document.log.shards = size;
-        })?;
-        let site = Site::start(&text, size.into())?;
-        let each = idle(&site).map(|cost| cost / f64::from(size));
+        let each = idle(size, size.into())?.map(|cost| cost / f64::from(size));
         points.push(Point {
             size: size.into(),
             costs: each.into(),
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -32,6 +32,20 @@
     pub slow: f64,
 }
 
+impl Faults {
+    /// No fault.
+    pub const NONE: Self = Self {
+        outage: false,
+        silent: false,
+        broken: false,
+        freeze: false,
+        leaving: false,
+        lose_answers: 0.0,
+        delay_ms: 0,
+        slow: 0.0,
+    };
+}
+
 /// Switch that a stand-in and its tests share.
 #[derive(Clone, Debug, Default)]
 pub struct Switch(Arc<Mutex<Faults>>);
--- a/crates/trial/src/chaos.rs
+++ b/crates/trial/src/chaos.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bitterncart_protocol::admin::Publish;
-use bitterncart_standin::fault::Faults;
+use bitterncart_standin::fault::{Faults, Switch};
 use bitterncart_transport::Error;
 use bitterncart_transport::http::Client;
 use rand::rngs::StdRng;
@@ -106,82 +106,51 @@
     }
 }
 
+const SILENT: Faults = Faults {
+    silent: true,
+    ..Faults::NONE
+};
+const SLOW: Faults = Faults {
+    slow: 6.0,
+    ..Faults::NONE
+};
+const LEAVING: Faults = Faults {
+    leaving: true,
+    ..Faults::NONE
+};
+const OUTAGE: Faults = Faults {
+    outage: true,
+    ..Faults::NONE
+};
+const DELAYED: Faults = Faults {
+    delay_ms: 400,
+    ..Faults::NONE
+};
+const LOSES_HALF: Faults = Faults {
+    lose_answers: 0.5,
+    ..Faults::NONE
+};
+const LOSES_MOST: Faults = Faults {
+    lose_answers: 0.7,
+    ..Faults::NONE
+};
+
 fn bring(site: &Site, kind: Kind, choice: usize, length: Duration) {
     let count = site.replicas().len();
     let replica = choice % count.max(1);
     let entry = choice % site.entries().len();
     match kind {
         Kind::DeadReplica => dead_replica(site, replica, length),
-        Kind::SilentReplica => {
-            replica_fault(
-                site,
-                replica,
-                length,
-                Faults {
-                    silent: true,
-                    ..Faults::default()
-                },
-            );
-        }
-        Kind::SlowReplica => {
-            replica_fault(
-                site,
-                replica,
-                length,
-                Faults {
-                    slow: 6.0,
-                    ..Faults::default()
-                },
-            );
-        }
-        Kind::LeavingReplica => {
-            replica_fault(
-                site,
-                replica,
-                length,
-                Faults {
-                    leaving: true,
-                    ..Faults::default()
-                },
-            );
-        }
-        Kind::LogOutage => log_fault(
-            site,
-            length,
-            Faults {
-                outage: true,
-                ..Faults::default()
-            },
-        ),
-        Kind::LogSlow => log_fault(
-            site,
-            length,
-            Faults {
-                delay_ms: 400,
-                ..Faults::default()
-            },
-        ),
-        Kind::LogLosesAnswers => {
-            log_fault(
-                site,
-                length,
-                Faults {
-                    lose_answers: 0.5,
-                    ..Faults::default()
-                },
-            );
-        }
+        Kind::SilentReplica => hold(&engine(site, replica), SILENT, length),
+        Kind::SlowReplica => hold(&engine(site, replica), SLOW, length),
+        Kind::LeavingReplica => hold(&engine(site, replica), LEAVING, length),
+        Kind::LogOutage => hold(&site.log.faults, OUTAGE, length),
+        Kind::LogSlow => hold(&site.log.faults, DELAYED, length),
+        Kind::LogLosesAnswers => hold(&site.log.faults, LOSES_HALF, length),
         Kind::ServiceLosesAnswers => service_fault(site, choice, length),
         Kind::DeadEntry => dead_entry(site, entry, length),
         Kind::PausedEntry => paused_entry(site, entry, length * 4),
-        Kind::ListOutage => {
-            site.list.faults.set(Faults {
-                outage: true,
-                ..Faults::default()
-            });
-            std::thread::sleep(length);
-            site.list.faults.set(Faults::default());
-        }
+        Kind::ListOutage => hold(&site.list.faults, OUTAGE, length),
         Kind::RacingOperators => race(site),
     }
 }
@@ -201,17 +170,15 @@
     }
 }
 
-fn replica_fault(site: &Site, index: usize, length: Duration, faults: Faults) {
-    let switch = site.replicas()[index].engine.faults.clone();
-    switch.set(faults);
-    std::thread::sleep(length);
-    switch.set(Faults::default());
+fn engine(site: &Site, index: usize) -> Switch {
+    site.replicas()[index].engine.faults.clone()
 }
 
-fn log_fault(site: &Site, length: Duration, faults: Faults) {
-    site.log.faults.set(faults);
+/// Puts faults in force for a time.
+fn hold(switch: &Switch, faults: Faults, length: Duration) {
+    switch.set(faults);
     std::thread::sleep(length);
-    site.log.faults.set(Faults::default());
+    switch.set(Faults::default());
 }
 
 fn service_fault(site: &Site, choice: usize, length: Duration) {
@@ -219,12 +186,7 @@
         return;
     }
     let switch = &site.servers[choice % site.servers.len()].handler.faults;
-    switch.set(Faults {
-        lose_answers: 0.7,
-        ..Faults::default()
-    });
-    std::thread::sleep(length);
-    switch.set(Faults::default());
+    hold(switch, LOSES_MOST, length);
 }
 
 fn dead_entry(site: &Site, index: usize, length: Duration) {
