Move shards away from a daemon that lost the log, and prove it by cuts

No test cut whole daemons from one another or from the log; only the decision layers were tested so. Cutting the links showed that an owner which its peers reach and the log does not kept its shards for as long as the cut lasted: the claimants saw it alive. The same reading of the code showed that a submission whose append was sent and not answered was refused as "not run" while the job ran.

`transport::Links` can cut a daemon's ways to machines: connections hang, as on a network that drops everything. An append that may have landed is `2006 append_unknown`. The verdict on a publication comes from the fold, which remembers who won; it was read from the first page of the stream, which a year of changes would outgrow. Configuration has a module of its own.

The workspace's tests pass.

Ruled out: challenging every silent owner more often. The owner was not silent to its peers, and two sides would have taken shards in turn.

--- a/crates/bench/src/slope/decisions.rs
+++ b/crates/bench/src/slope/decisions.rs
@@ -42,6 +42,7 @@
         peer: address(number),
         incarnation: 0,
         health: Health::Alive,
+        log_lost: false,
     }
 }
 
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -134,6 +134,28 @@
         self.generation
     }
 
+    /// Live members that may own shards: those that reach the log.
+    pub fn reaching_log(&self) -> impl Iterator<Item = &Member> {
+        self.live().filter(|member| !member.log_lost)
+    }
+
+    /// Whether a daemon says that it cannot reach the log.
+    #[must_use]
+    pub fn has_lost_log(&self, daemon: &id::Daemon) -> bool {
+        self.member(daemon).is_some_and(|member| member.log_lost)
+    }
+
+    /// Tells the others whether this daemon reaches the log.
+    pub fn report_log(&mut self, lost: bool) -> Vec<Action> {
+        if self.me.log_lost == lost {
+            return Vec::new();
+        }
+        self.me.log_lost = lost;
+        self.me.incarnation += 1;
+        self.generation += 1;
+        vec![Action::Changed]
+    }
+
     /// Whether a daemon seems alive; a suspect still counts.
     #[must_use]
     pub fn is_alive(&self, daemon: &id::Daemon) -> bool {
@@ -425,6 +447,7 @@
         }
         let was_alive = before.is_some_and(|before| before.health <= Health::Suspect);
         let is_alive = member.health <= Health::Suspect;
+        let moved = before.is_some_and(|before| before.log_lost != member.log_lost);
         if before.is_none() && !is_alive {
             return;
         }
@@ -435,7 +458,7 @@
         };
         self.members.insert(member.daemon.clone(), entry);
         self.spread(member.daemon.clone());
-        if was_alive != is_alive || replaced {
+        if was_alive != is_alive || replaced || moved {
             self.generation += 1;
             actions.push(Action::Changed);
         }
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -28,10 +28,12 @@
         }
     }
 
-    /// Live daemon that should own a shard.
+    /// Live daemon that should own a shard: one that reaches the log, if any does.
     pub fn shard(&mut self, members: &Membership, shard: id::Shard) -> Option<id::Daemon> {
         self.follow(members);
-        let find = || best(members.live(), shard.stream().as_bytes());
+        let stream = shard.stream();
+        let key = stream.as_bytes();
+        let find = || best(members.reaching_log(), key).or_else(|| best(members.live(), key));
         self.shards.entry(shard).or_insert_with(find).clone()
     }
 
--- a/crates/coordination/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -16,6 +16,7 @@
         peer: SocketAddr::from(([10, 0, 0, 2], number)),
         incarnation: u64::from(health != Health::Alive),
         health,
+        log_lost: false,
     }
 }
 
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 
 use crate::core::Core;
-use crate::{platform, status};
+use crate::{config, status};
 
 /// Handler of operators' requests.
 #[derive(Clone, Debug)]
@@ -63,7 +63,7 @@
     }
 
     async fn history(&self) -> Response {
-        match platform::history(&self.core).await {
+        match config::history(&self.core).await {
             Ok(versions) => server::json(200, &versions),
             Err(code) => failure(code, code.advice()),
         }
@@ -89,15 +89,16 @@
             carried: None,
             nonce: rand::random(),
         };
-        match platform::publish(&self.core, record).await {
+        match config::publish(&self.core, record).await {
             Ok(version) => server::json(200, &json!({"version": version, "digest": digest})),
-            Err((code, standing)) => failure(
-                code,
+            Err((Code::VersionConflict, standing)) => failure(
+                Code::VersionConflict,
                 &format!(
                     "version {standing} stands; the publication named {}",
                     publish.base
                 ),
             ),
+            Err((code, _)) => failure(code, code.advice()),
         }
     }
 
--- a/crates/daemon/src/callers/files.rs
+++ b/crates/daemon/src/callers/files.rs
@@ -211,7 +211,10 @@
             .shard
             .get_or_insert_with(|| id::Shard::of(digest, self.shards));
         self.hasher.push(digest);
-        let offset = shards::append_open(self.core, &shard.bodies(), &payload).await?;
+        // Chunks without their file are nothing, wherever the append ended.
+        let offset = shards::append_open(self.core, &shard.bodies(), &payload)
+            .await
+            .map_err(|_| Code::LogUnavailable)?;
         let lines = std::mem::take(&mut self.lines);
         self.chunks.push(Chunk {
             shard,
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -1,7 +1,7 @@
 //! Tables that all tasks of a daemon share.
 //!
 //! Lock order: configuration, membership, placement, admission, routing, interest,
-//! sharing, budget, log pacing, shards, one shard's part, batch streams, ends.
+//! sharing, budget, log reach, log pacing, shards, one shard's part, batch streams, ends.
 //! A task holds a lock for one short step and never across a wait.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -11,14 +11,14 @@
 
 use bitterncart_coordination::retry::Budget;
 use bitterncart_coordination::routing::{self, Routing};
-use bitterncart_coordination::{Admission, Interest, Membership, Pace, Placement, Sharing};
+use bitterncart_coordination::{Admission, Interest, Membership, Pace, Placement, Reach, Sharing};
 use bitterncart_protocol::peer::{End, Lease, Member};
 use bitterncart_protocol::record::Chunk;
 use bitterncart_protocol::{Code, Document, Name, Settings, id};
 use bitterncart_state::Config;
 use bitterncart_state::config::Version;
 use bitterncart_transport::http::Client;
-use bitterncart_transport::{Runtime, heartbeat, log, peer};
+use bitterncart_transport::{Links, Runtime, heartbeat, log, peer};
 use event_listener::Event;
 
 use crate::counters::Counters;
@@ -63,6 +63,7 @@
     interest: Mutex<Interest>,
     sharing: Mutex<HashMap<Name, Sharing>>,
     budget: Mutex<Budget>,
+    reach: Mutex<Reach>,
     pace: Mutex<Pace>,
     shards: Mutex<BTreeMap<id::Shard, Arc<Handle>>>,
     streams: Mutex<Streams>,
@@ -74,7 +75,6 @@
     pub running: AtomicU32,
     draining: AtomicBool,
     request: AtomicU64,
-    log_failed: AtomicBool,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -106,6 +106,8 @@
         interest: Interest;
         /// Batch slots of the replicas that this daemon owns.
         sharing: HashMap<Name, Sharing>;
+        /// Whether the log is reached.
+        reach: Reach;
         /// Retry budget.
         budget: Budget;
         /// Shards that this daemon reads.
@@ -120,15 +122,17 @@
     pub(crate) fn new(
         settings: Settings,
         runtime: Runtime,
+        links: Links,
         peers: peer::Peers,
         heartbeat: heartbeat::Socket,
         me: Member,
         seed: u64,
     ) -> Self {
+        let http = Client::default().links(links);
         Self {
             me: me.daemon.clone(),
-            log: Log::new(settings.log),
-            http: Client::default(),
+            log: Log::new(settings.log, http.clone()),
+            http,
             counters: Counters::new(settings.statsd),
             config: Mutex::default(),
             members: Mutex::new(Membership::new(me, seed)),
@@ -138,6 +142,7 @@
             interest: Mutex::default(),
             sharing: Mutex::default(),
             budget: Mutex::default(),
+            reach: Mutex::default(),
             pace: Mutex::default(),
             shards: Mutex::default(),
             streams: Mutex::default(),
@@ -147,7 +152,6 @@
             running: AtomicU32::new(0),
             draining: AtomicBool::new(false),
             request: AtomicU64::new(0),
-            log_failed: AtomicBool::new(false),
             settings,
             runtime,
             peers,
@@ -199,13 +203,14 @@
 
     /// Notes whether the log answers.
     pub fn log_answered(&self, answered: bool) {
-        self.log_failed.store(!answered, Ordering::Relaxed);
+        let now = self.now();
+        self.reach().note(now, answered);
     }
 
     /// Whether the last exchange with the log failed.
     #[must_use]
     pub fn is_log_failed(&self) -> bool {
-        self.log_failed.load(Ordering::Relaxed)
+        self.reach().is_failing()
     }
 
     /// Live daemon that should own a shard, by rendezvous.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -9,7 +9,7 @@
 use bitterncart_protocol::{Settings, id};
 use bitterncart_transport::http::Server;
 use bitterncart_transport::runtime::{Workers, wall_ms};
-use bitterncart_transport::{Error, Runtime, heartbeat, peer};
+use bitterncart_transport::{Error, Links, Runtime, heartbeat, peer};
 use compact_str::format_compact;
 use spdlog::info;
 
@@ -17,7 +17,7 @@
 use crate::callers::Api;
 use crate::core::Core;
 use crate::peers::Answerer;
-use crate::{batch, platform, shards};
+use crate::{batch, config, platform, shards};
 
 /// Time for the balancer to see that the instance is not ready.
 const UNREADY: Duration = Duration::from_secs(2);
@@ -36,6 +36,8 @@
     pub admin: SocketAddr,
     /// Worker threads.
     pub workers: Workers,
+    /// Links to other machines.
+    pub links: Links,
     drain: async_channel::Receiver<()>,
 }
 
@@ -47,8 +49,10 @@
     /// If an address cannot be bound.
     pub fn start(settings: Settings) -> Result<Self, Error> {
         let (runtime, workers) = Runtime::start("daemon", settings.workers);
-        let peers = peer::Peers::bind(settings.peers, &settings.fleet_secret)?;
-        let heartbeat = heartbeat::Socket::bind(settings.heartbeats, &settings.fleet_secret);
+        let links = Links::default();
+        let secret = &settings.fleet_secret;
+        let peers = peer::Peers::bind(settings.peers, secret, links.clone())?;
+        let heartbeat = heartbeat::Socket::bind(settings.heartbeats, secret, links.clone());
         let heartbeat = smol::block_on(heartbeat).map_err(Error::connect)?;
         let bind = |address| {
             smol::block_on(Server::bind(runtime.clone(), address)).map_err(Error::connect)
@@ -68,10 +72,12 @@
             peer: peers.address().map_err(Error::connect)?,
             incarnation: 0,
             health: Health::Alive,
+            log_lost: false,
         };
         let core = Core::new(
             settings,
             runtime.clone(),
+            links.clone(),
             peers,
             heartbeat,
             me,
@@ -97,6 +103,7 @@
             callers: callers_at,
             admin: admin_at,
             workers,
+            links,
             drain,
         })
     }
@@ -146,8 +153,8 @@
                 .serve(runtime.clone(), Answerer { core: of() }),
         )
         .detach();
-    runtime.spawn(platform::follow_config(of())).detach();
-    runtime.spawn(platform::follow_peers_config(of())).detach();
+    runtime.spawn(config::follow(of())).detach();
+    runtime.spawn(config::follow_peers(of())).detach();
     runtime.spawn(platform::follow_list(of())).detach();
     runtime.spawn(platform::keep_membership(of())).detach();
     runtime.spawn(platform::receive_membership(of())).detach();
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -113,7 +113,7 @@
             Client::request(Method::Post, address, endpoint).map_err(|e| blame(core, key, &e))?;
         http.set_body(body.to_string());
         http.insert_header("Content-Type", "application/json");
-        let client = core.http.head(patience);
+        let client = core.http.clone().head(patience);
         let mut response = client
             .send(address, http)
             .await
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod batch;
 pub mod callers;
+pub mod config;
 pub mod core;
 pub mod counters;
 mod daemon;
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -128,7 +128,7 @@
         http.set_body(request.body.clone());
         http.insert_header("Content-Type", request.content_type.as_str());
     }
-    let client = core.http.head(left).body(left);
+    let client = core.http.clone().head(left).body(left);
     let mut response = client.send(address, http).await.map_err(|e| failure(&e))?;
     let content_type = response
         .content_type()
--- a/crates/daemon/src/shards/commit.rs
+++ b/crates/daemon/src/shards/commit.rs
@@ -49,21 +49,23 @@
 ///
 /// # Errors
 ///
-/// [`Code::LogUnavailable`] if no attempt was confirmed; the payload may be in
-/// the log all the same.
+/// [`Code::LogUnavailable`] if the payload is certainly not in the log,
+/// [`Code::AppendUnknown`] if it may be.
 pub(crate) async fn append_open(core: &Core, stream: &str, payload: &[u8]) -> Result<u64, Code> {
     let mut wait = BACKOFF;
+    let mut code = Code::LogUnavailable;
     for attempt in 1..=ATTEMPTS {
         match append(core, stream, payload.to_vec()).await {
             Ok(offset) => return Ok(offset),
-            Err(_) if attempt < ATTEMPTS => {
-                smol::Timer::after(wait).await;
-                wait *= 2;
-            }
+            Err(e) if !e.not_sent() => code = Code::AppendUnknown,
             Err(_) => {}
         }
+        if attempt < ATTEMPTS {
+            smol::Timer::after(wait).await;
+            wait *= 2;
+        }
     }
-    Err(Code::LogUnavailable)
+    Err(code)
 }
 
 /// Appends records that anyone may append.
--- a/crates/daemon/src/shards/serve.rs
+++ b/crates/daemon/src/shards/serve.rs
@@ -186,7 +186,8 @@
 ///
 /// # Errors
 ///
-/// [`Code::LogUnavailable`] if no append was confirmed.
+/// [`Code::LogUnavailable`] if it is certainly not in the log,
+/// [`Code::AppendUnknown`] if it may be.
 pub async fn append(core: &Core, shard: id::Shard, record: Record) -> Result<u64, Code> {
     let group = bitterncart_protocol::record::Group {
         epoch: None,
--- a/crates/daemon/src/shards/tail.rs
+++ b/crates/daemon/src/shards/tail.rs
@@ -92,7 +92,11 @@
 async fn look(core: &Core, handle: &Handle) {
     let winner = core.winner(handle.number);
     let owner = handle.participant().shard().owner().cloned();
-    let owner_alive = owner.is_some_and(|owner| core.members().is_alive(&owner));
+    let steady = core.reach().is_steady(core.now());
+    let owner_alive = owner.is_some_and(|owner| {
+        let members = core.members();
+        members.is_alive(&owner) && !(steady && members.has_lost_log(&owner))
+    });
     let draining = core.is_draining();
     let around = Surroundings {
         winner: winner.as_ref(),
--- a/crates/protocol/src/code.rs
+++ b/crates/protocol/src/code.rs
@@ -121,6 +121,7 @@
     OutcomeUnknown = 2003, "outcome_unknown", 502, Unknown, false, "The call may have run; check its effect before sending it again.";
     StreamBroken = 2004, "stream_broken", 502, Unknown, true, "The answer is incomplete; discard it and send the request again.";
     BackendRejected = 2005, "backend_rejected", 400, Ran, false, "The backend server refused the request; correct it.";
+    AppendUnknown = 2006, "append_unknown", 504, Unknown, true, "The log may have taken it; send the same request again, it counts once.";
     AttemptsExhausted = 2101, "attempts_exhausted", 502, Unknown, false, "The item failed in every attempt; look at its input.";
     ItemCancelled = 2102, "item_cancelled", 409, Unknown, false, "The job was cancelled before the item finished.";
     RetryConnect = 3001, "retry_connect", 502, NotRun, true, "Retry reason: no connection.";
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -40,6 +40,8 @@
     pub incarnation: u64,
     /// Liveness.
     pub health: Health,
+    /// Whether it says that it cannot reach the log.
+    pub log_lost: bool,
 }
 
 /// Body of a packet.
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -4,6 +4,7 @@
 //! operators exactly one wins, at every reader the same. A version never
 //! falls.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use bitterncart_protocol::record::Publish;
@@ -57,8 +58,19 @@
     next: u64,
     carried: u64,
     written_ms: u64,
+    won: VecDeque<Won>,
 }
 
+/// Publication that was accepted.
+#[derive(Clone, Copy, Debug)]
+struct Won {
+    nonce: u64,
+    number: u64,
+}
+
+/// Accepted publications that are remembered.
+const REMEMBERED: usize = 64;
+
 impl Config {
     /// Version in force.
     #[must_use]
@@ -72,6 +84,13 @@
         self.current.as_ref().map_or(0, |version| version.number)
     }
 
+    /// Version that a recent publication became; `None` if it was not accepted.
+    #[must_use]
+    pub fn won(&self, nonce: u64) -> Option<u64> {
+        let won = self.won.iter().find(|won| won.nonce == nonce);
+        won.map(|won| won.number)
+    }
+
     /// Offset to read next.
     #[must_use]
     pub fn next(&self) -> u64 {
@@ -108,6 +127,10 @@
             Some(number) => (number, number > standing),
             None => (offset + 1, publish.base == standing),
         };
+        if number == standing && publish.carried.is_none() {
+            // It was taken from a peer before its record was read.
+            self.remember(publish.nonce, number);
+        }
         if !fits {
             return Verdict::Stale(standing);
         }
@@ -115,12 +138,20 @@
             Some(version) => {
                 self.adopt(version);
                 self.written_ms = at_ms;
+                self.remember(publish.nonce, number);
                 Verdict::Accepted(number)
             }
             None => Verdict::Invalid,
         }
     }
 
+    fn remember(&mut self, nonce: u64, number: u64) {
+        self.won.push_back(Won { nonce, number });
+        if self.won.len() > REMEMBERED {
+            self.won.pop_front();
+        }
+    }
+
     /// Takes a peer's version if it is newer than the one in force.
     pub fn offer(&mut self, wall_ms: u64, number: u64, text: &str) -> bool {
         match Version::parse(number, text) {
--- a/crates/transport/src/error.rs
+++ b/crates/transport/src/error.rs
@@ -33,7 +33,12 @@
     /// Whether the other side certainly did nothing.
     #[must_use]
     pub fn not_sent(&self) -> bool {
-        matches!(self, Self::Connect(_) | Self::Refused(_))
+        const TOO_MANY: u16 = 429;
+        const UNAVAILABLE: u16 = 503;
+        matches!(
+            self,
+            Self::Connect(_) | Self::Refused(TOO_MANY | UNAVAILABLE)
+        )
     }
 
     /// Broken connection from any library's error.
--- a/crates/transport/src/heartbeat.rs
+++ b/crates/transport/src/heartbeat.rs
@@ -11,6 +11,8 @@
 use bitterncart_protocol::peer::Packet;
 use smol::net::UdpSocket;
 
+use crate::Links;
+
 const MAC_BYTES: usize = 16;
 const MAX_DATAGRAM: usize = 8 << 10;
 const UDP_IP_HEADER_BYTES: u64 = 28;
@@ -20,6 +22,7 @@
 pub struct Socket {
     socket: UdpSocket,
     key: [u8; 32],
+    links: Links,
     wire_bytes: Arc<AtomicU64>,
 }
 
@@ -29,12 +32,13 @@
     /// # Errors
     ///
     /// If the address cannot be bound.
-    pub async fn bind(address: SocketAddr, secret: &str) -> io::Result<Self> {
+    pub async fn bind(address: SocketAddr, secret: &str, links: Links) -> io::Result<Self> {
         let socket = UdpSocket::bind(address).await?;
         let key = blake3::derive_key("bitterncart heartbeat v1", secret.as_bytes());
         Ok(Self {
             socket,
             key,
+            links,
             wire_bytes: Arc::default(),
         })
     }
@@ -52,6 +56,9 @@
         };
         let mut datagram = self.mac(&body).to_vec();
         datagram.extend(body);
+        if self.links.is_cut(to.ip()) {
+            return;
+        }
         self.count(datagram.len());
         drop(self.socket.send_to(&datagram, to).await);
     }
--- a/crates/transport/src/http/client.rs
+++ b/crates/transport/src/http/client.rs
@@ -14,12 +14,14 @@
 use serde::de::DeserializeOwned;
 use smol::net::TcpStream;
 
-use crate::Error;
+use crate::links::Linked;
 use crate::runtime::within;
+use crate::{Error, Links};
 
 /// HTTP client.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Client {
+    links: Links,
     connect: Duration,
     head: Duration,
     body: Duration,
@@ -29,6 +31,7 @@
 impl Default for Client {
     fn default() -> Self {
         Self {
+            links: Links::default(),
             connect: Duration::from_secs(1),
             head: Duration::from_secs(10),
             body: Duration::from_secs(30),
@@ -38,6 +41,13 @@
 }
 
 impl Client {
+    /// Sets the links that connections go over.
+    #[must_use]
+    pub fn links(mut self, links: Links) -> Self {
+        self.links = links;
+        self
+    }
+
     /// Sets the bound on making a connection.
     #[must_use]
     pub fn connect(mut self, bound: Duration) -> Self {
@@ -78,7 +88,10 @@
     /// [`Error::Connect`] if nothing was sent; otherwise the server may have
     /// received the request.
     pub async fn send(&self, address: SocketAddr, request: Request) -> Result<Response, Error> {
-        let connecting = async { TcpStream::connect(address).await.map_err(Error::connect) };
+        let connecting = async {
+            self.links.pass(address.ip()).await;
+            TcpStream::connect(address).await.map_err(Error::connect)
+        };
         let stream = within(self.connect, connecting).await.map_err(|e| {
             if e == Error::Silent {
                 Error::connect("no answer")
@@ -87,6 +100,7 @@
             }
         })?;
         stream.set_nodelay(true).map_err(Error::connect)?;
+        let stream = Linked::new(stream, self.links.clone(), address.ip());
         let exchange = async {
             async_h1::connect(stream, request)
                 .await
--- a/crates/transport/src/instances.rs
+++ b/crates/transport/src/instances.rs
@@ -17,9 +17,10 @@
 /// # Errors
 ///
 /// If the service does not answer or answers in another shape.
-pub async fn read(address: SocketAddr) -> Result<(Vec<Instance>, usize), Error> {
+pub async fn read(client: &Client, address: SocketAddr) -> Result<(Vec<Instance>, usize), Error> {
     let request = Client::request(Method::Get, address, "/instances")?;
-    let bytes = Client::default().head(READ).fetch(address, request).await?;
+    let client = client.clone().head(READ);
+    let bytes = client.fetch(address, request).await?;
     let list = serde_json::from_slice(&bytes).map_err(Error::malformed)?;
     Ok((list, bytes.len()))
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,9 +8,11 @@
 pub mod heartbeat;
 pub mod http;
 pub mod instances;
+pub mod links;
 pub mod log;
 pub mod peer;
 pub mod runtime;
 
 pub use error::Error;
+pub use links::Links;
 pub use runtime::Runtime;
--- a/crates/transport/src/log.rs
+++ b/crates/transport/src/log.rs
@@ -15,8 +15,8 @@
     ///
     /// # Errors
     ///
-    /// After an error other than [`Error::Connect`] and [`Error::Refused`] the
-    /// entry may have been appended all the same.
+    /// Unless [`Error::not_sent`] says otherwise, the entry may have been
+    /// appended all the same.
     fn append(
         &self,
         stream: &str,
@@ -57,16 +57,17 @@
 const APPEND: Duration = Duration::from_secs(5);
 
 /// Log service over HTTP.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Service {
     address: SocketAddr,
+    client: Client,
 }
 
 impl Service {
-    /// Service at an address.
+    /// Service at an address, met with a client.
     #[must_use]
-    pub fn new(address: SocketAddr) -> Self {
-        Self { address }
+    pub fn new(address: SocketAddr, client: Client) -> Self {
+        Self { address, client }
     }
 }
 
@@ -75,7 +76,9 @@
         let mut request =
             Client::request(Method::Post, self.address, &format!("/streams/{stream}"))?;
         request.set_body(payload);
-        let bytes = Client::default()
+        let bytes = self
+            .client
+            .clone()
             .head(APPEND)
             .fetch(self.address, request)
             .await?;
@@ -110,7 +113,7 @@
             "/streams/{stream}?from={from}&max_bytes={max_bytes}&wait_ms={}",
             wait.as_millis()
         );
-        let client = Client::default().head(wait + APPEND);
+        let client = self.client.clone().head(wait + APPEND);
         let request = Client::request(Method::Get, self.address, &path)?;
         let bytes = client.fetch(self.address, request).await?;
         postcard::from_bytes(&bytes).map_err(Error::malformed)
--- a/crates/transport/src/peer.rs
+++ b/crates/transport/src/peer.rs
@@ -5,7 +5,7 @@
 //! the very connection, so a relay in between cannot pass.
 
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, PrivatePkcs8KeyDer};
 
 use crate::runtime::within;
-use crate::{Error, Runtime};
+use crate::{Error, Links, Runtime};
 
 /// Bytes of one message at most.
 const MAX_MESSAGE: usize = 8 << 20;
@@ -45,6 +45,7 @@
     endpoint: Endpoint,
     client: ClientConfig,
     secret: [u8; 32],
+    links: Links,
     connections: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
 }
 
@@ -54,7 +55,7 @@
     /// # Errors
     ///
     /// If the address cannot be bound or no certificate can be made.
-    pub fn bind(address: SocketAddr, secret: &str) -> Result<Self, Error> {
+    pub fn bind(address: SocketAddr, secret: &str, links: Links) -> Result<Self, Error> {
         let socket = UdpSocket::bind(address).map_err(Error::connect)?;
         let endpoint = Endpoint::new(
             EndpointConfig::default(),
@@ -67,6 +68,7 @@
             endpoint,
             client: client_config()?,
             secret: blake3::derive_key("bitterncart peer v1", secret.as_bytes()),
+            links,
             connections: Arc::default(),
         })
     }
@@ -113,7 +115,12 @@
                 .await
                 .map_err(Error::connect)?,
         };
-        let result = within(bound, exchange(&connection, ask)).await;
+        let exchanging = async {
+            let reply = exchange(&connection, ask).await;
+            self.links.pass(to.ip()).await;
+            reply
+        };
+        let result = within(bound, exchanging).await;
         if result.is_err() {
             self.forget(to, &connection);
         }
@@ -145,8 +152,10 @@
     }
 
     async fn connect(&self, to: SocketAddr) -> Result<Connection, Error> {
+        self.links.pass(to.ip()).await;
         // An endpoint for each connection, so that a new one has a new port.
-        let local = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
+        let own = self.endpoint.local_addr().map_err(Error::connect)?;
+        let local = SocketAddr::new(own.ip(), 0);
         let endpoint = Endpoint::client(local).map_err(Error::connect)?;
         let connecting = endpoint
             .connect_with(self.client.clone(), to, "bitterncart")
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -12,5 +12,5 @@
 pub mod trial;
 
 pub use report::Report;
-pub use site::Site;
+pub use site::{Cut, Site};
 pub use trial::Trial;
--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -4,7 +4,7 @@
 //! so ports are fixed and two sites never meet.
 
 use std::collections::{HashMap, HashSet};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -81,6 +81,15 @@
     pub daemon: Option<Daemon>,
 }
 
+/// What a data centre is cut off from.
+#[derive(Clone, Copy, Debug)]
+pub struct Cut {
+    /// The other data centres.
+    pub others: bool,
+    /// The platform: log and instance list.
+    pub platform: bool,
+}
+
 /// Deployment of a document.
 #[derive(Debug)]
 pub struct Site {
@@ -98,7 +107,7 @@
     pub servers: Vec<Server>,
     /// Entry instances.
     pub entries: Mutex<Vec<Entry>>,
-    _platform: Vec<Running>,
+    platform: Vec<Running>,
 }
 
 fn next_address() -> Ipv4Addr {
@@ -183,7 +192,7 @@
             replicas: Mutex::new(replicas),
             servers,
             entries: Mutex::new(entries),
-            _platform: vec![log_running, list_running],
+            platform: vec![log_running, list_running],
         })
     }
 
@@ -266,6 +275,56 @@
             .collect()
     }
 
+    /// Machines of a data centre.
+    fn machines(&self, data_centre: &Name) -> Vec<IpAddr> {
+        let entries = self.entries();
+        let replicas = self.replicas();
+        let entries = entries.iter().map(|entry| {
+            let settings = &entry.settings;
+            (&settings.data_centre, settings.peers.ip())
+        });
+        let replicas = replicas
+            .iter()
+            .map(|replica| (&replica.data_centre, replica.address.ip()));
+        let servers = self
+            .servers
+            .iter()
+            .map(|server| (&server.data_centre, server.running.address.ip()));
+        entries
+            .chain(replicas)
+            .chain(servers)
+            .filter(|(of, _)| *of == data_centre)
+            .map(|(_, machine)| machine)
+            .collect()
+    }
+
+    /// Cuts a data centre off.
+    pub fn cut(&self, data_centre: &Name, cut: Cut) {
+        let inside = self.machines(data_centre);
+        let others = self.document.data_centres();
+        let others = others.into_iter().filter(|other| *other != data_centre);
+        let outside: Vec<IpAddr> = others.flat_map(|other| self.machines(other)).collect();
+        let platform = self.platform.iter().map(|running| running.address.ip());
+        let platform: Vec<IpAddr> = platform.collect();
+        for entry in self.entries().iter() {
+            let Some(daemon) = &entry.daemon else {
+                continue;
+            };
+            let is_inside = entry.settings.data_centre == *data_centre;
+            let others = if is_inside { &outside } else { &inside };
+            let others = others.iter().filter(|_| cut.others);
+            let platform = platform.iter().filter(|_| cut.platform && is_inside);
+            daemon.links.cut(others.chain(platform).copied());
+        }
+    }
+
+    /// Heals all links.
+    pub fn heal(&self) {
+        for daemon in self.entries().iter().filter_map(|e| e.daemon.as_ref()) {
+            daemon.links.cut([]);
+        }
+    }
+
     /// Kills an entry instance.
     pub fn kill_entry(&self, index: usize) {
         // The daemon is dropped without the lock, since its end takes a moment.
--- a/crates/trial/tests/failures.rs
+++ b/crates/trial/tests/failures.rs
@@ -1,83 +1,20 @@
 //! Each failure that the brief names, brought about on a small deployment.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+mod support;
+
+use std::time::Duration;
 
-use bitterncart_protocol::Document;
 use bitterncart_protocol::admin::Publish;
 use bitterncart_protocol::api::Failure;
 use bitterncart_standin::engine;
 use bitterncart_standin::fault::Faults;
 use bitterncart_testing::cases;
 use bitterncart_transport::http::Client;
-use bitterncart_trial::Site;
-use bitterncart_trial::client::{Caller, End};
-use bitterncart_trial::jobs::{Job, Sender, Totals};
-use serde_json::{Value, json};
-
-const SUNHAVEN: &str = include_str!("../../../examples/sunhaven.jsonc");
-
-/// Time after which a test is given up; no test passes because of it.
-const GIVE_UP: Duration = Duration::from_secs(90);
-
-fn start(change: impl FnOnce(&mut Document)) -> Arc<Site> {
-    let mut document = Document::parse(SUNHAVEN).expect("the example is valid");
-    for model in &mut document.models {
-        model.replicas.iter_mut().for_each(|row| row.count = 1);
-    }
-    document.log.shards = 4;
-    change(&mut document);
-    let text = serde_json::to_string(&document).expect("a document encodes");
-    Arc::new(Site::start(&text, 1).expect("the deployment starts"))
-}
-
-fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
-    let until = Instant::now() + GIVE_UP;
-    while !holds() {
-        assert!(Instant::now() < until, "{what}: not within {GIVE_UP:?}");
-        std::thread::sleep(Duration::from_millis(50));
-    }
-}
-
-fn sender(site: &Arc<Site>) -> Sender {
-    Sender::new(Arc::clone(site), 7, Instant::now() + GIVE_UP)
-}
-
-fn submit(sender: &mut Sender, name: &str, items: u32, poisoned: u32) -> Job {
-    let mut job = sender.plan(name, items, poisoned, false);
-    let one = smol::block_on(sender.submit(&mut job));
-    assert_eq!(one, Some(true), "the job is accepted and stays one job");
-    job
-}
-
-/// Waits for a job's end and checks every item's result.
-fn finishes(sender: &mut Sender, job: &Job, failed: u64) {
-    wait_until("the job ends", || {
-        smol::block_on(sender.status(job)).is_some_and(|batch| batch.status == "completed")
-    });
-    let mut totals = Totals::default();
-    smol::block_on(sender.check(job, &mut totals));
-    let items = job.items.len() as u64;
-    assert_eq!((totals.finished, totals.failed), (items - failed, failed));
-    assert_eq!((totals.lost, totals.doubled, totals.wrong), (0, 0, 0));
-}
-
-fn caller() -> Caller {
-    Caller::new("trial-front-desk".to_owned())
-}
-
-fn top_up(to: SocketAddr, call: &str, key: Option<&str>) -> (u16, Value) {
-    let body = json!({"call": call}).to_string();
-    let sent = smol::block_on(caller().post(to, "/services/minutes/topups", key, body));
-    let (status, bytes) = sent.expect("the daemon answers");
-    (status, serde_json::from_slice(&bytes).unwrap_or_default())
-}
-
-fn complete(to: SocketAddr, prompt: &str, tokens: u32) -> End {
-    let body = json!({"model": "assistant", "prompt": prompt, "max_tokens": tokens});
-    smol::block_on(caller().stream(to, "/v1/completions", &body)).0
-}
+use bitterncart_trial::client::End;
+use bitterncart_trial::jobs::Totals;
+use support::{
+    complete, create_batch, finishes, sender, start, submit, top_up, upload, wait_until,
+};
 
 #[test]
 fn impossible_items_do_not_hold_up_the_rest() {
@@ -208,6 +145,31 @@
     assert_eq!(site.service_runs().get("log-down"), Some(&1));
 }
 
+#[test]
+fn submission_with_a_lost_answer_is_not_called_not_run() {
+    let site = start(|_| {});
+    let to = site.callers()[0];
+    let (status, file) = upload(to, "lost answer");
+    assert_eq!(status, 200, "{file}");
+    site.log.faults.set(Faults {
+        lose_answers: 1.0,
+        ..Faults::default()
+    });
+    let (status, body) = create_batch(to, &file["id"]);
+    let answer = (
+        status,
+        body["error"]["code"].as_u64(),
+        body["error"]["ran"].as_str(),
+    );
+    assert_eq!(answer, (504, Some(2006), Some("unknown")));
+    site.log.faults.set(Faults::default());
+    wait_until("the job that was taken all the same runs", || {
+        site.started_prompts().contains("lost answer")
+    });
+    let (status, body) = create_batch(site.callers()[1], &file["id"]);
+    assert_eq!(status, 200, "{body}");
+}
+
 cases! {
     fn call_with_a_lost_answer_runs_once(key: Option<&str>) {
         let site = start(|_| {});
