Gather online on few replicas and route by what all daemons use

Batch, spread evenly, made every step of every replica long.

The owner's answer to a report of use says what the other daemons use (`Reply::Others`), so routing knows the whole use without a message of its own. Online fills the replicas of a data centre one after another in an order that all share; a replica without online is quiet and batch fills it, and the first online sequence puts the smaller number in force. Slow replicas are passed over. The document's weight sets both shares.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -130,6 +130,9 @@
     }
 }
 
+/// Daemons in each data centre, as the users run them.
+const DAEMONS: usize = 4;
+
 fn experiment(
     document: &PathBuf,
     seed: u64,
@@ -150,7 +153,7 @@
         document,
         seed,
         length: Duration::from_secs(seconds),
-        daemons: 2,
+        daemons: DAEMONS,
         load,
         fault,
     })
--- a/crates/bench/src/sim/run.rs
+++ b/crates/bench/src/sim/run.rs
@@ -263,10 +263,13 @@
                 },
             })
         });
-        routing.configure(
-            distances,
-            [(self.model.name.clone(), self.model.max_sequences)],
-        );
+        let gathers = self.policy == Policy::Shared;
+        let fill = Bounds::fill(document.sharing.batch_weight);
+        let capacity = routing::Capacity {
+            sequences: self.model.max_sequences,
+            fill: if gathers { fill } else { 0.0 },
+        };
+        routing.configure(distances, [(self.model.name.clone(), capacity)]);
         routing.list(Duration::ZERO, instances);
         let key = |instance: &Instance| routing.named(&instance.name).map(|(key, _)| key);
         let keys = instances.iter().filter_map(key).collect();
@@ -359,6 +362,10 @@
                 self.replicas[replica]
                     .sharing
                     .online(self.now, &from, level, late);
+                // The answer tells the asker what all daemons use.
+                let others = self.replicas[replica].sharing.others(self.now, &from);
+                let key = self.daemons[daemon].keys[replica];
+                self.daemons[daemon].routing.others(self.now, key, others);
                 // Giving way is immediate: the owner acts on the message itself.
                 self.look(replica);
             }
@@ -555,7 +562,7 @@
         }
         let key = self.daemons[daemon].keys[replica];
         if first_of_attempt {
-            self.daemons[daemon].routing.first(key, gap);
+            self.daemons[daemon].routing.first(now, key, gap);
             self.daemons[daemon].routing.alive(key);
         }
         self.note_gap(daemon, replica, gap, first_of_attempt);
--- a/crates/bench/src/slope/decisions.rs
+++ b/crates/bench/src/slope/decisions.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bitterncart_coordination::membership::{Action, Membership};
-use bitterncart_coordination::routing::{Query, Routing};
+use bitterncart_coordination::routing::{Capacity, Query, Routing};
 use bitterncart_coordination::{Admission, Queue};
 use bitterncart_protocol::instance::{Instance, Kind, State};
 use bitterncart_protocol::peer::{End, Health, Member};
@@ -144,7 +144,11 @@
     let points = SIZES.map(|size| {
         let before = memory();
         let mut routing = Routing::new(Name::from("dc-0"));
-        routing.configure([], [(Name::from("model"), 32)]);
+        let capacity = Capacity {
+            sequences: 32,
+            fill: 0.4,
+        };
+        routing.configure([], [(Name::from("model"), capacity)]);
         let instances: Vec<Instance> = (0..size).map(instance).collect();
         routing.list(Duration::ZERO, &instances);
         let query = Query {
--- a/crates/coordination/src/interest.rs
+++ b/crates/coordination/src/interest.rs
@@ -60,7 +60,11 @@
 
 fn level(running: u32) -> u32 {
     match running {
-        0 => 0,
-        running => running.next_power_of_two(),
+        0..=4 => running,
+        running => {
+            let power = running.next_power_of_two();
+            let between = power / 4 * 3;
+            if running <= between { between } else { power }
+        }
     }
 }
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -5,6 +5,10 @@
 //! whether its prefix cache probably holds the prompt. A replica that fails,
 //! goes silent or says that it leaves is left out before the list says so, and
 //! let back in by probes.
+//!
+//! Online is gathered: the replicas of a data centre are filled one after
+//! another, in an order that all daemons share, each up to a share of its
+//! sequences. The others stay free for batch.
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -12,7 +16,7 @@
 
 use bitterncart_protocol::engine::Load;
 use bitterncart_protocol::instance::{self, Instance};
-use bitterncart_protocol::{Name, admin};
+use bitterncart_protocol::{Name, admin, hash};
 use slotmap::{SlotMap, new_key_type};
 
 new_key_type! {
@@ -38,6 +42,15 @@
 /// Time to first token assumed before one was measured.
 const FIRST_GUESS: Duration = Duration::from_millis(50);
 
+/// Factor over the best time to first token above which a replica is slow.
+const SLOW: u32 = 3;
+
+/// Time after which a measured time to first token says little.
+const MEASURED: Duration = Duration::from_secs(10);
+
+/// Time after which the count of other daemons' sequences says nothing.
+const OTHERS: Duration = Duration::from_secs(5);
+
 /// Class of a sequence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Class {
@@ -47,6 +60,27 @@
     Batch,
 }
 
+/// Place of a replica among those that could take a request; the least is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    rank: u64,
+    expected: Duration,
+}
+
+/// Online sequences of other daemons on a replica, as its owner counted them.
+#[derive(Clone, Copy, Debug, Default)]
+struct Others {
+    running: u32,
+    at: Duration,
+}
+
+impl Others {
+    fn now(&self, now: Duration) -> u32 {
+        let fresh = now.saturating_sub(self.at) < OTHERS;
+        if fresh { self.running } else { 0 }
+    }
+}
+
 /// Whether a replica takes work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
@@ -75,11 +109,14 @@
     pub online: u32,
     /// This daemon's batch sequences.
     pub batch: u32,
-    max_sequences: u32,
+    others: Others,
+    rank: u64,
+    capacity: Capacity,
     distance: Duration,
     local: bool,
     load: Load,
     ttft: Duration,
+    measured: Duration,
     failures: u32,
     prefixes: VecDeque<u64>,
 }
@@ -99,13 +136,30 @@
         self.local
     }
 
-    fn expected(&self, prefix: Option<u64>) -> Duration {
+    /// Whether its first tokens are late beside the best ones; one that was not
+    /// measured for a while gets another try.
+    fn is_slow(&self, now: Duration, best: Duration) -> bool {
+        let fresh = now.saturating_sub(self.measured) < MEASURED;
+        fresh && self.ttft > best * SLOW
+    }
+
+    fn place(&self, now: Duration, prefix: Option<u64>, best: Duration) -> Place {
+        let all = self.online + self.others.now(now);
+        let room = f64::from(self.capacity.sequences) * self.capacity.fill;
+        let open = f64::from(all) < room && !self.is_slow(now, best);
+        Place {
+            rank: if open { self.rank } else { u64::MAX },
+            expected: self.expected(all, prefix),
+        }
+    }
+
+    fn expected(&self, online: u32, prefix: Option<u64>) -> Duration {
         let known = prefix.is_some_and(|prefix| self.prefixes.contains(&prefix));
         let prefill = self
             .ttft
             .mul_f64(if known { 1.0 - PREFIX_GAIN } else { 1.0 });
-        let sequences = f64::from(self.max_sequences.max(1));
-        let own = f64::from(self.online) / sequences;
+        let sequences = f64::from(self.capacity.sequences.max(1));
+        let own = f64::from(online) / sequences;
         let reported = f64::from(self.load.running + self.load.waiting) / sequences;
         let crowd = own.max(0.5 * reported);
         let queue = FIRST_GUESS.mul_f64(4.0 * crowd * crowd);
@@ -118,6 +172,25 @@
     }
 }
 
+/// What a replica carries.
+#[derive(Clone, Copy, Debug)]
+pub struct Capacity {
+    /// Sequences at once.
+    pub sequences: u32,
+    /// Share of them that online fills before it goes on to another replica;
+    /// 0 spreads online over all.
+    pub fill: f64,
+}
+
+impl Default for Capacity {
+    fn default() -> Self {
+        Self {
+            sequences: 1,
+            fill: 0.0,
+        }
+    }
+}
+
 /// Delay to a data centre, one way.
 #[derive(Clone, Debug)]
 pub struct Distance {
@@ -145,7 +218,7 @@
 pub struct Routing {
     home: Name,
     distances: HashMap<Name, Duration>,
-    sequences: HashMap<Name, u32>,
+    capacities: HashMap<Name, Capacity>,
     replicas: SlotMap<Key, Replica>,
     by_name: HashMap<Name, Key>,
 }
@@ -160,24 +233,28 @@
         }
     }
 
-    /// Takes delays and the sequences of each model.
+    /// Takes delays and what the replicas of each model carry.
     pub fn configure(
         &mut self,
         distances: impl IntoIterator<Item = Distance>,
-        sequences: impl IntoIterator<Item = (Name, u32)>,
+        capacities: impl IntoIterator<Item = (Name, Capacity)>,
     ) {
         self.distances = distances
             .into_iter()
             .map(|d| (d.data_centre, d.one_way))
             .collect();
-        self.sequences = sequences.into_iter().collect();
+        self.capacities = capacities.into_iter().collect();
         for replica in self.replicas.values_mut() {
             replica.distance = self
                 .distances
                 .get(&replica.data_centre)
                 .copied()
                 .unwrap_or_default();
-            replica.max_sequences = self.sequences.get(&replica.serves).copied().unwrap_or(1);
+            replica.capacity = self
+                .capacities
+                .get(&replica.serves)
+                .copied()
+                .unwrap_or_default();
         }
     }
 
@@ -242,7 +319,16 @@
             },
             online: 0,
             batch: 0,
-            max_sequences: self.sequences.get(&instance.serves).copied().unwrap_or(1),
+            others: Others::default(),
+            rank: hash::score(
+                instance.serves.as_str().as_bytes(),
+                instance.name.as_str().as_bytes(),
+            ),
+            capacity: self
+                .capacities
+                .get(&instance.serves)
+                .copied()
+                .unwrap_or_default(),
             distance: self
                 .distances
                 .get(&instance.data_centre)
@@ -251,25 +337,32 @@
             local: instance.data_centre == self.home,
             load: Load::default(),
             ttft: FIRST_GUESS,
+            measured: now,
             failures: 0,
             prefixes: VecDeque::new(),
         }
     }
 
-    /// Replica with the least expected time to the first token, in time for the deadline.
+    /// First replica in the shared order that has room, or the one with the least
+    /// expected time to the first token; in time for the deadline.
     ///
     /// The local data centre goes first; another one only if the local one has
     /// no replica or cannot meet the deadline.
     #[must_use]
     pub fn choose(&self, now: Duration, query: Query<'_>) -> Option<Key> {
         let best = |local: bool| {
-            self.replicas
-                .iter()
-                .filter(|(_, replica)| replica.local == local)
-                .filter(|(_, replica)| replica.serves.as_str() == query.serves)
-                .filter(|(key, replica)| replica.takes_work(now) && !query.tried.contains(key))
-                .map(|(key, replica)| (replica.expected(query.prefix), key))
+            let candidates = || {
+                self.replicas
+                    .iter()
+                    .filter(|(_, replica)| replica.local == local)
+                    .filter(|(_, replica)| replica.serves.as_str() == query.serves)
+                    .filter(|(key, replica)| replica.takes_work(now) && !query.tried.contains(key))
+            };
+            let best = candidates().map(|(_, replica)| replica.ttft).min()?;
+            candidates()
+                .map(|(key, replica)| (replica.place(now, query.prefix, best), key))
                 .min()
+                .map(|(place, key)| (place.expected, key))
         };
         let (near, far) = (best(true), best(false));
         match (near, far) {
@@ -339,9 +432,17 @@
         }
     }
 
+    /// Takes the online sequences of other daemons as the replica's owner counts them.
+    pub fn others(&mut self, now: Duration, key: Key, running: u32) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.others = Others { running, at: now };
+        }
+    }
+
     /// Notes the time to the first token.
-    pub fn first(&mut self, key: Key, ttft: Duration) {
+    pub fn first(&mut self, now: Duration, key: Key, ttft: Duration) {
         if let Some(replica) = self.replicas.get_mut(key) {
+            replica.measured = now;
             replica.ttft = replica.ttft.mul_f64(0.8) + ttft.mul_f64(0.2);
         }
     }
--- a/crates/coordination/src/sharing.rs
+++ b/crates/coordination/src/sharing.rs
@@ -4,8 +4,9 @@
 //! is. The owner of a replica learns how many sequences the replica runs within
 //! the document's bounds: the number grows by a step while tokens are on time
 //! and is cut when one is late. Batch has what online leaves of it, so a burst
-//! pushes batch out sequence by sequence, at once. A reserve stays free, and a
-//! new owner starts at zero.
+//! pushes batch out sequence by sequence, at once. A replica without online is
+//! quiet and takes more; the first online sequence there puts the smaller number
+//! in force. A reserve stays free, and a new owner starts at zero.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -33,6 +34,12 @@
 /// Weight of a gap below the mean.
 const FALL: f64 = 0.02;
 
+/// Time without online use after which a replica is quiet.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// Share of the time between tokens that batch fills on a quiet replica.
+const QUIET_SHARE: f64 = 0.95;
+
 /// Time after which a daemon's report of use counts for nothing.
 const STALE: Duration = Duration::from_secs(5);
 
@@ -52,9 +59,16 @@
 }
 
 impl Bounds {
+    /// Share of a replica's sequences that online fills before it goes on to
+    /// another one.
+    #[must_use]
+    pub fn fill(batch_weight: f64) -> f64 {
+        0.27 + 0.4 * batch_weight
+    }
+
     /// Share of the time between tokens that batch may fill.
     fn itl_target(&self) -> Duration {
-        self.itl.mul_f64(0.55 + 0.4 * self.batch_weight)
+        self.itl.mul_f64(0.39 + 0.48 * self.batch_weight)
     }
 
     fn ttft_target(&self) -> Duration {
@@ -76,7 +90,10 @@
 #[derive(Clone, Debug)]
 pub struct Sharing {
     bounds: Bounds,
+    /// Sequences learned while online runs, and while it does not.
     total: f64,
+    quiet: f64,
+    busy_at: Duration,
     stepped: Duration,
     cut_at: Option<Duration>,
     gap: Duration,
@@ -91,6 +108,8 @@
         Self {
             bounds,
             total: 0.0,
+            quiet: 0.0,
+            busy_at: now,
             stepped: now,
             cut_at: None,
             gap: Duration::ZERO,
@@ -106,6 +125,9 @@
 
     /// Notes a daemon's online use of the replica.
     pub fn online(&mut self, now: Duration, daemon: &id::Daemon, running: u32, late: bool) {
+        if running > 0 {
+            self.busy_at = now;
+        }
         self.online.insert(daemon.clone(), Use { running, at: now });
         if late {
             self.cut(now, LATE_CUT);
@@ -121,7 +143,7 @@
         self.sampled = now;
         let weight = if gap > self.gap { RISE } else { FALL };
         self.gap = self.gap.mul_f64(1.0 - weight) + gap.mul_f64(weight);
-        let target = self.bounds.itl_target();
+        let target = self.target(now);
         if self.gap > target {
             self.cut(now, target.as_secs_f64() / self.gap.as_secs_f64());
         }
@@ -142,18 +164,47 @@
 
     fn batch_room(&self, now: Duration) -> u32 {
         let online = self.online_running(now);
-        let learned = (self.total as u32).saturating_sub(online);
+        let total = if self.is_quiet(now) {
+            self.quiet
+        } else {
+            self.total
+        };
+        let learned = (total as u32).saturating_sub(online);
         learned.min(self.room(online))
     }
 
+    fn is_quiet(&self, now: Duration) -> bool {
+        self.online_running(now) == 0 && now.saturating_sub(self.busy_at) >= QUIET
+    }
+
+    fn target(&self, now: Duration) -> Duration {
+        if self.is_quiet(now) {
+            self.bounds.itl.mul_f64(QUIET_SHARE)
+        } else {
+            self.bounds.itl_target()
+        }
+    }
+
+    /// Online sequences that daemons but one reported.
+    #[must_use]
+    pub fn others(&self, now: Duration, daemon: &id::Daemon) -> u32 {
+        self.reports(now)
+            .filter(|(of, _)| *of != daemon)
+            .map(|(_, running)| running)
+            .sum()
+    }
+
+    fn reports(&self, now: Duration) -> impl Iterator<Item = (&id::Daemon, u32)> {
+        self.online
+            .iter()
+            .filter(move |(_, report)| now.saturating_sub(report.at) < STALE)
+            .map(|(of, report)| (of, report.running))
+    }
+
     /// Online sequences that daemons reported.
     #[must_use]
     pub fn online_running(&self, now: Duration) -> u32 {
-        self.online
-            .values()
-            .filter(|report| now.saturating_sub(report.at) < STALE)
-            .map(|report| report.running)
-            .sum()
+        self.reports(now).map(|(_, running)| running).sum()
     }
 
     fn room(&self, online: u32) -> u32 {
@@ -169,7 +220,7 @@
             return;
         }
         // A gap well below its bound leaves room for larger steps.
-        let headroom = 1.0 - self.gap.as_secs_f64() / self.bounds.itl_target().as_secs_f64();
+        let headroom = 1.0 - self.gap.as_secs_f64() / self.target(now).as_secs_f64();
         let near = match headroom {
             headroom if headroom > 0.25 => 2.0,
             headroom if headroom > 0.08 => 0.5,
@@ -177,7 +228,13 @@
         };
         self.stepped = now;
         let most = f64::from(self.bounds.max_sequences);
-        self.total = (self.total + self.bounds.step() * near).min(most);
+        let step = self.bounds.step() * near;
+        if self.is_quiet(now) {
+            self.quiet = (self.quiet.max(self.total) + step).min(most);
+        } else {
+            self.quiet = self.total;
+            self.total = (self.total + step).min(most);
+        }
     }
 
     /// Cuts the sequences by a factor, once for what one cause made late.
@@ -190,7 +247,12 @@
             return;
         }
         self.cut_at = Some(now);
-        self.total *= factor.clamp(*CUT.start(), *CUT.end());
-        self.gap = self.gap.min(self.bounds.itl_target());
+        let factor = factor.clamp(*CUT.start(), *CUT.end());
+        if self.is_quiet(now) {
+            self.quiet *= factor;
+        } else {
+            self.total *= factor;
+        }
+        self.gap = self.gap.min(self.target(now));
     }
 }
--- a/crates/daemon/src/batch.rs
+++ b/crates/daemon/src/batch.rs
@@ -99,12 +99,15 @@
     }
 }
 
-/// Notes another daemon's or this daemon's online use of a replica.
-pub fn pressure(core: &Core, replica: &Name, from: &id::Daemon, running: u32, late: bool) {
+/// Notes another daemon's or this daemon's online use of a replica and returns
+/// what all but that daemon use.
+pub fn pressure(core: &Core, replica: &Name, from: &id::Daemon, running: u32, late: bool) -> u32 {
     let now = core.now();
-    if let Some(sharing) = core.sharing().get_mut(replica) {
+    let mut sharing = core.sharing();
+    sharing.get_mut(replica).map_or(0, |sharing| {
         sharing.online(now, from, running, late);
-    }
+        sharing.others(now, from)
+    })
 }
 
 /// Notes the time to the first token of an online sequence.
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -11,10 +11,11 @@
 
 use bitterncart_coordination::retry::Budget;
 use bitterncart_coordination::routing::{self, Routing};
+use bitterncart_coordination::sharing::Bounds;
 use bitterncart_coordination::{Admission, Interest, Membership, Pace, Placement, Reach, Sharing};
 use bitterncart_protocol::peer::{End, Lease, Member};
 use bitterncart_protocol::record::Chunk;
-use bitterncart_protocol::{Code, Document, Name, Settings, id};
+use bitterncart_protocol::{Code, Document, Name, Settings, document, id};
 use bitterncart_state::Config;
 use bitterncart_state::config::Version;
 use bitterncart_transport::http::Client;
@@ -260,11 +261,11 @@
                     },
                 })
         });
-        let sequences = document
+        let capacities = document
             .models
             .iter()
-            .map(|model| (model.name.clone(), model.max_sequences));
-        self.routing().configure(distances, sequences);
+            .map(|model| (model.name.clone(), capacity(&document, model)));
+        self.routing().configure(distances, capacities);
         lock(&self.pace).configure(now, document.log.appends_per_s, daemons);
     }
 
@@ -309,3 +310,12 @@
         }
     }
 }
+
+/// What a replica of a model carries; online is gathered only beside batch.
+fn capacity(document: &Document, model: &document::Model) -> routing::Capacity {
+    let weight = document.sharing.batch_weight;
+    routing::Capacity {
+        sequences: model.max_sequences,
+        fill: model.batch.as_ref().map_or(0.0, |_| Bounds::fill(weight)),
+    }
+}
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -6,7 +6,7 @@
 use bitterncart_coordination::retry::Failure;
 use bitterncart_coordination::routing::{Class, Key};
 use bitterncart_protocol::engine::RESUME_FIELD;
-use bitterncart_protocol::peer::Ask;
+use bitterncart_protocol::peer::{Ask, Reply};
 use bitterncart_transport::Error;
 use bitterncart_transport::http::sse::Events;
 use bitterncart_transport::http::{Client, Method};
@@ -180,7 +180,7 @@
         let first = std::mem::take(&mut self.first);
         if first {
             let mut routing = self.core.routing();
-            routing.first(self.key, passed);
+            routing.first(now, self.key, passed);
             routing.alive(self.key);
         }
         match (first, self.class) {
@@ -247,7 +247,8 @@
         return;
     };
     if owner.daemon == core.me {
-        batch::pressure(core, &replica.name, &core.me, level, late);
+        let others = batch::pressure(core, &replica.name, &core.me, level, late);
+        core.routing().others(now, key, others);
         return;
     }
     let core_of = Arc::clone(core);
@@ -259,7 +260,10 @@
     };
     let task = async move {
         // A lost report is made good by the owner's own measurements.
-        drop(peers::ask(&core_of, &owner, &ask, TELL).await);
+        if let Ok(Reply::Others(others)) = peers::ask(&core_of, &owner, &ask, TELL).await {
+            let now = core_of.now();
+            core_of.routing().others(now, key, others.into());
+        }
     };
     core.runtime.spawn(task).detach();
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -146,8 +146,8 @@
                 running,
                 late,
             } => {
-                batch::pressure(core, &replica, &daemon, running.into(), late);
-                Reply::Done
+                let others = batch::pressure(core, &replica, &daemon, running.into(), late);
+                Reply::Others(others.try_into().unwrap_or(u16::MAX))
             }
             Ask::Configuration => {
                 let version = core.version();
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -223,4 +223,6 @@
     Done,
     /// Refused, with the owner if the daemon knows another one.
     Refused(Code, Option<id::Daemon>),
+    /// Online sequences of other daemons on the replica in question.
+    Others(u16),
 }
