Bring a model's weights up replica by replica, from one issuer

Engines take orders, some without checking a fencing number, and nothing here gave any: a change of version was the platform's affair, with whatever it harmed.

The orders of a data centre are a shard of their own: its owner is the issuer, its epoch the fencing number. The document states weights, rollout and the weight store's rate; each data centre has its share, with nothing saved up. A replica that fails three requests in a row is left out though it answers probes.

Ruled out: letting an issuer order engines that check at once. Its orders would be in order, but too many replicas would be out.

--- a/crates/bench/src/durable/log.rs
+++ b/crates/bench/src/durable/log.rs
@@ -22,7 +22,7 @@
 
 /// One shard's stream and its snapshots.
 #[derive(Debug, Default)]
-pub(super) struct Log {
+pub(crate) struct Log {
     entries: VecDeque<Entry>,
     first: u64,
     snapshots: Vec<Vec<u8>>,
@@ -35,7 +35,7 @@
     }
 
     /// Entries from an offset on that are still kept.
-    pub(super) fn page(&self, from: u64) -> Page {
+    pub(crate) fn page(&self, from: u64) -> Page {
         let skip = from.saturating_sub(self.first) as usize;
         Page {
             first: self.first,
@@ -45,7 +45,7 @@
     }
 
     /// Appends a group as its fate will have it; returns whether it was confirmed.
-    pub(super) fn append(&mut self, now: Duration, group: Group, fate: Fate) -> bool {
+    pub(crate) fn append(&mut self, now: Duration, group: Group, fate: Fate) -> bool {
         match fate {
             Fate::Lands | Fate::AnswerLost => self.push(now, &group),
             Fate::Late => self.late.push_back(Late::Group(group)),
@@ -64,7 +64,7 @@
     }
 
     /// Appends a snapshot as its fate will have it.
-    pub(super) fn snapshot(&mut self, bytes: Vec<u8>, fate: Fate) {
+    pub(crate) fn snapshot(&mut self, bytes: Vec<u8>, fate: Fate) {
         match fate {
             Fate::Lands | Fate::AnswerLost => self.snapshots.push(bytes),
             Fate::Late => self.late.push_back(Late::Snapshot(bytes)),
@@ -73,7 +73,7 @@
     }
 
     /// Lands the append that has been late longest.
-    pub(super) fn land(&mut self, now: Duration) {
+    pub(crate) fn land(&mut self, now: Duration) {
         match self.late.pop_front() {
             Some(Late::Group(group)) => self.push(now, &group),
             Some(Late::Snapshot(bytes)) => self.snapshots.push(bytes),
@@ -82,7 +82,7 @@
     }
 
     /// Results of a job in one entry, if it is still kept.
-    pub(super) fn results(&self, job: id::Job, offset: u64) -> Option<Vec<(id::Item, Answer)>> {
+    pub(crate) fn results(&self, job: id::Job, offset: u64) -> Option<Vec<(id::Item, Answer)>> {
         let at = offset.checked_sub(self.first)?;
         let entry = self.entries.get(at as usize)?;
         let group = Group::decode(&entry.payload)?;
@@ -90,7 +90,7 @@
     }
 
     /// Reads the shard as a daemon that has nothing.
-    pub(super) fn recover(&self, broken: Option<Broken>) -> Shard {
+    pub(crate) fn recover(&self, broken: Option<Broken>) -> Shard {
         let look_back = match broken {
             Some(Broken::LastSnapshot) => 1,
             _ => SNAPSHOTS,
@@ -105,7 +105,7 @@
     }
 
     /// Drops what a snapshot holds and no result lies in.
-    pub(super) fn truncate(&mut self, broken: Option<Broken>, reference: &Shard) {
+    pub(crate) fn truncate(&mut self, broken: Option<Broken>, reference: &Shard) {
         let held = match broken {
             Some(Broken::NoSnapshot) => self.next(),
             _ => furthest(self.snapshots.iter()).next(),
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,5 +2,7 @@
 
 pub mod compare;
 pub mod durable;
+pub mod orders;
+mod schedule;
 pub mod sim;
 pub mod slope;
--- a/crates/bench/src/slope/deployments.rs
+++ b/crates/bench/src/slope/deployments.rs
@@ -35,6 +35,7 @@
     for model in &mut document.models {
         model.replicas.truncate(1);
         model.replicas[0].count = 1;
+        model.weights = None;
     }
     for service in &mut document.services {
         service.replicas.truncate(1);
--- a/crates/coordination/src/participant.rs
+++ b/crates/coordination/src/participant.rs
@@ -92,6 +92,12 @@
         self.queue.is_some() && self.ownership.may_start(now, &self.shard, self.read)
     }
 
+    /// When the last read of the stream's end began.
+    #[must_use]
+    pub fn last_read(&self) -> Duration {
+        self.read
+    }
+
     /// Records that wait for the log.
     #[must_use]
     pub fn pending(&self) -> usize {
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -37,6 +37,23 @@
         self.shards.entry(shard).or_insert_with(find).clone()
     }
 
+    /// Live daemon of a data centre that should order its engines: one that
+    /// reaches the log.
+    pub fn orders(
+        &mut self,
+        members: &Membership,
+        shard: id::Shard,
+        data_centre: &Name,
+    ) -> Option<id::Daemon> {
+        self.follow(members);
+        let stream = shard.stream();
+        let local = members
+            .reaching_log()
+            .filter(|member| member.data_centre == *data_centre);
+        let find = || best(local, stream.as_bytes());
+        self.shards.entry(shard).or_insert_with(find).clone()
+    }
+
     /// Live daemon of a data centre that owns a replica there.
     pub fn replica(
         &mut self,
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -33,6 +33,9 @@
 /// Time that a replica stays out after its first failure; doubles with each.
 const OUT: Duration = Duration::from_millis(500);
 
+/// Failed requests in a row after which a replica is left out.
+const IN_A_ROW: u32 = 3;
+
 /// Time that a replica stays out at most.
 const OUT_MAX: Duration = Duration::from_secs(8);
 
@@ -109,6 +112,12 @@
     pub online: u32,
     /// This daemon's batch sequences.
     pub batch: u32,
+    /// Online requests that this daemon sent it so far.
+    pub requests: u32,
+    /// Of these, those that failed because of it.
+    pub faults: u32,
+    in_a_row: u32,
+    trials: u32,
     others: Others,
     rank: u64,
     capacity: Capacity,
@@ -130,6 +139,12 @@
         }
     }
 
+    /// Time to the first token.
+    #[must_use]
+    pub fn ttft(&self) -> Duration {
+        self.ttft
+    }
+
     /// Whether it is in this daemon's data centre.
     #[must_use]
     pub fn is_local(&self) -> bool {
@@ -148,7 +163,11 @@
         let room = f64::from(self.capacity.sequences) * self.capacity.fill;
         let open = f64::from(all) < room && !self.is_slow(now, best);
         Place {
-            rank: if open { self.rank } else { u64::MAX },
+            rank: match open {
+                _ if self.trials > 0 => 0,
+                true => self.rank,
+                false => u64::MAX,
+            },
             expected: self.expected(all, prefix),
         }
     }
@@ -319,6 +338,10 @@
             },
             online: 0,
             batch: 0,
+            requests: 0,
+            faults: 0,
+            in_a_row: 0,
+            trials: 0,
             others: Others::default(),
             rank: hash::score(
                 instance.serves.as_str().as_bytes(),
@@ -402,7 +425,11 @@
     pub fn start(&mut self, key: Key, class: Class, prefix: Option<u64>) {
         if let Some(replica) = self.replicas.get_mut(key) {
             match class {
-                Class::Online => replica.online += 1,
+                Class::Online => {
+                    replica.online += 1;
+                    replica.requests = replica.requests.wrapping_add(1);
+                    replica.trials = replica.trials.saturating_sub(1);
+                }
                 Class::Batch => replica.batch += 1,
             }
             replica.prefixes.extend(prefix);
@@ -443,10 +470,37 @@
     pub fn first(&mut self, now: Duration, key: Key, ttft: Duration) {
         if let Some(replica) = self.replicas.get_mut(key) {
             replica.measured = now;
+            replica.in_a_row = 0;
             replica.ttft = replica.ttft.mul_f64(0.8) + ttft.mul_f64(0.2);
         }
     }
 
+    /// Puts a replica before others for a number of requests.
+    pub fn try_first(&mut self, key: Key, requests: u32) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.trials = requests;
+        }
+    }
+
+    /// Notes that an online request failed because of the replica.
+    ///
+    /// A replica that fails several requests in a row is left out, though it
+    /// answers probes; its next first token lets it back in for good. One failure
+    /// may be the request's own doing.
+    pub fn fault(&mut self, now: Duration, key: Key) {
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return;
+        };
+        replica.faults = replica.faults.wrapping_add(1);
+        replica.in_a_row += 1;
+        let beyond = replica.in_a_row.checked_sub(IN_A_ROW);
+        if let (Some(beyond), State::Up | State::Out(_)) = (beyond, replica.state) {
+            replica.trials = 0;
+            let out = OUT * (1 << beyond.min(5));
+            replica.state = State::Out(now + out.min(OUT_MAX));
+        }
+    }
+
     /// Notes that an attempt failed because of the replica.
     pub fn failed(&mut self, now: Duration, key: Key) {
         if let Some(replica) = self.replicas.get_mut(key) {
--- a/crates/coordination/tests/routing.rs
+++ b/crates/coordination/tests/routing.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bitterncart_coordination::Routing;
-use bitterncart_coordination::routing::{Capacity, Class, Key, Query};
+use bitterncart_coordination::routing::{Capacity, Class, Key, Query, Replica};
 use bitterncart_protocol::Name;
 use bitterncart_protocol::instance::{Instance, Kind, State};
 use bitterncart_testing::cases;
@@ -102,7 +102,7 @@
     let homes: Vec<bool> = chosen
         .iter()
         .filter_map(|key| routing.replica(*key))
-        .map(|replica| replica.is_local())
+        .map(Replica::is_local)
         .collect();
     assert_eq!(homes, [true, true, true, false]);
 }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -214,11 +214,16 @@
         self.reach().is_failing()
     }
 
-    /// Live daemon that should own a shard, by rendezvous.
+    /// Live daemon that should own a shard, by rendezvous; for orders, one of this
+    /// data centre.
     #[must_use]
     pub fn winner(&self, shard: id::Shard) -> Option<id::Daemon> {
         let members = self.members();
-        lock(&self.placement).shard(&members, shard)
+        let mut placement = lock(&self.placement);
+        if shard.is_orders() {
+            return placement.orders(&members, shard, &self.settings.data_centre);
+        }
+        placement.shard(&members, shard)
     }
 
     /// Live daemon of a replica's data centre that owns the replica.
--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -31,6 +31,10 @@
     LogFailures,
     /// Reads that found records expired before a snapshot held them.
     LogGaps,
+    /// Orders sent to engines.
+    Orders,
+    /// Rollouts halted.
+    RolloutsHalted,
     /// Shards claimed.
     Claims,
     /// Messages to other daemons.
@@ -40,7 +44,7 @@
 }
 
 impl Count {
-    const ALL: [Self; 11] = [
+    const ALL: [Self; 13] = [
         Self::OnlineAnswered,
         Self::OnlineTokens,
         Self::BatchFinished,
@@ -49,6 +53,8 @@
         Self::LogBytes,
         Self::LogFailures,
         Self::LogGaps,
+        Self::Orders,
+        Self::RolloutsHalted,
         Self::Claims,
         Self::PeerAsks,
         Self::PeerFailures,
@@ -64,6 +70,8 @@
             Self::LogBytes => "log.bytes",
             Self::LogFailures => "log.failures",
             Self::LogGaps => "log.gaps",
+            Self::Orders => "engine.orders",
+            Self::RolloutsHalted => "rollout.halted",
             Self::Claims => "shard.claims",
             Self::PeerAsks => "peer.asks",
             Self::PeerFailures => "peer.failures",
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -17,7 +17,7 @@
 use crate::callers::Api;
 use crate::core::Core;
 use crate::peers::Answerer;
-use crate::{batch, config, platform, shards};
+use crate::{batch, config, orders, platform, shards};
 
 /// Time for the balancer to see that the instance is not ready.
 const UNREADY: Duration = Duration::from_secs(2);
@@ -160,6 +160,7 @@
     runtime.spawn(platform::receive_membership(of())).detach();
     runtime.spawn(platform::watch_load(of())).detach();
     runtime.spawn(shards::watch(of())).detach();
+    runtime.spawn(orders::run(of())).detach();
     runtime.spawn(batch::run(of())).detach();
     runtime.spawn(batch::settle(of())).detach();
 }
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -89,6 +89,22 @@
         request: &Value,
         done: usize,
         patience: Duration,
+    ) -> Result<Self, Broken> {
+        let opened = Self::open(core, key, class, endpoint, request, done, patience).await;
+        if let Err(broken) = &opened {
+            note_fault(core, key, class, broken);
+        }
+        opened
+    }
+
+    async fn open(
+        core: &Arc<Core>,
+        key: Key,
+        class: Class,
+        endpoint: &str,
+        request: &Value,
+        done: usize,
+        patience: Duration,
     ) -> Result<Self, Broken> {
         let address = core.routing().replica(key).map(|replica| replica.address);
         let address = address.ok_or(Broken::Failed(Failure::Connect))?;
@@ -156,11 +172,11 @@
     /// If the stream breaks or goes silent.
     pub async fn next(&mut self) -> Result<Option<Token>, Broken> {
         let bound = if self.first { self.patience } else { GAP };
-        let event = self
-            .events
-            .next(bound)
-            .await
-            .map_err(|e| blame(&self.core, self.key, &e))?;
+        let event = self.events.next(bound).await.map_err(|e| {
+            let broken = blame(&self.core, self.key, &e);
+            note_fault(&self.core, self.key, self.class, &broken);
+            broken
+        })?;
         let now = self.core.now();
         let passed = now.saturating_sub(self.since);
         self.since = now;
@@ -205,6 +221,17 @@
     Some(bitterncart_protocol::engine::prefix(&completion.prompt()))
 }
 
+/// Counts what speaks against the weights of a replica; a refusal does not, nor
+/// does a batch item, which may itself be impossible.
+fn note_fault(core: &Core, key: Key, class: Class, broken: &Broken) {
+    match (class, broken) {
+        (Class::Online, Broken::Failed(failure)) if *failure != Failure::Refused => {
+            core.routing().fault(core.now(), key);
+        }
+        _ => {}
+    }
+}
+
 fn note_refusal(core: &Core, key: Key, closing: bool) {
     let now = core.now();
     let mut routing = core.routing();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod counters;
 mod daemon;
 pub mod engine;
+pub mod orders;
 pub mod peers;
 pub mod platform;
 pub mod service;
--- a/crates/daemon/src/shards/handle.rs
+++ b/crates/daemon/src/shards/handle.rs
@@ -36,7 +36,7 @@
     }
 
     /// Part in the shard.
-    pub(super) fn participant(&self) -> MutexGuard<'_, Participant> {
+    pub(crate) fn participant(&self) -> MutexGuard<'_, Participant> {
         self.participant
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -56,7 +56,7 @@
     }
 
     /// Wakes the committer.
-    pub(super) fn wake(&self) {
+    pub(crate) fn wake(&self) {
         self.filled.notify(usize::MAX);
     }
 
--- a/crates/daemon/src/shards/manager.rs
+++ b/crates/daemon/src/shards/manager.rs
@@ -21,7 +21,10 @@
 pub async fn watch(core: Arc<Core>) {
     loop {
         if let Ok(document) = core.document() {
-            for number in (0..document.log.shards).map(id::Shard) {
+            let ordered = document.models.iter().any(|model| model.weights.is_some());
+            let orders = id::Shard::orders(core.settings.data_centre.as_str());
+            let orders = Some(orders).filter(|_| ordered);
+            for number in (0..document.log.shards).map(id::Shard).chain(orders) {
                 look(&core, number).await;
             }
         }
--- a/crates/protocol/src/document/check.rs
+++ b/crates/protocol/src/document/check.rs
@@ -1,6 +1,6 @@
 //! Problems that the schema cannot see.
 
-use super::{Document, Replicas};
+use super::{Document, Model, Replicas};
 use crate::Name;
 use crate::jsonc::{Lines, Problem};
 
@@ -112,6 +112,32 @@
         }
     }
 
+    fn rollout(&mut self, path: &str, model: &Model) {
+        if self.document.weight_store.is_none() {
+            self.add(
+                format!("{path}/weights"),
+                "are loaded from a weight store; state `weight_store`".to_owned(),
+            );
+        }
+        for row in &model.replicas {
+            if row.count > model.rollout.min_up {
+                continue;
+            }
+            let message = match row.count {
+                1 => format!(
+                    "`{}` has one replica, which is never given away; state no weights or more replicas",
+                    row.data_centre
+                ),
+                count => format!(
+                    "leaves no replica to change in `{}`; write at most {}",
+                    row.data_centre,
+                    count - 1
+                ),
+            };
+            self.add(format!("{path}/rollout/min_up"), message);
+        }
+    }
+
     fn bounds(&mut self) {
         let document = self.document;
         for (i, model) in document.models.iter().enumerate() {
@@ -131,6 +157,9 @@
                     ),
                 );
             }
+            if model.weights.is_some() {
+                self.rollout(&path, model);
+            }
             match &model.online {
                 Some(online) if online.ttft_ms > online.deadline_ms => self.add(
                     format!("{path}/online/ttft_ms"),
--- a/crates/protocol/src/document/types.rs
+++ b/crates/protocol/src/document/types.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
+use crate::engine::Weights;
 
 /// Environment document.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -19,6 +20,9 @@
     pub log: Log,
     /// What online and batch may cost each other.
     pub sharing: Sharing,
+    /// The platform's weight store, if models state their weights.
+    #[serde(default)]
+    pub weight_store: Option<WeightStore>,
     /// Models.
     pub models: Vec<Model>,
     /// Plain services.
@@ -76,6 +80,15 @@
     pub reserve: u32,
 }
 
+/// The platform's weight store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct WeightStore {
+    /// Loads a minute over all data centres.
+    #[schemars(range(min = 1, max = 1_000_000))]
+    pub loads_per_min: u32,
+}
+
 /// Model.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -93,6 +106,12 @@
     pub max_tokens: u32,
     /// Whether its engines refuse an old fencing number.
     pub checks_fencing: bool,
+    /// Weights that shall be up; without them nobody orders its engines.
+    #[serde(default)]
+    pub weights: Option<Weights>,
+    /// How a change of the weights goes on.
+    #[serde(default)]
+    pub rollout: Rollout,
     /// Online traffic, if it serves any.
     #[serde(default)]
     pub online: Option<Online>,
@@ -101,6 +120,39 @@
     pub batch: Option<Batch>,
 }
 
+/// How a change of weights goes on, in each data centre.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Rollout {
+    /// Replicas that serve at least.
+    #[schemars(range(min = 1, max = 100_000))]
+    pub min_up: u32,
+    /// Replicas that change at once.
+    #[schemars(range(min = 1, max = 100_000))]
+    pub at_once: u32,
+    /// Time for which a changed replica is observed, in seconds.
+    #[schemars(range(min = 1, max = 86400))]
+    pub observe_s: u64,
+    /// Share of failed requests at a changed replica above which the change halts.
+    #[schemars(range(min = 0, max = 1))]
+    pub failures: f64,
+    /// Factor on the other replicas' time to first token above which it halts.
+    #[schemars(range(min = 1, max = 1000))]
+    pub slowdown: f64,
+}
+
+impl Default for Rollout {
+    fn default() -> Self {
+        Self {
+            min_up: 1,
+            at_once: 1,
+            observe_s: 30,
+            failures: 0.05,
+            slowdown: 3.0,
+        }
+    }
+}
+
 /// Replicas in a data centre.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
--- a/crates/protocol/src/engine.rs
+++ b/crates/protocol/src/engine.rs
@@ -1,5 +1,6 @@
 //! Messages of the model engines, as far as they are not the callers' own API.
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
@@ -27,13 +28,51 @@
     pub stored: bool,
 }
 
-/// Order to an engine.
+/// Weights of a model.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Weights {
+    /// Version of the model.
+    pub version: Name,
+    /// Adapters on top of it.
+    #[serde(default)]
+    pub adapters: Vec<Name>,
+}
+
+/// Role of an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Role {
+    /// Takes requests.
+    #[default]
+    Serving,
+    /// Ends the running requests and takes no others.
+    Draining,
+}
+
+/// Order to an engine, `POST /orders`.
+///
+/// An order names what shall be, so giving it again changes nothing.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
     /// Fencing number of the issuer.
     pub fencing: u64,
-    /// Model to load.
-    pub load: Name,
+    /// Role to take.
+    pub role: Role,
+    /// Weights to load; `None` leaves them.
+    pub weights: Option<Weights>,
+}
+
+/// What an engine runs, `GET /placement`; it does not lag.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placed {
+    /// Role.
+    pub role: Role,
+    /// Weights, if they are known.
+    pub weights: Option<Weights>,
+    /// Whether it loads them still.
+    pub loading: bool,
+    /// Requests that run or wait.
+    pub running: u32,
 }
 
 /// Characters of a prompt that make its prefix.
--- a/crates/protocol/src/id.rs
+++ b/crates/protocol/src/id.rs
@@ -37,6 +37,9 @@
     }
 }
 
+/// Bit of the shards that hold orders to engines.
+const ORDERS: u16 = 1 << 15;
+
 /// Number of a shard, below the document's `log.shards`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -49,6 +52,20 @@
         Self((hash % u128::from(shards.max(1))) as u16)
     }
 
+    /// Shard of the orders to the engines of a data centre; it lies above all
+    /// shards of jobs, whose number a document bounds.
+    #[must_use]
+    pub fn orders(data_centre: &str) -> Self {
+        let hash = hash::parts(&[data_centre.as_bytes()]);
+        Self(ORDERS | (hash as u16 & !ORDERS))
+    }
+
+    /// Whether it holds orders to engines.
+    #[must_use]
+    pub fn is_orders(self) -> bool {
+        self.0 & ORDERS != 0
+    }
+
     /// Stream of the shard's records.
     #[must_use]
     pub fn stream(self) -> String {
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -8,6 +8,7 @@
 
 use crate::Name;
 use crate::code::Code;
+use crate::engine::Weights;
 use crate::id;
 
 /// Records of one append.
@@ -251,6 +252,21 @@
         /// How.
         outcome: Outcome,
     },
+    /// All replicas of a model in a data centre run these weights and hold
+    /// (issuer's record).
+    Good {
+        /// Model.
+        model: Name,
+        /// Weights.
+        weights: Weights,
+    },
+    /// The rollout of these weights was halted (issuer's record).
+    Halted {
+        /// Model.
+        model: Name,
+        /// Weights.
+        weights: Weights,
+    },
     /// The lease of an item lapsed (owner's record).
     Lapsed {
         /// Job.
--- a/crates/protocol/tests/document/main.rs
+++ b/crates/protocol/tests/document/main.rs
@@ -36,6 +36,8 @@
     dangling_reference("dangling_reference", "\"data_centre\": \"coast-b\"", "\"data_centre\": \"coast-x\"");
     impossible_bound("impossible_bound", "\"ttft_ms\": 1400", "\"ttft_ms\": 30000");
     no_room_for_batch("no_room_for_batch", "\"reserve\": 6", "\"reserve\": 32");
+    nothing_left_to_change("nothing_left_to_change", "\"min_up\": 2", "\"min_up\": 3");
+    no_weight_store("no_weight_store", "\"weight_store\": { \"loads_per_min\": 60 },", "");
     field_stated_twice("field_stated_twice", "\"itl_ms\": 27", "\"itl_ms\": 27, \"itl_ms\": 28");
     broken_syntax("broken_syntax", "\"regions\": [", "\"regions\": [[");
     empty_text("empty_text", SUNHAVEN, "");
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -9,8 +9,8 @@
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
-use bitterncart_protocol::engine::{Cached, Load, Order, RESUME_FIELD, prefix};
-use bitterncart_protocol::{api, hash};
+use bitterncart_protocol::engine::{self, Cached, Load, Order, Placed, RESUME_FIELD, Role, prefix};
+use bitterncart_protocol::{Name, api, hash};
 use bitterncart_transport::Runtime;
 use bitterncart_transport::http::chunks::Chunks;
 use bitterncart_transport::http::sse::{DONE, event};
@@ -20,6 +20,7 @@
 
 use crate::fault::{Faults, Switch};
 use crate::reply;
+use crate::weights::Weights;
 
 /// Text in a prompt that no attempt can complete.
 pub const POISON: &str = "[poison]";
@@ -101,16 +102,29 @@
     reports: VecDeque<(Instant, Load)>,
     started: HashSet<String>,
     orders: Vec<Order>,
+    placed: Placed,
+    loaded_at: Option<Instant>,
+    bad: HashSet<Name>,
     hits: u64,
     misses: u64,
 }
 
+impl State {
+    fn end_load(&mut self) {
+        if self.loaded_at.is_some_and(|at| at <= Instant::now()) {
+            self.loaded_at = None;
+            self.placed.loading = false;
+        }
+    }
+}
+
 /// Model engine.
 #[derive(Clone, Debug)]
 pub struct Engine {
     /// Faults.
     pub faults: Switch,
     model: Model,
+    store: Option<Weights>,
     state: Arc<Mutex<State>>,
     wake: Sender<()>,
 }
@@ -123,6 +137,7 @@
         let engine = Self {
             faults: Switch::default(),
             model,
+            store: None,
             state: Arc::default(),
             wake,
         };
@@ -130,6 +145,41 @@
         engine
     }
 
+    /// Engine that runs weights and loads others from a store.
+    #[must_use]
+    pub fn with_weights(mut self, weights: Option<engine::Weights>, store: Weights) -> Self {
+        self.lock().placed.weights = weights;
+        self.store = Some(store);
+        self
+    }
+
+    /// Lets all requests fail that meet a version.
+    pub fn break_version(&self, version: &str) {
+        self.lock().bad.insert(Name::from(version));
+    }
+
+    /// What it runs.
+    #[must_use]
+    pub fn placed(&self) -> Placed {
+        let mut state = self.lock();
+        state.end_load();
+        Placed {
+            running: (state.running.len() + state.waiting.len()) as u32,
+            ..state.placed.clone()
+        }
+    }
+
+    fn is_leaving(&self) -> bool {
+        let placed = self.placed();
+        self.faults.get().leaving || placed.loading || placed.role == Role::Draining
+    }
+
+    fn is_bad(&self) -> bool {
+        let state = self.lock();
+        let weights = state.placed.weights.as_ref();
+        weights.is_some_and(|weights| state.bad.contains(&weights.version))
+    }
+
     /// Prompts of which at least one token was made.
     #[must_use]
     pub fn started(&self) -> HashSet<String> {
@@ -244,7 +294,7 @@
         let load = Load {
             running: state.running.len() as u32,
             waiting: state.waiting.len() as u32,
-            leaving: self.faults.get().leaving,
+            leaving: false,
         };
         state.reports.push_back((Instant::now(), load));
         if state.reports.len() > KEPT {
@@ -280,7 +330,8 @@
             .front()
             .map(|(_, load)| *load)
             .unwrap_or_default();
-        load.leaving = self.faults.get().leaving;
+        drop(state);
+        load.leaving = self.is_leaving();
         load
     }
 
@@ -306,7 +357,7 @@
     }
 
     async fn complete(&self, mut request: Request) -> Response {
-        if self.faults.get().leaving {
+        if self.is_leaving() {
             let mut response = reply::text(StatusCode::ServiceUnavailable, "leaving");
             response.insert_header("Connection", "close");
             return response;
@@ -316,7 +367,7 @@
             return reply::text(StatusCode::BadRequest, "send a completion");
         };
         let prompt = completion.prompt();
-        if prompt.contains(POISON) {
+        if prompt.contains(POISON) || self.is_bad() {
             return reply::text(
                 StatusCode::InternalServerError,
                 "the prompt breaks the engine",
@@ -378,6 +429,20 @@
         if self.model.checks_fencing && order.fencing < newest {
             return reply::text(StatusCode::Conflict, "old fencing number");
         }
+        state.placed.role = order.role;
+        match order.weights.clone() {
+            Some(weights) if state.placed.weights.as_ref() != Some(&weights) => {
+                // What runs is lost, as with an engine that is started anew.
+                state.running.clear();
+                state.waiting.clear();
+                state.prefixes.clear();
+                state.placed.weights = Some(weights);
+                state.placed.loading = true;
+                let turn = self.store.as_ref().map_or_else(Instant::now, Weights::turn);
+                state.loaded_at = Some(turn);
+            }
+            _ => {}
+        }
         state.orders.push(order);
         Response::new(StatusCode::Ok)
     }
@@ -393,6 +458,7 @@
                 self.complete(request).await
             }
             (Method::Get, "/load") => reply::json(&self.load()),
+            (Method::Get, "/placement") => reply::json(&self.placed()),
             (Method::Get, "/cache_events") => reply::json(&self.cache_events()),
             (Method::Post, "/orders") => self.order(request).await,
             _ => reply::not_found(),
--- a/crates/standin/src/weights.rs
+++ b/crates/standin/src/weights.rs
@@ -14,6 +14,7 @@
     pub faults: Switch,
     each: Duration,
     free_at: Arc<Mutex<Instant>>,
+    turns: Arc<Mutex<Vec<Instant>>>,
 }
 
 impl Weights {
@@ -24,11 +25,25 @@
             faults: Switch::default(),
             each,
             free_at: Arc::new(Mutex::new(Instant::now())),
+            turns: Arc::default(),
         }
     }
 
-    fn turn(&self) -> Instant {
+    /// When each load was asked for.
+    #[must_use]
+    pub fn turns(&self) -> Vec<Instant> {
+        let turns = self.turns.lock().unwrap_or_else(PoisonError::into_inner);
+        turns.clone()
+    }
+
+    /// Takes a turn; returns when its load is done.
+    #[must_use]
+    pub fn turn(&self) -> Instant {
         let mut free_at = self.free_at.lock().unwrap_or_else(PoisonError::into_inner);
+        self.turns
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(Instant::now());
         *free_at = (*free_at).max(Instant::now()) + self.each;
         *free_at
     }
--- a/crates/state/src/shard.rs
+++ b/crates/state/src/shard.rs
@@ -7,15 +7,17 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use bitterncart_protocol::id;
+use bitterncart_protocol::engine::Weights;
 use bitterncart_protocol::log::Page;
-use bitterncart_protocol::record::{Answer, Chunk, Group, Outcome, Reason, Record, Submit, Upload};
+use bitterncart_protocol::record::{self, Answer, Chunk, Group, Reason, Record, Submit, Upload};
+use bitterncart_protocol::{Name, id};
 use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
 use crate::call::Call;
 use crate::invariant;
 use crate::job::{Job, Key, Place};
+use crate::rollout::Outcome;
 
 /// What a record changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -70,6 +72,7 @@
     by_id: HashMap<id::Job, Key>,
     files: HashMap<id::File, Upload>,
     calls: HashMap<id::Call, Call>,
+    rollouts: BTreeMap<Name, Outcome>,
     expiry: BTreeSet<(u64, Expiring)>,
 }
 
@@ -95,6 +98,7 @@
     jobs: Vec<Job>,
     files: Vec<Upload>,
     calls: BTreeMap<u128, Call>,
+    rollouts: BTreeMap<Name, Outcome>,
 }
 
 impl Shard {
@@ -169,6 +173,12 @@
         self.calls.get(&call)
     }
 
+    /// Outcome of the rollouts of a model.
+    #[must_use]
+    pub fn rollout(&self, model: &Name) -> Outcome {
+        self.rollouts.get(model).cloned().unwrap_or_default()
+    }
+
     /// Items that have not ended.
     #[must_use]
     pub fn open_items(&self) -> u64 {
@@ -255,6 +265,8 @@
             Record::Tried { job, item, attempt } => {
                 events.extend(self.tried(*job, *item, *attempt));
             }
+            Record::Good { model, weights } => self.good(model, weights),
+            Record::Halted { model, weights } => self.halted(model, weights),
             Record::Lapsed { job, item } => events.extend(self.lapsed(*job, *item)),
             Record::Carry { job, from, answers } => self.carry(place, *job, *from, answers.len()),
             Record::Move { job, index, chunk } => self.relocate(*job, *index, *chunk),
@@ -416,7 +428,7 @@
     fn announce(&mut self, call: id::Call, entry: Call) -> Option<Event> {
         let free = match self.calls.get(&call) {
             None => true,
-            Some(known) => matches!(known.outcome, Some(Outcome::NotRun(_))),
+            Some(known) => matches!(known.outcome, Some(record::Outcome::NotRun(_))),
         };
         if !free {
             return None;
@@ -427,7 +439,7 @@
         Some(Event::Announced(call))
     }
 
-    fn settle(&mut self, id: id::Call, nonce: u64, outcome: &Outcome) -> Option<Event> {
+    fn settle(&mut self, id: id::Call, nonce: u64, outcome: &record::Outcome) -> Option<Event> {
         let call = self.calls.get_mut(&id)?;
         if call.outcome.is_some() || call.nonce != nonce {
             return None;
@@ -436,6 +448,16 @@
         Some(Event::Settled(id, nonce))
     }
 
+    fn good(&mut self, model: &Name, weights: &Weights) {
+        let outcome = self.rollouts.entry(model.clone()).or_default();
+        outcome.good = Some(weights.clone());
+    }
+
+    fn halted(&mut self, model: &Name, weights: &Weights) {
+        let outcome = self.rollouts.entry(model.clone()).or_default();
+        outcome.halted = Some(weights.clone());
+    }
+
     fn keep(&mut self, id: id::Job, key: Key) {
         let until = self.clock_ms + self.jobs[key].submit.keep_ms;
         self.expiry.insert((until, Expiring::Job(id)));
@@ -492,6 +514,7 @@
                 .iter()
                 .map(|(id, call)| (id.0, call.clone()))
                 .collect(),
+            rollouts: self.rollouts.clone(),
         };
         postcard::to_stdvec(&snapshot).expect("a snapshot encodes")
     }
@@ -507,6 +530,7 @@
             challenged: snapshot.challenged,
             clock_ms: snapshot.clock_ms,
             next: snapshot.next,
+            rollouts: snapshot.rollouts,
             ..Self::default()
         };
         for upload in &snapshot.files {
--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -12,11 +12,12 @@
 use bitterncart_daemon::Daemon;
 use bitterncart_protocol::admin::Publish;
 use bitterncart_protocol::instance::{Instance, Kind, State};
-use bitterncart_protocol::{Document, Name, Settings, document};
+use bitterncart_protocol::{Document, Name, Settings, document, id};
 use bitterncart_standin::engine::{Engine, Model};
 use bitterncart_standin::instances::Instances;
 use bitterncart_standin::log::{Limits, Log};
 use bitterncart_standin::service::Service;
+use bitterncart_standin::weights::Weights;
 use bitterncart_standin::{Running, start};
 use bitterncart_transport::Error;
 use bitterncart_transport::http::Client;
@@ -99,6 +100,8 @@
     pub text: String,
     /// Log service.
     pub log: Log,
+    /// Weight store.
+    pub store: Weights,
     /// Instance list.
     pub list: Instances,
     /// Engines.
@@ -162,7 +165,8 @@
         };
         let log = Log::new(limits);
         let log_running = start(at(LOG_PORT), |_| log.clone())?;
-        let replicas = start_replicas(&document)?;
+        let store = store(&document);
+        let replicas = start_replicas(&document, &store)?;
         let servers = start_servers(&document)?;
         let list = Instances::new(LIST_LAG, Vec::new());
         let list_running = start(at(LIST_PORT), |_| list.clone())?;
@@ -188,6 +192,7 @@
             document,
             text: text.to_owned(),
             log,
+            store,
             list,
             replicas: Mutex::new(replicas),
             servers,
@@ -243,17 +248,20 @@
     /// Whether each shard has an owner that lives.
     #[must_use]
     pub fn all_shards_owned(&self) -> bool {
-        let owned: HashSet<_> = self
-            .entries()
-            .iter()
-            .filter_map(|entry| entry.daemon.as_ref())
-            .flat_map(|daemon| daemon.core.shards().values().cloned().collect::<Vec<_>>())
-            .filter(|desk| desk.is_mine())
-            .map(|desk| desk.number)
-            .collect();
+        let entries = self.entries();
+        let daemons = entries.iter().filter_map(|entry| entry.daemon.as_ref());
+        let owned: HashSet<_> = daemons.flat_map(owned).collect();
         owned.len() == usize::from(self.document.log.shards)
     }
 
+    /// Shards of jobs that each entry instance owns; none for a dead one.
+    #[must_use]
+    pub fn owned_shards(&self) -> Vec<usize> {
+        let entries = self.entries();
+        let count = |entry: &Entry| entry.daemon.as_ref().map_or(0, |d| owned(d).len());
+        entries.iter().map(count).collect()
+    }
+
     /// Entry instances.
     pub fn entries(&self) -> MutexGuard<'_, Vec<Entry>> {
         lock(&self.entries)
@@ -361,7 +369,7 @@
             (replicas[index].address, replicas[index].model.clone())
         };
         let model = self.document.model(name.as_str());
-        let (engine, running) = bound_again(|| start_engine(address, model))?;
+        let (engine, running) = bound_again(|| start_engine(address, model, &self.store))?;
         let mut replicas = self.replicas();
         let replica = &mut replicas[index];
         let dead = std::mem::replace(&mut replica.engine, engine);
@@ -391,6 +399,16 @@
     }
 }
 
+/// Shards of jobs that a daemon owns by its folds.
+fn owned(daemon: &Daemon) -> Vec<id::Shard> {
+    let shards = daemon.core.shards();
+    let of_jobs = shards.values().filter(|handle| !handle.number.is_orders());
+    of_jobs
+        .filter(|handle| handle.is_mine())
+        .map(|handle| handle.number)
+        .collect()
+}
+
 /// Starts something on addresses that its last life may not have let go yet;
 /// a process's end would free them at once.
 fn bound_again<T>(start: impl Fn() -> Result<T, Error>) -> Result<T, Error> {
@@ -421,10 +439,13 @@
 fn start_engine(
     address: SocketAddr,
     model: Option<&document::Model>,
+    store: &Weights,
 ) -> Result<(Engine, Running), Error> {
+    let weights = model.and_then(|model| model.weights.clone());
     let mut made = None;
     let running = start(address, |runtime| {
         let engine = Engine::new(runtime, engine_model(model));
+        let engine = engine.with_weights(weights.clone(), store.clone());
         made = Some(engine.clone());
         engine
     })?;
@@ -432,13 +453,23 @@
     Ok((engine, running))
 }
 
-fn start_replicas(document: &Document) -> Result<Vec<Replica>, Error> {
+/// Weight store that serves the stated loads a minute.
+fn store(document: &Document) -> Weights {
+    const MINUTE: Duration = Duration::from_secs(60);
+    let loads = document
+        .weight_store
+        .as_ref()
+        .map_or(1, |s| s.loads_per_min);
+    Weights::new(MINUTE / loads)
+}
+
+fn start_replicas(document: &Document, store: &Weights) -> Result<Vec<Replica>, Error> {
     let mut replicas = Vec::new();
     for model in &document.models {
         for row in &model.replicas {
             for number in 1..=row.count {
                 let address = at(SERVER_PORT);
-                let (engine, running) = start_engine(address, Some(model))?;
+                let (engine, running) = start_engine(address, Some(model), store)?;
                 replicas.push(Replica {
                     name: Name::from(format!("{}-{}-{number}", model.name, row.data_centre)),
                     model: model.name.clone(),
--- a/crates/trial/tests/partitions.rs
+++ b/crates/trial/tests/partitions.rs
@@ -50,18 +50,6 @@
         .collect()
 }
 
-/// Shards owned, by their own folds, in each entry instance.
-fn owned(site: &Site) -> Vec<usize> {
-    let entries = site.entries();
-    let daemons = entries.iter().filter_map(|entry| entry.daemon.as_ref());
-    daemons
-        .map(|daemon| {
-            let shards = daemon.core.shards();
-            shards.values().filter(|handle| handle.is_mine()).count()
-        })
-        .collect()
-}
-
 fn claims(site: &Site) -> u64 {
     let entries = site.entries();
     let daemons = entries.iter().filter_map(|entry| entry.daemon.as_ref());
@@ -157,7 +145,7 @@
         }
         let shards = usize::from(site.document.log.shards);
         wait_until("the others own all shards", || {
-            owned(&site)[1..].iter().sum::<usize>() == shards
+            site.owned_shards()[1..].iter().sum::<usize>() == shards
         });
         serves(inside, "inside, later");
         works_outside(&site, inside);
--- a/crates/trial/tests/support/mod.rs
+++ b/crates/trial/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bitterncart_protocol::Document;
+use bitterncart_protocol::{Document, Name};
 use bitterncart_trial::Site;
 use bitterncart_trial::client::{Caller, End};
 use bitterncart_trial::jobs::{Job, Sender, Totals};
@@ -22,11 +22,18 @@
     let mut document = Document::parse(SUNHAVEN).expect("the example is valid");
     for model in &mut document.models {
         model.replicas.iter_mut().for_each(|row| row.count = 1);
+        // A single replica is never given away, so it has no weights to change.
+        model.weights = None;
     }
     document.log.shards = 4;
     change(&mut document);
-    let text = serde_json::to_string(&document).expect("a document encodes");
-    Arc::new(Site::start(&text, 1).expect("the deployment starts"))
+    start_document(&document, 1)
+}
+
+/// Deployment of a document with a number of daemons in each data centre.
+pub fn start_document(document: &Document, daemons: u32) -> Arc<Site> {
+    let text = serde_json::to_string(document).expect("a document encodes");
+    Arc::new(Site::start(&text, daemons).expect("the deployment starts"))
 }
 
 /// Waits until something holds.
@@ -77,8 +84,20 @@
 
 /// Sends a completion and reads its stream.
 pub fn complete(to: SocketAddr, prompt: &str, tokens: u32) -> End {
-    let body = json!({"model": "assistant", "prompt": prompt, "max_tokens": tokens});
-    smol::block_on(caller().stream(to, "/v1/completions", &body)).0
+    complete_with(
+        to,
+        "trial-front-desk",
+        &Name::from("assistant"),
+        prompt,
+        tokens,
+    )
+}
+
+/// Sends a completion of a customer for a model and reads its stream.
+pub fn complete_with(to: SocketAddr, key: &str, model: &Name, prompt: &str, tokens: u32) -> End {
+    let body = json!({"model": model, "prompt": prompt, "max_tokens": tokens});
+    let caller = Caller::new(key.to_owned());
+    smol::block_on(caller.stream(to, "/v1/completions", &body)).0
 }
 
 /// Sends a file of one item.
