Give carried results groups of their own, and measure recovery

A group held a result and carried results; a cancellation landed before it. The fold dropped the new result and listed the entry for the carried ones, and an entry's results are read whole.

A group holds carried records or others, never both, so an entry's results stand or fall together.

Ruled out: dropping a cancelled job's queued results at the owner; the group was already on its way.

--- a/crates/bench/src/slope/deployments.rs
+++ b/crates/bench/src/slope/deployments.rs
@@ -22,7 +22,7 @@
 /// Name of the daemons' threads.
 const DAEMON: &str = "daemon";
 
-fn document(change: impl FnOnce(&mut Document)) -> Result<String, String> {
+pub(super) fn document(change: impl FnOnce(&mut Document)) -> Result<String, String> {
     let text = include_str!("../../../../examples/sunhaven.jsonc");
     let mut document = Document::parse(text).map_err(|_| "the example is not valid".to_owned())?;
     change(&mut document);
@@ -30,7 +30,7 @@
 }
 
 /// One data centre with few replicas, so that idle costs stand out.
-fn small(document: &mut Document) {
+pub(super) fn small(document: &mut Document) {
     document.regions[0].data_centres.truncate(1);
     for model in &mut document.models {
         model.replicas.truncate(1);
--- a/crates/bench/src/slope/mod.rs
+++ b/crates/bench/src/slope/mod.rs
@@ -7,7 +7,10 @@
 
 mod decisions;
 mod deployments;
+mod hop;
 mod machine;
+mod recovery;
+mod rollout;
 
 use serde::Serialize;
 
@@ -47,17 +50,21 @@
 }
 
 /// Names of the slopes.
-pub const NAMES: [&str; 10] = [
+pub const NAMES: [&str; 14] = [
     "peers",
     "replicas",
     "jobs",
     "items",
+    "recovery",
+    "groups",
     "customers",
     "changes",
+    "rollout",
     "shards",
     "fleet",
     "calls",
     "tokens",
+    "hop",
 ];
 
 /// Measures a slope.
@@ -71,12 +78,16 @@
         "replicas" => Ok(decisions::replicas()),
         "jobs" => Ok(decisions::jobs()),
         "items" => Ok(decisions::items()),
+        "recovery" => Ok(recovery::recovery()),
+        "groups" => Ok(recovery::groups()),
+        "rollout" => Ok(rollout::rollout()),
         "customers" => Ok(decisions::customers()),
         "changes" => Ok(decisions::changes()),
         "shards" => deployments::shards(),
         "fleet" => deployments::fleet(),
         "calls" => deployments::calls(),
         "tokens" => deployments::tokens(),
+        "hop" => hop::hop(),
         _ => Err(format!(
             "no slope `{name}`; write one of: {}",
             NAMES.join(", ")
--- a/crates/bench/tests/durable.rs
+++ b/crates/bench/tests/durable.rs
@@ -16,6 +16,8 @@
     seed_2(2);
     seed_3(3);
     seed_4(4);
+    // Found carried results beside those that a cancellation had voided.
+    seed_77(77);
 }
 
 cases! {
--- a/crates/coordination/src/participant.rs
+++ b/crates/coordination/src/participant.rs
@@ -186,9 +186,10 @@
             self.pending.clear();
             return None;
         }
+        let carried = is_carried(self.pending.first()?);
         let mut bytes = 0;
         let fits = |record: &&Record| {
-            let fits = bytes < GROUP_BYTES;
+            let fits = bytes < GROUP_BYTES && is_carried(record) == carried;
             bytes += size(record);
             fits
         };
@@ -315,6 +316,15 @@
     }
 }
 
+/// Whether a record writes results again.
+///
+/// Such records have groups of their own: a cancellation that lands before a group
+/// voids the new results in it but not the carried ones, and an entry's results
+/// are read all or not at all.
+fn is_carried(record: &Record) -> bool {
+    matches!(record, Record::Carry { .. })
+}
+
 fn size(record: &Record) -> usize {
     let contents = match record {
         Record::Done { answer, .. } => answer.body.len(),
--- a/crates/coordination/tests/retention.rs
+++ b/crates/coordination/tests/retention.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use bitterncart_coordination::Retention;
 use bitterncart_coordination::retention::Due;
+use bitterncart_coordination::{Participant, Retention};
 use bitterncart_protocol::log::{Entry, Page};
 use bitterncart_protocol::record::{Answer, Chunk, Group, Reason, Record, Submit};
 use bitterncart_protocol::{Name, id};
@@ -138,3 +138,20 @@
     ));
     assert!(Retention::due(&shard, 50_000, RETENTION).is_empty());
 }
+
+#[test]
+fn carried_results_have_groups_of_their_own() {
+    let shard = fold(vec![vec![done(0)]]);
+    let page = Page {
+        first: 0,
+        next: shard.next(),
+        entries: Vec::new(),
+    };
+    let mut participant = Participant::new("daemon".into(), shard);
+    participant.apply(Duration::ZERO, &page);
+    participant.push([done(1), carry(2), carry(3), done(2)]);
+    let sizes: Vec<usize> = std::iter::from_fn(|| participant.take_group())
+        .map(|group| group.records.len())
+        .collect();
+    assert_eq!(sizes, [1, 2, 1]);
+}
