Keep new work from servers that the list has leaving

The new test `leaves_by_the_list` saw batch items start at a server five seconds after the list had it leaving: the server's own load report, which knew nothing of it, put it back until the list was read again.

A report undoes a leaving sign only if the list does not have it. A server whose capacity the document does not state is taken to carry 256.

Ruled out: items that were on their way before the sign; the test waits until the server is empty.

--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -54,6 +54,10 @@
 /// Time after which the count of other daemons' sequences says nothing.
 const OTHERS: Duration = Duration::from_secs(5);
 
+/// Calls at once taken for what a server of a plain service carries, for which the
+/// document states nothing.
+const UNSTATED: u32 = 256;
+
 /// Class of a sequence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Class {
@@ -118,6 +122,7 @@
     pub faults: u32,
     in_a_row: u32,
     trials: u32,
+    listed_leaving: bool,
     others: Others,
     rank: u64,
     capacity: Capacity,
@@ -204,7 +209,7 @@
 impl Default for Capacity {
     fn default() -> Self {
         Self {
-            sequences: 1,
+            sequences: UNSTATED,
             fill: 0.0,
         }
     }
@@ -299,6 +304,9 @@
     fn list_one(&mut self, now: Duration, instance: &Instance) {
         let key = self.by_name.get(&instance.name).copied();
         let leaving = instance.state == instance::State::Leaving;
+        if let Some(replica) = key.and_then(|key| self.replicas.get_mut(key)) {
+            replica.listed_leaving = leaving;
+        }
         match key.and_then(|key| self.replicas.get_mut(key)) {
             Some(replica) if replica.address == instance.address => {
                 if leaving && !matches!(replica.state, State::Leaving(_)) {
@@ -342,6 +350,7 @@
             faults: 0,
             in_a_row: 0,
             trials: 0,
+            listed_leaving: leaving,
             others: Others::default(),
             rank: hash::score(
                 instance.serves.as_str().as_bytes(),
@@ -525,7 +534,9 @@
             replica.load = load;
             match replica.state {
                 // The report lags, so it cannot take a fresh sign back.
-                State::Leaving(since) if !load.leaving && now >= since + STAYS => {
+                State::Leaving(since)
+                    if !load.leaving && !replica.listed_leaving && now >= since + STAYS =>
+                {
                     replica.state = State::Up;
                 }
                 State::Leaving(_) => {}
--- a/crates/coordination/tests/routing.rs
+++ b/crates/coordination/tests/routing.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use bitterncart_coordination::Routing;
+use bitterncart_coordination::routing::State::Up;
 use bitterncart_coordination::routing::{Capacity, Class, Key, Query, Replica};
 use bitterncart_protocol::Name;
+use bitterncart_protocol::engine::Load;
 use bitterncart_protocol::instance::{Instance, Kind, State};
 use bitterncart_testing::cases;
 
@@ -106,3 +108,42 @@
         .collect();
     assert_eq!(homes, [true, true, true, false]);
 }
+
+#[test]
+fn server_of_a_service_takes_many_calls_at_once() {
+    const CALLS: u32 = 100;
+    let mut routing = Routing::new(Name::from(HOME));
+    routing.list(NOW, &[instance(1, HOME)]);
+    for _ in 0..CALLS {
+        let key = choose(&routing, NOW, &[]).expect("it takes one more");
+        routing.start(key, Class::Online, None);
+    }
+}
+
+/// Whether the first replica takes work again after its own report says that it
+/// does not leave.
+fn comes_back(listed: State) -> bool {
+    let mut routing = table(0.0);
+    let (key, _) = routing
+        .named(&Name::from("replica-1"))
+        .expect("it is listed");
+    routing.leaving(NOW, key);
+    let mut first = instance(1, HOME);
+    first.state = listed;
+    let rest = (2..4).map(|number| instance(number, HOME));
+    let list: Vec<Instance> = std::iter::once(first).chain(rest).collect();
+    routing.list(NOW, &list);
+    let later = NOW + Duration::from_secs(5);
+    routing.report(later, key, Load::default());
+    routing
+        .replica(key)
+        .is_some_and(|replica| replica.state == Up)
+}
+
+cases! {
+    fn report_is_believed(listed: State, back: bool) {
+        assert_eq!(comes_back(listed), back);
+    }
+    of_a_server_that_stays(State::Live, true);
+    but_not_of_one_that_the_list_has_leaving(State::Leaving, false);
+}
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use bitterncart_transport::http::{Handler, Request, Response, StatusCode};
+use bitterncart_transport::http::{Handler, Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use crate::fault::Switch;
@@ -61,6 +61,9 @@
         if self.faults.get().leaving {
             return reply::text(StatusCode::ServiceUnavailable, "leaving");
         }
+        if request.method() == Method::Get {
+            return reply::text(StatusCode::Ok, "");
+        }
         match request.body_json::<Call>().await {
             Ok(call) => {
                 *self.lock().entry(call.call.clone()).or_default() += 1;
--- a/crates/trial/tests/failures.rs
+++ b/crates/trial/tests/failures.rs
@@ -6,6 +6,7 @@
 
 use bitterncart_protocol::admin::Publish;
 use bitterncart_protocol::api::Failure;
+use bitterncart_protocol::instance::State;
 use bitterncart_standin::engine;
 use bitterncart_standin::fault::Faults;
 use bitterncart_testing::cases;
@@ -96,10 +97,8 @@
     pause(true);
     // Another daemon owns all shards once the paused one's are taken over.
     wait_until("the paused daemon's shards are taken over", || {
-        let entries = site.entries();
-        let owned = [0, 2].iter().filter_map(|at| entries[*at].daemon.as_ref());
-        let shards = owned.map(|d| d.core.shards().values().filter(|h| h.is_mine()).count());
-        shards.sum::<usize>() == usize::from(site.document.log.shards)
+        let owned = site.owned_shards();
+        owned[0] + owned[2] == usize::from(site.document.log.shards)
     });
     pause(false);
     finishes(&mut sender, &job, 0);
@@ -380,3 +379,56 @@
         .and_then(|daemon| daemon.core.version());
     assert_eq!(after.map(|v| v.number), version.map(|v| v.number));
 }
+
+/// How a server says that it leaves.
+enum Sign {
+    /// By the platform's list.
+    List,
+    /// By refusing requests itself.
+    Refusal,
+}
+
+cases! {
+    fn leaving_server_gets_no_new_work(sign: Sign) {
+        let site = start(|_| {});
+        let mut sender = sender(&site);
+        let job = submit(&mut sender, "leaving", 300, 0);
+        let name = site.replicas()[0].name.clone();
+        match sign {
+            Sign::List => {
+                let mut list = site.list.newest();
+                let leaving = list.iter_mut().filter(|instance| instance.name == name);
+                leaving.for_each(|instance| instance.state = State::Leaving);
+                site.list.set(list);
+            }
+            Sign::Refusal => site.replicas()[0].engine.faults.set(Faults {
+                leaving: true,
+                ..Faults::default()
+            }),
+        }
+        let home = site.callers()[0];
+        wait_until("all daemons know", || {
+            // Its own data centre's daemon meets the refusal itself.
+            complete(home, "to learn of it", 4);
+            let entries = site.entries();
+            let daemon = entries[0].daemon.as_ref().expect("it lives");
+            let view = daemon.core.routing().view();
+            view.iter().any(|row| row.name == name && row.state == "leaving")
+        });
+        // What was sent before the sign is set aside; the engine sees it end.
+        wait_until("the server is empty", || {
+            site.replicas()[0].engine.placed().running == 0
+        });
+        let before = site.replicas()[0].engine.started();
+        for number in 0..12 {
+            let prompt = format!("after the sign {number}");
+            assert_eq!(complete(home, &prompt, 8), End::Whole(engine::answer(&prompt, 8)));
+        }
+        finishes(&mut sender, &job, 0);
+        let after = site.replicas()[0].engine.started();
+        let new: Vec<_> = after.difference(&before).collect();
+        assert!(new.is_empty(), "new work went to the leaving server: {new:?}");
+    }
+    leaves_by_the_list(Sign::List);
+    leaves_by_its_own_word(Sign::Refusal);
+}
