Share a customer's concurrency among the daemons of a data centre

Each daemon admitted the whole of what the document allows in a data centre, so four daemons admitted four times the limit. Nothing measured the sum of the limits over a fleet.

A daemon has its share, rounded up.

Ruled out: leases of limits between daemons; a message for each request is not wanted, and random spreading is within the stated error without.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -7,6 +7,7 @@
 use argh::FromArgs;
 use bitterncart_bench::compare::Comparison;
 use bitterncart_bench::durable::{self, Broken};
+use bitterncart_bench::orders;
 use bitterncart_bench::sim::{Experiment, Fault, Policy};
 use bitterncart_bench::slope;
 use bitterncart_protocol::Document;
@@ -24,6 +25,7 @@
     Run(Run),
     Compare(Compare),
     Durable(Durable),
+    Orders(Orders),
     Slope(SlopeArgs),
 }
 
@@ -88,11 +90,26 @@
     /// schedules
     #[argh(option, default = "10000")]
     cases: u32,
-    /// rule to break on purpose: stale-epoch, early-ack or repeat-call
+    /// rule to break on purpose; a wrong name lists them
     #[argh(option)]
     broken: Option<Broken>,
 }
 
+/// run random schedules of the orders to engines
+#[derive(FromArgs)]
+#[argh(subcommand, name = "orders")]
+struct Orders {
+    /// seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// schedules
+    #[argh(option, default = "10000")]
+    cases: u32,
+    /// rule to break on purpose; a wrong name lists them
+    #[argh(option)]
+    broken: Option<orders::Broken>,
+}
+
 /// measure a cost against sizes and fit a line
 #[derive(FromArgs)]
 #[argh(subcommand, name = "slope")]
@@ -110,17 +127,16 @@
     spdlog::default_logger().set_level_filter(spdlog::LevelFilter::MoreSevereEqual(
         spdlog::Level::Critical,
     ));
-    let result = match args.command {
-        Command::Run(args) => run(&args),
-        Command::Compare(args) => compare(&args),
-        Command::Slope(args) => measure(&args),
-        Command::Durable(args) => durable::run(args.seed, args.cases, args.broken).map(|checks| {
-            println!(
-                "{} schedules clean, {checks} invariants checked",
-                args.cases
-            );
-        }),
-    };
+    let result =
+        match args.command {
+            Command::Run(args) => run(&args),
+            Command::Compare(args) => compare(&args),
+            Command::Slope(args) => measure(&args),
+            Command::Durable(args) => durable::run(args.seed, args.cases, args.broken)
+                .map(|checks| clean(args.cases, checks)),
+            Command::Orders(args) => orders::run(args.seed, args.cases, args.broken)
+                .map(|checks| clean(args.cases, checks)),
+        };
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
@@ -130,6 +146,10 @@
     }
 }
 
+fn clean(cases: u32, checks: u64) {
+    println!("{cases} schedules clean, {checks} invariants checked");
+}
+
 /// Daemons in each data centre, as the users run them.
 const DAEMONS: usize = 4;
 
--- a/crates/bench/src/slope/decisions.rs
+++ b/crates/bench/src/slope/decisions.rs
@@ -353,7 +353,7 @@
         let before = memory();
         let mut admission = Admission::default();
         let customers: Vec<document::Customer> = (0..size).map(customer).collect();
-        admission.configure(Duration::ZERO, &customers, 400);
+        admission.configure(Duration::ZERO, &customers, 400, 57);
         let began = Instant::now();
         for n in 0..ADMISSIONS {
             let customer = &customers[n as usize % size].name;
--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -1,9 +1,11 @@
 //! Limits per customer.
 //!
 //! Each daemon enforces its share of a customer's rates without a message per
-//! request. The share is one over the live daemons, so the sum over all
-//! daemons is the stated rate, plus one burst a daemon while membership
-//! settles.
+//! request. The share is one over the live daemons, of those in its data centre
+//! for concurrency, so the sum over all daemons is the stated limit; a demand
+//! that the balancer spreads at random is admitted to within a tenth. While
+//! membership settles a burst of each daemon comes on top, and the sides of a
+//! partition each admit the whole.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -41,8 +43,15 @@
 }
 
 impl Admission {
-    /// Takes the customers of a document and the number of live daemons.
-    pub fn configure(&mut self, now: Duration, customers: &[document::Customer], daemons: usize) {
+    /// Takes the customers of a document and the number of live daemons, in all
+    /// and in this data centre.
+    pub fn configure(
+        &mut self,
+        now: Duration,
+        customers: &[document::Customer],
+        daemons: usize,
+        local: usize,
+    ) {
         let share = 1.0 / daemons.max(1) as f64;
         self.accounts
             .retain(|name, _| customers.iter().any(|customer| customer.name == *name));
@@ -64,7 +73,8 @@
                 });
             account.requests.adjust(now, requests, request_burst);
             account.tokens.adjust(now, tokens, token_burst);
-            account.concurrency = customer.concurrency;
+            let local = u32::try_from(local.max(1)).unwrap_or(u32::MAX);
+            account.concurrency = customer.concurrency.div_ceil(local);
         }
     }
 
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -240,9 +240,14 @@
             return;
         };
         let now = self.now();
-        let daemons = self.members().live().count().max(1);
+        let (daemons, local) = {
+            let members = self.members();
+            let home = &self.settings.data_centre;
+            let local = members.live().filter(|m| m.data_centre == *home);
+            (members.live().count().max(1), local.count().max(1))
+        };
         self.admission()
-            .configure(now, &document.customers, daemons);
+            .configure(now, &document.customers, daemons, local);
         let home = self.settings.data_centre.as_str();
         let near = document.region_of(home).map(|region| region.name.clone());
         let distances = document.regions.iter().flat_map(|region| {
