--- a/crates/daemon/src/batch.rs
+++ b/crates/daemon/src/batch.rs
@@ -23,7 +23,7 @@
 use crate::answer::whole_response;
 use crate::core::Core;
 use crate::counters::Count;
-use crate::engine::{Broken, Sequence};
+use crate::engine::{Broken, Dispatch, Sequence};
 use crate::{peers, shards};
 
 /// Time between two looks at the slots.
@@ -390,9 +390,15 @@
     };
     let patience = patience(core, &work);
     let endpoint = &work.endpoint;
-    let started =
-        Sequence::start(core, key, Class::Batch, endpoint, &request, done, patience).await;
-    let mut sequence = match started {
+    let dispatch = Dispatch {
+        key,
+        class: Class::Batch,
+        endpoint,
+        request: &request,
+        done,
+        patience,
+    };
+    let mut sequence = match Sequence::start(core, dispatch).await {
         Ok(sequence) => sequence,
         Err(broken) => return Outcome::Other(judge(core, &work, broken)),
     };
--- a/crates/daemon/src/callers/relay.rs
+++ b/crates/daemon/src/callers/relay.rs
@@ -15,7 +15,7 @@
 
 use super::Refusal;
 use crate::core::Core;
-use crate::engine::{Broken, Sequence, Token, request_prefix};
+use crate::engine::{Broken, Dispatch, Sequence, Token, request_prefix};
 
 /// Share of the first-token bound after which a replica is taken for silent,
 /// so that another attempt can still meet the bound.
@@ -91,16 +91,15 @@
         if self.sequence.is_none() {
             let key = self.choose(left).ok_or(Broken::Failed(Failure::Connect))?;
             self.tried.push(key);
-            let started = Sequence::start(
-                &self.core,
+            let dispatch = Dispatch {
                 key,
-                Class::Online,
-                &self.question.endpoint,
-                &self.question.body,
-                self.made,
-                self.patience(left),
-            );
-            self.sequence = Some(started.await?);
+                class: Class::Online,
+                endpoint: &self.question.endpoint,
+                request: &self.question.body,
+                done: self.made,
+                patience: self.patience(left),
+            };
+            self.sequence = Some(Sequence::start(&self.core, dispatch).await?);
         }
         match self.sequence.as_mut() {
             Some(sequence) => sequence.next().await,
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -39,6 +39,23 @@
     pub text: String,
 }
 
+/// Sequence to be started.
+#[derive(Clone, Copy, Debug)]
+pub struct Dispatch<'a> {
+    /// Replica.
+    pub key: Key,
+    /// Class.
+    pub class: Class,
+    /// Path at the engine.
+    pub endpoint: &'a str,
+    /// Body of the request.
+    pub request: &'a Value,
+    /// Tokens that were made elsewhere.
+    pub done: usize,
+    /// Time for the first token.
+    pub patience: Duration,
+}
+
 /// Sequence that runs at an engine; dropping it cancels it there.
 #[derive(Debug)]
 pub struct Sequence {
@@ -76,36 +93,28 @@
 }
 
 impl Sequence {
-    /// Sends a request to a replica; `done` tokens were made elsewhere.
+    /// Sends a request to a replica.
     ///
     /// # Errors
     ///
     /// How the attempt failed; the replica is left out where it is to blame.
-    pub async fn start(
-        core: &Arc<Core>,
-        key: Key,
-        class: Class,
-        endpoint: &str,
-        request: &Value,
-        done: usize,
-        patience: Duration,
-    ) -> Result<Self, Broken> {
-        let opened = Self::open(core, key, class, endpoint, request, done, patience).await;
+    pub async fn start(core: &Arc<Core>, dispatch: Dispatch<'_>) -> Result<Self, Broken> {
+        let opened = Self::open(core, dispatch).await;
         if let Err(broken) = &opened {
-            note_fault(core, key, class, broken);
+            note_fault(core, dispatch.key, dispatch.class, broken);
         }
         opened
     }
 
-    async fn open(
-        core: &Arc<Core>,
-        key: Key,
-        class: Class,
-        endpoint: &str,
-        request: &Value,
-        done: usize,
-        patience: Duration,
-    ) -> Result<Self, Broken> {
+    async fn open(core: &Arc<Core>, dispatch: Dispatch<'_>) -> Result<Self, Broken> {
+        let Dispatch {
+            key,
+            class,
+            endpoint,
+            request,
+            done,
+            patience,
+        } = dispatch;
         let address = core.routing().replica(key).map(|replica| replica.address);
         let address = address.ok_or(Broken::Failed(Failure::Connect))?;
         let prefix = request_prefix(request);
