--- a/crates/bench/src/sim/policy.rs
+++ b/crates/bench/src/sim/policy.rs
@@ -10,6 +10,10 @@
     /// The product's policy, but each change of use is told to all daemons of the
     /// data centre.
     Broadcast,
+    /// The product's policy, but routing takes no notice of prompt prefixes.
+    NoAffinity,
+    /// The product's policy, but a prompt's prefix alone decides the replica.
+    Hashing,
     /// Baseline: as many batch sequences as an engine runs, whatever online does.
     NoRule,
     /// Baseline: a quarter of an engine's sequences for batch at all times.
@@ -22,9 +26,11 @@
 
 impl Policy {
     /// All policies, the product's first.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 8] = [
         Self::Shared,
         Self::Broadcast,
+        Self::NoAffinity,
+        Self::Hashing,
         Self::NoRule,
         Self::Fixed,
         Self::OnlineOnly,
@@ -37,6 +43,8 @@
         match self {
             Self::Shared => "shared",
             Self::Broadcast => "broadcast",
+            Self::NoAffinity => "no-affinity",
+            Self::Hashing => "hashing",
             Self::NoRule => "no-rule",
             Self::Fixed => "fixed",
             Self::OnlineOnly => "online-only",
@@ -47,7 +55,10 @@
     /// Whether the product's rules decide.
     #[must_use]
     pub fn is_ours(self) -> bool {
-        matches!(self, Self::Shared | Self::Broadcast)
+        matches!(
+            self,
+            Self::Shared | Self::Broadcast | Self::NoAffinity | Self::Hashing
+        )
     }
 
     /// Whether online traffic runs.
@@ -69,7 +80,7 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let known = Self::ALL.into_iter().find(|policy| policy.name() == text);
         known.ok_or_else(|| {
-            "write shared, broadcast, no-rule, fixed, online-only or batch-only".to_owned()
+            "write shared, broadcast, no-affinity, hashing, no-rule, fixed, online-only or batch-only".to_owned()
         })
     }
 }
--- a/crates/bench/src/sim/run/batch.rs
+++ b/crates/bench/src/sim/run/batch.rs
@@ -57,7 +57,7 @@
     pub(super) fn allowed(&mut self, replica: usize) -> usize {
         let max = self.model.max_sequences as usize;
         match self.policy {
-            Policy::Shared | Policy::Broadcast => {
+            Policy::Shared | Policy::Broadcast | Policy::NoAffinity | Policy::Hashing => {
                 let owner = self.replicas[replica].owner;
                 let daemon = &self.daemons[owner];
                 let own = daemon
--- a/crates/bench/src/sim/run/online.rs
+++ b/crates/bench/src/sim/run/online.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Attempt, Class, Duration, Event, Failure, GAP, NEAR, Number, Online, PATIENCE, Policy, Query,
-    Sequence, Verdict, World, routing,
+    Routing, Sequence, Verdict, World, hash, routing,
 };
 
 impl World<'_> {
@@ -34,7 +34,7 @@
             return;
         };
         let left = (online.arrival.at + deadline).saturating_sub(self.now);
-        let prefix = Some(online.arrival.prefix);
+        let prefix = Some(online.arrival.prefix).filter(|_| self.policy != Policy::NoAffinity);
         let query = Query {
             serves: self.model.name.as_str(),
             prefix,
@@ -42,7 +42,10 @@
             tried: &online.tried,
         };
         let daemon = &self.daemons[online.daemon];
-        let chosen = daemon.routing.choose(self.now, query);
+        let chosen = match self.policy {
+            Policy::Hashing => by_hash(&daemon.routing, query),
+            _ => daemon.routing.choose(self.now, query),
+        };
         let Some(key) = chosen else {
             self.give_up(number);
             return;
@@ -273,3 +276,13 @@
         }
     }
 }
+
+/// Replica of the data centre that a prompt's prefix decides, if it is up.
+fn by_hash(routing: &Routing, query: Query<'_>) -> Option<routing::Key> {
+    let prefix = query.prefix.unwrap_or_default().to_le_bytes();
+    let up = routing.replicas().filter(|(key, replica)| {
+        replica.is_local() && replica.state == routing::State::Up && !query.tried.contains(key)
+    });
+    up.max_by_key(|(_, replica)| hash::score(&prefix, replica.name.as_str().as_bytes()))
+        .map(|(key, _)| key)
+}
