Give back batch streams that no replica has

A trace of the same test showed four streams set aside at the daemon whose only local replica was leaving, and the job at 4 open and 4 leased items for as long as it was watched: the daemon went on renewing their leases and had nowhere to run them.

A stream that was set aside 10 s ago is given back to its shard's owner, and another daemon runs the item anew.

Ruled out: work that went to the leaving server again (none did), and a lost lease (all four were renewed).

--- a/crates/coordination/src/streams.rs
+++ b/crates/coordination/src/streams.rs
@@ -18,6 +18,9 @@
 /// Time after which a lease is renewed.
 const RENEW: Duration = Duration::from_secs(4);
 
+/// Time after which a stream that no replica has is given back.
+const ASIDE: Duration = Duration::from_secs(10);
+
 /// Number of a run, rising.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Run(u64);
@@ -53,6 +56,8 @@
     renewed: Duration,
     run: Run,
     at: Option<(Key, S)>,
+    /// Since when it is set aside, while no replica has it.
+    aside: Duration,
 }
 
 /// Batch streams; `S` stops a run when it is dropped.
@@ -82,6 +87,7 @@
             renewed: now,
             run,
             at: None,
+            aside: now,
             work,
         };
         self.all.insert(stream.work.lease, stream);
@@ -138,7 +144,7 @@
     /// Sets the newest streams of a replica aside until `allowed` run.
     ///
     /// Returns how many gave way.
-    pub fn give_way(&mut self, replica: Key, allowed: usize) -> usize {
+    pub fn give_way(&mut self, now: Duration, replica: Key, allowed: usize) -> usize {
         let mut running: Vec<(Run, Lease)> = self
             .all
             .iter()
@@ -150,6 +156,7 @@
         for (_, lease) in running.iter().take(excess) {
             if let Some(stream) = self.all.get_mut(lease) {
                 stream.at = None;
+                stream.aside = now;
             }
         }
         invariant::check(self.running(replica) <= allowed, "batch gives way at once");
@@ -204,6 +211,18 @@
         }
     }
 
+    /// Takes out streams that were set aside for too long, with the shards that
+    /// leased them: another daemon may have a replica for them.
+    pub fn take_waiting(&mut self, now: Duration) -> Vec<(id::Shard, Lease)> {
+        let waits = |s: &Stream<S>| s.at.is_none() && now.saturating_sub(s.aside) >= ASIDE;
+        let waiting = self.all.iter().filter(|(_, stream)| waits(stream));
+        let waiting: Vec<_> = waiting.map(|(lease, s)| (s.shard, *lease)).collect();
+        for (_, lease) in &waiting {
+            self.all.remove(lease);
+        }
+        waiting
+    }
+
     /// Takes all streams out, with the shards that leased them.
     pub fn take_all(&mut self) -> Vec<(id::Shard, Lease)> {
         let all = std::mem::take(&mut self.all);
--- a/crates/coordination/tests/streams.rs
+++ b/crates/coordination/tests/streams.rs
@@ -43,7 +43,7 @@
         .launch(lease(0), Key::default(), ())
         .expect("it is set aside");
     assert!(streams.token(lease(0), first.run, "a ".to_owned()));
-    assert_eq!(streams.give_way(Key::default(), 0), 1);
+    assert_eq!(streams.give_way(Duration::ZERO, Key::default(), 0), 1);
     let second = streams
         .launch(lease(0), Key::default(), ())
         .expect("it gave way");
@@ -64,7 +64,7 @@
         .launch(lease(0), Key::default(), ())
         .expect("it is set aside")
         .run;
-    streams.give_way(Key::default(), 0);
+    streams.give_way(Duration::ZERO, Key::default(), 0);
     assert!(!streams.token(lease(0), run, "late ".to_owned()));
 }
 
@@ -74,7 +74,7 @@
         for item in 0..items {
             streams.launch(lease(item), Key::default(), ());
         }
-        assert_eq!(streams.give_way(Key::default(), allowed), stopped);
+        assert_eq!(streams.give_way(Duration::ZERO, Key::default(), allowed), stopped);
         assert_eq!(streams.aside(&Name::from("model"), usize::MAX).len(), stopped);
         // The oldest runs stay.
         let oldest_stays = allowed == 0 || streams.launch(lease(0), Key::default(), ()).is_none();
@@ -85,3 +85,16 @@
     some(3, 1, 2);
     none(3, 0, 3);
 }
+
+#[test]
+fn stream_that_no_replica_has_is_given_back() {
+    let mut streams = streams(2);
+    let run = streams.launch(lease(0), Key::default(), ());
+    assert!(run.is_some());
+    let second = Duration::from_secs(1);
+    assert_eq!(streams.take_waiting(second * 9), []);
+    assert_eq!(streams.take_waiting(second * 10), [(SHARD, lease(1))]);
+    streams.give_way(second * 20, Key::default(), 0);
+    assert_eq!(streams.take_waiting(second * 29), []);
+    assert_eq!(streams.take_waiting(second * 30), [(SHARD, lease(0))]);
+}
--- a/crates/daemon/src/batch.rs
+++ b/crates/daemon/src/batch.rs
@@ -240,7 +240,9 @@
 
 /// Stops the newest streams above the allowed number.
 fn give_way(core: &Core, replica: &Owned) {
-    let stopped = core.streams().give_way(replica.key, replica.allowed);
+    let stopped = core
+        .streams()
+        .give_way(core.now(), replica.key, replica.allowed);
     for _ in 0..stopped {
         core.counters.add(Count::BatchGaveWay, 1);
         core.counters.code(Code::RetryGiveWay);
@@ -461,6 +463,8 @@
 /// Brings ends to the shards' owners and renews leases.
 pub async fn settle(core: Arc<Core>) {
     loop {
+        let waiting = core.streams().take_waiting(core.now());
+        return_all(&core, waiting);
         flush(&core).await;
         renew(&core).await;
         smol::Timer::after(FLUSH).await;
@@ -529,11 +533,14 @@
 /// Gives all batch streams back, before a shutdown.
 pub async fn give_back(core: &Core) {
     let given_back = core.streams().take_all();
-    {
-        let mut ends = core.ends();
-        for (shard, lease) in given_back {
-            ends.entry(shard).or_default().push((lease, End::Returned));
-        }
-    }
+    return_all(core, given_back);
     flush(core).await;
 }
+
+/// Queues the return of leases to the owners of their shards.
+fn return_all(core: &Core, leases: Vec<(id::Shard, Lease)>) {
+    let mut ends = core.ends();
+    for (shard, lease) in leases {
+        ends.entry(shard).or_default().push((lease, End::Returned));
+    }
+}
--- a/crates/trial/tests/failures.rs
+++ b/crates/trial/tests/failures.rs
@@ -392,7 +392,7 @@
     fn leaving_server_gets_no_new_work(sign: Sign) {
         let site = start(|_| {});
         let mut sender = sender(&site);
-        let job = submit(&mut sender, "leaving", 300, 0);
+        let job = submit(&mut sender, "leaving", 900, 0);
         let name = site.replicas()[0].name.clone();
         match sign {
             Sign::List => {
