--- /dev/null
+++ b/crates/coordination/src/fleet/peers.rs
@@ -0,0 +1,119 @@
+//! Peers: who is alive, and what each has sent to which replica.
+//!
+//! Every daemon tells the others in small datagrams what it has at each
+//! replica and which batch items it runs. A peer that is silent for
+//! [`SILENCE`] counts as gone, and its load with it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bitterncart_protocol::hash;
+use serde::{Deserialize, Serialize};
+
+use super::pool::Load;
+
+/// Silence after which a peer counts as gone.
+pub const SILENCE: Duration = Duration::from_millis(1200);
+
+/// Age after which a peer's load is no longer counted.
+const STALE: Duration = Duration::from_millis(800);
+
+/// Short name of a replica or item in datagrams.
+#[must_use]
+pub fn short(parts: &[&[u8]]) -> u32 {
+    hash::parts(parts) as u32
+}
+
+/// Load at one replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// Short name of the replica.
+    pub replica: u32,
+    /// Online requests.
+    pub online: u16,
+    /// Batch items.
+    pub batch: u16,
+}
+
+/// What a daemon tells its peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// Address for datagrams; also the daemon's name.
+    pub from: SocketAddr,
+    /// Start in microseconds since 1970.
+    pub born_us: u64,
+    /// Number within one run of the process.
+    pub seq: u64,
+    /// Whether it is shutting down and starts nothing.
+    pub leaving: bool,
+    /// Whether it can append to the store.
+    pub writes: bool,
+    /// Load by replica.
+    pub load: Vec<Row>,
+    /// Short names of the batch items that it runs.
+    pub running: Vec<u32>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    heard: Duration,
+    notice: Notice,
+}
+
+/// What the peers told.
+#[derive(Debug, Default)]
+pub struct Peers {
+    peers: HashMap<SocketAddr, Peer>,
+}
+
+impl Peers {
+    /// Takes a notice in; an older one than known changes nothing.
+    pub fn heard(&mut self, now: Duration, notice: Notice) {
+        let known = self.peers.get(&notice.from).map(|p| &p.notice);
+        match known {
+            Some(old) if (old.born_us, old.seq) >= (notice.born_us, notice.seq) => {}
+            _ => {
+                let peer = Peer { heard: now, notice };
+                self.peers.insert(peer.notice.from, peer);
+            }
+        }
+    }
+
+    /// Whether a peer was heard lately and stays.
+    #[must_use]
+    pub fn is_serving(&self, now: Duration, peer: &SocketAddr) -> bool {
+        self.live(now)
+            .any(|notice| notice.from == *peer && !notice.leaving && notice.writes)
+    }
+
+    /// Notices of the peers that were heard lately.
+    pub fn live(&self, now: Duration) -> impl Iterator<Item = &Notice> {
+        self.peers
+            .values()
+            .filter(move |p| now.saturating_sub(p.heard) < SILENCE)
+            .map(|p| &p.notice)
+    }
+
+    /// Whether any live peer runs an item.
+    #[must_use]
+    pub fn runs(&self, now: Duration, item: u32) -> bool {
+        self.live(now).any(|notice| notice.running.contains(&item))
+    }
+
+    /// What all peers together have at a replica.
+    #[must_use]
+    pub fn load(&self, now: Duration) -> HashMap<u32, Load> {
+        let mut sums: HashMap<u32, Load> = HashMap::new();
+        let fresh = self
+            .peers
+            .values()
+            .filter(|p| now.saturating_sub(p.heard) < STALE);
+        for row in fresh.flat_map(|p| &p.notice.load) {
+            let sum = sums.entry(row.replica).or_default();
+            sum.online += u32::from(row.online);
+            sum.batch += u32::from(row.batch);
+        }
+        sums
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/fleet/pool.rs
@@ -0,0 +1,342 @@
+//! Pool: which replica takes a request.
+//!
+//! Replicas admit requests in order of arrival, so what counts is the number
+//! of requests that all daemons have there: this daemon's own exactly, those
+//! of its peers as they last told. A replica that failed is left out for a
+//! while that doubles with each failure.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use slotmap::{SlotMap, new_key_type};
+
+use super::peers::short;
+use super::replica::{Replica, Stage};
+
+new_key_type! {
+    /// Key of a replica.
+    pub struct Key;
+}
+
+/// Class of a request at a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// Somebody waits for it.
+    Online,
+    /// It can wait.
+    Batch,
+}
+
+/// First time for which a failing replica is left out.
+const FIRST_REST: Duration = Duration::from_millis(500);
+
+/// Longest time for which a failing replica is left out.
+const LONGEST_REST: Duration = Duration::from_secs(4);
+
+/// Time for which a replica that is not listed any more may come back after
+/// the store was away.
+const LAPSED_GRACE: Duration = Duration::from_secs(2);
+
+/// Share of a replica's places that a hop to another data centre weighs.
+const HOP_WEIGHT: f64 = 0.25;
+
+/// Requests at one replica.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Online requests.
+    pub online: u32,
+    /// Batch items.
+    pub batch: u32,
+}
+
+impl Load {
+    /// Requests of both classes.
+    #[must_use]
+    pub fn total(self) -> u32 {
+        self.online + self.batch
+    }
+
+    fn of(&mut self, class: Class) -> &mut u32 {
+        match class {
+            Class::Online => &mut self.online,
+            Class::Batch => &mut self.batch,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    replica: Replica,
+    /// Name in datagrams.
+    short: u32,
+    own: Load,
+    peers: Load,
+    failures: u32,
+    rests_until: Duration,
+    /// Another process answers at its address.
+    misdirected: bool,
+    lapses_at: Option<Duration>,
+}
+
+impl Entry {
+    fn total(&self) -> u32 {
+        self.own.total() + self.peers.total()
+    }
+
+    fn takes_work(&self, now: Duration) -> bool {
+        self.replica.stage == Stage::Ready
+            && !self.misdirected
+            && self.lapses_at.is_none_or(|at| now < at)
+    }
+}
+
+/// Replica that was picked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// Key in the pool.
+    pub key: Key,
+    /// Id.
+    pub id: CompactString,
+    /// Address.
+    pub address: SocketAddr,
+}
+
+/// Replicas with what is known of their load.
+#[derive(Debug)]
+pub struct Pool {
+    data_centre: CompactString,
+    entries: SlotMap<Key, Entry>,
+    by_id: HashMap<CompactString, Key>,
+}
+
+impl Pool {
+    /// Pool of a daemon in a data centre.
+    #[must_use]
+    pub fn new(data_centre: CompactString) -> Self {
+        Self {
+            data_centre,
+            entries: SlotMap::with_key(),
+            by_id: HashMap::new(),
+        }
+    }
+
+    /// Takes a listed replica in, or what changed of it.
+    pub fn listed(&mut self, replica: Replica) {
+        let known = self.by_id.get(&replica.id).copied();
+        match known.and_then(|key| self.entries.get_mut(key)) {
+            Some(entry)
+                if entry.replica.born_ms == replica.born_ms
+                    && entry.replica.address == replica.address =>
+            {
+                entry.lapses_at = None;
+                entry.replica = replica;
+            }
+            _ => {
+                self.remove(&replica.id.clone());
+                let id = replica.id.clone();
+                let key = self.entries.insert(Entry {
+                    short: short(&[id.as_bytes()]),
+                    replica,
+                    own: Load::default(),
+                    peers: Load::default(),
+                    failures: 0,
+                    rests_until: Duration::ZERO,
+                    misdirected: false,
+                    lapses_at: None,
+                });
+                self.by_id.insert(id, key);
+            }
+        }
+    }
+
+    /// Notes that a replica is not listed any more. `store_back` is the time
+    /// at which the store last came back, if it was away: an entry may then
+    /// have lapsed although its replica lives.
+    pub fn unlisted(&mut self, now: Duration, id: &str, store_back: Option<Duration>) {
+        let until = store_back.map(|back| back + LAPSED_GRACE);
+        match (
+            until,
+            self.by_id
+                .get(id)
+                .and_then(|key| self.entries.get_mut(*key)),
+        ) {
+            (Some(until), Some(entry)) if now < until && entry.replica.stage == Stage::Ready => {
+                entry.lapses_at = Some(until);
+            }
+            _ => self.remove(id),
+        }
+    }
+
+    /// Ids of all replicas that are known.
+    pub fn ids(&self) -> impl Iterator<Item = &CompactString> {
+        self.by_id.keys()
+    }
+
+    /// Forgets replicas whose lapse was not made good.
+    pub fn expire(&mut self, now: Duration) {
+        let gone: Vec<CompactString> = self
+            .entries
+            .values()
+            .filter(|e| e.lapses_at.is_some_and(|at| now >= at))
+            .map(|e| e.replica.id.clone())
+            .collect();
+        for id in gone {
+            self.remove(&id);
+        }
+    }
+
+    fn remove(&mut self, id: &str) {
+        if let Some(key) = self.by_id.remove(id) {
+            self.entries.remove(key);
+        }
+    }
+
+    /// Replica of a service for an online request, its place taken.
+    pub fn pick(
+        &mut self,
+        now: Duration,
+        service: &str,
+        tried: &[Key],
+        mut random: impl FnMut() -> f64,
+    ) -> Option<Pick> {
+        let rested = self.least(now, service, tried, true, &mut random);
+        let key = rested.or_else(|| self.least(now, service, tried, false, &mut random))?;
+        Some(self.take(key, Class::Online))
+    }
+
+    fn least(
+        &self,
+        now: Duration,
+        service: &str,
+        tried: &[Key],
+        rested: bool,
+        random: &mut impl FnMut() -> f64,
+    ) -> Option<Key> {
+        const JITTER: f64 = 0.01;
+        self.entries
+            .iter()
+            .filter(|(key, e)| {
+                e.replica.service == service
+                    && e.takes_work(now)
+                    && !tried.contains(key)
+                    && (!rested || now >= e.rests_until)
+            })
+            .map(|(key, e)| (key, self.cost(e) + JITTER * random()))
+            .min_by(|a, b| a.1.total_cmp(&b.1))
+            .map(|(key, _)| key)
+    }
+
+    /// Share of the places in use, with what a hop adds.
+    fn cost(&self, entry: &Entry) -> f64 {
+        let slots = f64::from(entry.replica.slots.max(1));
+        let hop = if entry.replica.data_centre == self.data_centre {
+            0.0
+        } else {
+            HOP_WEIGHT
+        };
+        f64::from(entry.total()) / slots + hop
+    }
+
+    /// Replica of a service with a free place beyond `reserve` for a batch
+    /// item, its place taken.
+    pub fn pick_batch(&mut self, now: Duration, service: &str, reserve: u32) -> Option<Pick> {
+        let key = self
+            .entries
+            .iter()
+            .filter(|(_, e)| {
+                e.replica.service == service
+                    && e.takes_work(now)
+                    && now >= e.rests_until
+                    && e.total() + reserve < e.replica.slots
+            })
+            .min_by(|(_, a), (_, b)| self.cost(a).total_cmp(&self.cost(b)))
+            .map(|(key, _)| key)?;
+        Some(self.take(key, Class::Batch))
+    }
+
+    fn take(&mut self, key: Key, class: Class) -> Pick {
+        let entry = &mut self.entries[key];
+        *entry.own.of(class) += 1;
+        Pick {
+            key,
+            id: entry.replica.id.clone(),
+            address: entry.replica.address,
+        }
+    }
+
+    /// Gives a place back.
+    pub fn release(&mut self, key: Key, class: Class) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            let count = entry.own.of(class);
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// Whether a replica still takes new work.
+    #[must_use]
+    pub fn is_usable(&self, now: Duration, key: Key) -> bool {
+        self.entries.get(key).is_some_and(|e| e.takes_work(now))
+    }
+
+    /// Replicas with more requests than places where this daemon runs batch
+    /// items, with the number of items that must give way.
+    pub fn crowded(&self) -> impl Iterator<Item = (Key, u32)> {
+        self.entries.iter().filter_map(|(key, e)| {
+            let over = e.total().saturating_sub(e.replica.slots);
+            let give = over.min(e.own.batch);
+            (give > 0).then_some((key, give))
+        })
+    }
+
+    /// Places in use and places of a service's usable replicas.
+    #[must_use]
+    pub fn places(&self, now: Duration, service: &str) -> (u32, u32) {
+        self.entries
+            .values()
+            .filter(|e| e.replica.service == service && e.takes_work(now))
+            .fold((0, 0), |(used, all), e| {
+                (used + e.total(), all + e.replica.slots)
+            })
+    }
+
+    /// Notes a whole answer.
+    pub fn succeeded(&mut self, key: Key) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.failures = 0;
+            entry.rests_until = Duration::ZERO;
+        }
+    }
+
+    /// Notes a failed attempt; the replica rests for a while.
+    pub fn failed(&mut self, now: Duration, key: Key) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            let rest = FIRST_REST.saturating_mul(1 << entry.failures.min(8));
+            entry.failures += 1;
+            entry.rests_until = now + rest.min(LONGEST_REST);
+        }
+    }
+
+    /// Notes that another process answers at a replica's address.
+    pub fn misdirected(&mut self, key: Key) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.misdirected = true;
+        }
+    }
+
+    /// This daemon's own load by short name of a replica, those without any left out.
+    pub fn own(&self) -> impl Iterator<Item = (u32, Load)> {
+        self.entries
+            .values()
+            .filter(|e| e.own.total() > 0)
+            .map(|e| (e.short, e.own))
+    }
+
+    /// Sets what all peers together have at each replica.
+    pub fn told(&mut self, load: impl Fn(u32) -> Load) {
+        for entry in self.entries.values_mut() {
+            entry.peers = load(entry.short);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/fleet/work.rs
@@ -0,0 +1,72 @@
+//! Work: which daemon runs a batch item, and in which order.
+//!
+//! The daemon that accepted a job runs its items while it lives; otherwise
+//! the live peer with the highest rendezvous score does. An item that a live
+//! peer reports as running is left to it, so that a change of owner does not
+//! run items twice.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bitterncart_protocol::hash;
+
+use super::peers::Peers;
+
+/// Unlisted item of an open job.
+#[derive(Clone, Copy, Debug)]
+pub struct Item<'a> {
+    /// Job id.
+    pub job: &'a str,
+    /// Daemon that accepted the job.
+    pub owner: SocketAddr,
+    /// Short name of the item.
+    pub short: u32,
+}
+
+/// View for deciding on items.
+#[derive(Debug)]
+pub struct Work<'a> {
+    me: SocketAddr,
+    now: Duration,
+    peers: &'a Peers,
+    members: Vec<SocketAddr>,
+}
+
+impl<'a> Work<'a> {
+    /// View of a daemon that knows its peers.
+    #[must_use]
+    pub fn new(me: SocketAddr, now: Duration, peers: &'a Peers) -> Self {
+        let mut members: Vec<SocketAddr> = peers
+            .live(now)
+            .filter(|p| !p.leaving && p.writes)
+            .map(|p| p.from)
+            .collect();
+        members.push(me);
+        Self {
+            me,
+            now,
+            peers,
+            members,
+        }
+    }
+
+    /// Whether this daemon starts an item now.
+    #[must_use]
+    pub fn is_mine(&self, item: &Item<'_>) -> bool {
+        let owner = if self.members.contains(&item.owner) {
+            item.owner
+        } else {
+            self.heir(item.job)
+        };
+        owner == self.me && !self.peers.runs(self.now, item.short)
+    }
+
+    fn heir(&self, job: &str) -> SocketAddr {
+        let key = job.as_bytes();
+        self.members
+            .iter()
+            .copied()
+            .max_by_key(|member| hash::score(key, member.to_string().as_bytes()))
+            .unwrap_or(self.me)
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod bucket;
 pub mod call;
+pub mod fleet;
 pub mod interest;
 pub mod issuer;
 pub mod membership;
--- /dev/null
+++ b/crates/gateway/src/core.rs
@@ -0,0 +1,189 @@
+//! Tables that the tasks of a daemon share.
+
+use std::net::SocketAddr;
+use std::ops::Deref;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Duration;
+
+use bitterncart_coordination::fleet::{Manifest, Peers, Pool};
+use event_listener::Event;
+use smol::{Executor, Task};
+
+use crate::channel::Connector;
+use crate::clock;
+use crate::dialect::Dialect;
+use crate::metrics::Metrics;
+use crate::runner::Runs;
+use crate::settings::Settings;
+use crate::shard::Shard;
+use crate::store::Store;
+
+/// Tables of one daemon.
+pub(crate) struct Tables<S: Store, D: Dialect> {
+    pub settings: Settings,
+    pub store: S,
+    pub dialect: D,
+    pub executor: Arc<Executor<'static>>,
+    pub connector: Connector,
+    pub metrics: Metrics,
+    pub shards: Vec<Shard>,
+    /// Notified when a place at a replica became free.
+    pub released: Event,
+    /// Notified when the daemon is told to stop.
+    pub stopping: Event,
+    /// Notified when the client connections are to be closed.
+    pub closing: Event,
+    pub runs: Mutex<Runs>,
+    manifest: RwLock<Option<Arc<Manifest>>>,
+    peers: Mutex<Peers>,
+    pool: Mutex<Pool>,
+    leaving: AtomicBool,
+    has_replicas: AtomicBool,
+    /// Time of the last answer of the store, in milliseconds of the boot clock.
+    store_heard_ms: AtomicU64,
+    /// Time at which the store last came back, likewise; 0 if it was never away.
+    store_back_ms: AtomicU64,
+}
+
+/// Handle to the tables.
+pub(crate) struct Core<S: Store, D: Dialect>(Arc<Tables<S, D>>);
+
+impl<S: Store, D: Dialect> Clone for Core<S, D> {
+    fn clone(&self) -> Self {
+        Self(Arc::clone(&self.0))
+    }
+}
+
+impl<S: Store, D: Dialect> Deref for Core<S, D> {
+    type Target = Tables<S, D>;
+
+    fn deref(&self) -> &Self::Target {
+        &self.0
+    }
+}
+
+/// Silence of the store after which it counts as away.
+const STORE_SILENCE: Duration = Duration::from_millis(1500);
+
+impl<S: Store, D: Dialect> Core<S, D> {
+    pub(crate) fn new(
+        settings: Settings,
+        store: S,
+        dialect: D,
+        executor: Arc<Executor<'static>>,
+        connector: Connector,
+    ) -> Self {
+        let shards = (0..settings.shards).map(Shard::new).collect();
+        let pool = Pool::new(settings.data_centre.clone());
+        Self(Arc::new(Tables {
+            settings,
+            store,
+            dialect,
+            executor,
+            connector,
+            metrics: Metrics::default(),
+            shards,
+            released: Event::new(),
+            stopping: Event::new(),
+            closing: Event::new(),
+            runs: Mutex::default(),
+            manifest: RwLock::default(),
+            peers: Mutex::default(),
+            pool: Mutex::new(pool),
+            leaving: AtomicBool::new(false),
+            has_replicas: AtomicBool::new(false),
+            store_heard_ms: AtomicU64::new(0),
+            store_back_ms: AtomicU64::new(0),
+        }))
+    }
+
+    pub(crate) fn spawn<T: Send + 'static>(
+        &self,
+        future: impl Future<Output = T> + Send + 'static,
+    ) -> Task<T> {
+        self.executor.spawn(future)
+    }
+
+    /// Address by which peers know this daemon.
+    pub(crate) fn me(&self) -> SocketAddr {
+        self.settings.peers
+    }
+}
+
+impl<S: Store, D: Dialect> Tables<S, D> {
+    pub(crate) fn pool(&self) -> MutexGuard<'_, Pool> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn peers(&self) -> MutexGuard<'_, Peers> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn runs(&self) -> MutexGuard<'_, Runs> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn manifest(&self) -> Option<Arc<Manifest>> {
+        self.manifest
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Puts a manifest in force if it is newer than the one that is.
+    pub(crate) fn put_in_force(&self, new: Manifest) -> bool {
+        let mut manifest = self
+            .manifest
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        let newer = manifest
+            .as_ref()
+            .is_none_or(|old| new.version > old.version);
+        if newer {
+            *manifest = Some(Arc::new(new));
+        }
+        newer
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.stopping.notify(usize::MAX);
+    }
+
+    pub(crate) fn replicas_read(&self) {
+        self.has_replicas.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.has_replicas.load(Ordering::Relaxed) && self.manifest().is_some()
+    }
+
+    /// Notes an answer of the store.
+    pub(crate) fn store_answered(&self) {
+        let now = clock::now();
+        if self.is_store_away(now) {
+            self.store_back_ms
+                .store(now.as_millis() as u64, Ordering::Relaxed);
+        }
+        self.store_heard_ms
+            .store(now.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_store_away(&self, now: Duration) -> bool {
+        now.saturating_sub(ms(&self.store_heard_ms)) > STORE_SILENCE
+    }
+
+    /// Time at which the store last came back.
+    pub(crate) fn store_back(&self) -> Option<Duration> {
+        Some(ms(&self.store_back_ms)).filter(|back| !back.is_zero())
+    }
+}
+
+fn ms(value: &AtomicU64) -> Duration {
+    Duration::from_millis(value.load(Ordering::Relaxed))
+}
--- /dev/null
+++ b/crates/gateway/src/online.rs
@@ -0,0 +1,359 @@
+//! Online requests: from a client to a replica and back.
+
+use std::time::Duration;
+
+use async_channel::Sender;
+use bitterncart_coordination::fleet::pool::{Class, Key};
+use bitterncart_coordination::fleet::{Kind, Outcome, Route, Step, Tries};
+use bitterncart_protocol::Code;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Response, StatusCode, response};
+
+use crate::body::{Body, Cut};
+use crate::clock::{self, within};
+use crate::core::Core;
+use crate::dialect::Dialect;
+use crate::events::Event;
+use crate::log;
+use crate::store::Store;
+use crate::upstream::{Answer, Message, Next, Place, send, strip};
+
+/// Shortest time for which another attempt is worth making.
+const LEAST_LEFT: Duration = Duration::from_millis(20);
+
+/// Times the latency objective that one of several attempts may take.
+const PATIENCE: u32 = 2;
+
+/// Silence within a stream that may be resumed, after which it is.
+const STREAM_SILENCE: Duration = Duration::from_millis(1500);
+
+/// Events that wait for a client that does not read.
+const EVENTS_AHEAD: usize = 8;
+
+/// Range of times after which a refused client comes back.
+const COME_BACK: (f64, f64) = (0.08, 0.35);
+
+/// Request of a client on its way.
+pub(crate) struct Online<S: Store, D: Dialect> {
+    core: Core<S, D>,
+    route: Route,
+    message: Message,
+    id: String,
+    /// Time by which the client wants its answer.
+    deadline: Duration,
+    tries: Tries,
+    tried: Vec<Key>,
+    last_event: Option<u64>,
+}
+
+impl<S: Store, D: Dialect> Online<S, D> {
+    pub(crate) fn new(
+        core: &Core<S, D>,
+        route: Route,
+        message: Message,
+        arrived: Duration,
+    ) -> Self {
+        let names = core.dialect.names();
+        let text = |name| {
+            message
+                .headers
+                .get(name)
+                .and_then(|v: &HeaderValue| v.to_str().ok())
+        };
+        let allowed = text(&names.deadline)
+            .and_then(|ms| ms.parse().ok())
+            .map_or(route.timeout, |ms| {
+                Duration::from_millis(ms).min(route.timeout)
+            });
+        let id = text(&names.attempt).unwrap_or("-").to_owned();
+        let last_event = text(&names.last_event).and_then(|n| n.parse().ok());
+        Self {
+            core: core.clone(),
+            route,
+            message,
+            id,
+            deadline: arrived + allowed,
+            tries: Tries::default(),
+            tried: Vec::new(),
+            last_event,
+        }
+    }
+
+    fn left(&self) -> Duration {
+        self.deadline.saturating_sub(clock::now())
+    }
+
+    /// Answers the request.
+    pub(crate) async fn answer(mut self) -> Response<Body> {
+        loop {
+            let Some(place) = self.place() else {
+                return self.end(self.tries.none_left());
+            };
+            let step = match self.attempt(&place).await {
+                Ok(answer) if self.route.kind.is_stream() && answer.head.status.is_success() => {
+                    match self.first(answer).await {
+                        Ok((answer, event)) => return self.stream(place, answer, event),
+                        Err(outcome) => self.ended(&place, outcome),
+                    }
+                }
+                Ok(answer) => match within(self.left(), answer.whole(&self.core)).await {
+                    Some(Some((head, bytes))) => match self.finish(&place, head, bytes) {
+                        Ok(response) => return response,
+                        Err(step) => step,
+                    },
+                    Some(None) => self.ended(&place, Outcome::Broken),
+                    None => self.ended(&place, Outcome::Silent),
+                },
+                Err(outcome) => self.ended(&place, outcome),
+            };
+            if step != Step::Retry {
+                return self.end(step);
+            }
+        }
+    }
+
+    fn place(&self) -> Option<Place<S, D>> {
+        let service = self.route.service(rand::random())?;
+        let mut pool = self.core.pool();
+        let now = clock::now();
+        let pick = pool.pick(now, service, &self.tried, rand::random)?;
+        drop(pool);
+        Some(Place::new(&self.core, pick, Class::Online))
+    }
+
+    async fn attempt(&mut self, place: &Place<S, D>) -> Result<Answer, Outcome> {
+        self.tried.push(place.pick.key);
+        let left = self.left();
+        if left < LEAST_LEFT {
+            return Err(Outcome::NotSent);
+        }
+        if let Some(last) = self.last_event {
+            let name = self.core.dialect.names().last_event.clone();
+            self.message.headers.insert(name, HeaderValue::from(last));
+        }
+        send(
+            &self.core,
+            &place.pick,
+            &self.message,
+            Some(left),
+            self.patience(left),
+        )
+        .await
+    }
+
+    /// Time for the answer of one attempt.
+    fn patience(&self, left: Duration) -> Duration {
+        if self.route.kind.is_repeatable() && !self.tries.is_last(&self.route) {
+            left.min((self.route.objective * PATIENCE).max(left / 3))
+        } else {
+            left
+        }
+    }
+
+    /// First event of an answer.
+    async fn first(&self, mut answer: Answer) -> Result<(Answer, Option<Event>), Outcome> {
+        match within(self.patience(self.left()), answer.next()).await {
+            Some(Next::Event(event)) if self.follows(event.id) => Ok((answer, Some(event))),
+            Some(Next::Event(_) | Next::Broken) => Err(Outcome::Broken),
+            Some(Next::End) => Ok((answer, None)),
+            None => Err(Outcome::Silent),
+        }
+    }
+
+    /// Whether an event is the next one; ids count from 1.
+    fn follows(&self, id: Option<u64>) -> bool {
+        id.is_none_or(|id| self.last_event.is_none_or(|last| id == last + 1))
+    }
+
+    fn passed_on(&mut self, id: Option<u64>) {
+        self.last_event = Some(id.unwrap_or_else(|| self.last_event.unwrap_or(0) + 1));
+    }
+
+    fn ended(&mut self, place: &Place<S, D>, outcome: Outcome) -> Step {
+        let now = clock::now();
+        let mut pool = self.core.pool();
+        match outcome {
+            Outcome::Misdirected => pool.misdirected(place.pick.key),
+            Outcome::NotRun | Outcome::Failed => {}
+            _ => pool.failed(now, place.pick.key),
+        }
+        drop(pool);
+        let in_time = self.left() > LEAST_LEFT;
+        let step = self.tries.ended(&self.route, outcome, in_time);
+        self.core.metrics.retry(outcome, step);
+        log::attempt(
+            &self.id,
+            &self.route,
+            &place.pick.id,
+            outcome,
+            step,
+            self.left(),
+        );
+        step
+    }
+
+    /// Answer of a replica, or what follows its failure.
+    fn finish(
+        &mut self,
+        place: &Place<S, D>,
+        head: response::Parts,
+        bytes: Bytes,
+    ) -> Result<Response<Body>, Step> {
+        if head.status.is_server_error() {
+            match self.ended(place, Outcome::Failed) {
+                Step::Retry => return Err(Step::Retry),
+                _ if head
+                    .headers
+                    .contains_key(&self.core.dialect.names().signature) => {}
+                _ => return Err(Step::Fail),
+            }
+        } else {
+            self.core.pool().succeeded(place.pick.key);
+        }
+        let mut response = Response::new(Body::whole(bytes));
+        *response.status_mut() = head.status;
+        *response.headers_mut() = passed(head.headers);
+        self.core.metrics.answered(&self.route, self.tries.sent());
+        Ok(response)
+    }
+
+    fn end(&self, step: Step) -> Response<Body> {
+        let code = match step {
+            Step::Refuse => Code::NoReplica,
+            Step::TimeOut => Code::BackendTimeout,
+            _ => Code::OutcomeUnknown,
+        };
+        self.core.metrics.refused(code);
+        log::refused(&self.id, &self.route.name, code, self.left());
+        failure(&self.core, code)
+    }
+
+    /// Answer that brings the events of a replica as they arrive.
+    fn stream(
+        mut self,
+        place: Place<S, D>,
+        answer: Answer,
+        first: Option<Event>,
+    ) -> Response<Body> {
+        let mut response = Response::new(());
+        *response.status_mut() = answer.head.status;
+        *response.headers_mut() = passed(answer.head.headers.clone());
+        let core = self.core.clone();
+        let (sender, events) = async_channel::bounded(EVENTS_AHEAD);
+        let task = core.spawn(async move {
+            let whole = self.events(place, answer, first, &sender).await;
+            if !whole {
+                self.core.metrics.refused(Code::StreamBroken);
+                log::refused(&self.id, &self.route.name, Code::StreamBroken, self.left());
+                drop(sender.send(Err(Cut)).await);
+            }
+        });
+        response.map(|()| Body::Events {
+            events: Box::pin(events),
+            _task: task,
+        })
+    }
+
+    /// Passes events on until the answer is whole.
+    async fn events(
+        &mut self,
+        place: Place<S, D>,
+        answer: Answer,
+        first: Option<Event>,
+        sender: &Sender<Result<Bytes, Cut>>,
+    ) -> bool {
+        let Some(first) = first else {
+            return true;
+        };
+        let (mut place, mut answer) = (place, answer);
+        self.passed_on(first.id);
+        if sender.send(Ok(first.bytes)).await.is_err() {
+            return true;
+        }
+        loop {
+            let outcome = match within(self.silence(), answer.next()).await {
+                Some(Next::Event(event)) if self.follows(event.id) => {
+                    self.passed_on(event.id);
+                    match sender.send(Ok(event.bytes)).await {
+                        Ok(()) => continue,
+                        // The client is gone.
+                        Err(_) => return true,
+                    }
+                }
+                Some(Next::End) => {
+                    self.core.pool().succeeded(place.pick.key);
+                    self.core.metrics.answered(&self.route, self.tries.sent());
+                    answer.done(&self.core);
+                    return true;
+                }
+                Some(Next::Event(_) | Next::Broken) => Outcome::Broken,
+                None => Outcome::Silent,
+            };
+            drop(answer);
+            if self.ended(&place, outcome) != Step::Retry {
+                return false;
+            }
+            drop(place);
+            match self.resume().await {
+                Some((next_place, next)) => (place, answer) = (next_place, next),
+                None => return false,
+            }
+        }
+    }
+
+    /// Longest wait for the next event.
+    fn silence(&self) -> Duration {
+        match self.route.kind {
+            Kind::Resumable => self.left().min(STREAM_SILENCE),
+            _ => self.left(),
+        }
+    }
+
+    /// Continues a stream at another replica.
+    async fn resume(&mut self) -> Option<(Place<S, D>, Answer)> {
+        loop {
+            let place = self.place()?;
+            let outcome = match self.attempt(&place).await {
+                Ok(answer) if answer.head.status.is_success() => return Some((place, answer)),
+                Ok(_) => Outcome::Failed,
+                Err(outcome) => outcome,
+            };
+            if self.ended(&place, outcome) != Step::Retry {
+                return None;
+            }
+        }
+    }
+}
+
+fn passed(mut headers: HeaderMap) -> HeaderMap {
+    strip(&mut headers);
+    headers
+}
+
+/// Answer with a numbered failure.
+pub(crate) fn failure<S: Store, D: Dialect>(core: &Core<S, D>, code: Code) -> Response<Body> {
+    let text = format!(
+        "{{\"code\":{},\"name\":\"{}\"}}",
+        code.number(),
+        code.name()
+    );
+    let mut response = Response::new(Body::whole(Bytes::from(text)));
+    let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(
+        http::header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    if matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    ) {
+        let (least, most) = COME_BACK;
+        let after = Duration::from_secs_f64(least + (most - least) * rand::random::<f64>());
+        if let Ok(after) = HeaderValue::from_str(&core.dialect.retry_after(after)) {
+            headers.insert(http::header::RETRY_AFTER, after);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/runner.rs
@@ -0,0 +1,437 @@
+//! Runs of batch items.
+//!
+//! A run keeps what it has received, so that one that gives way or breaks is
+//! continued after its last event. What is finished waits here until the
+//! ledger has it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bitterncart_coordination::fleet::peers::short;
+use bitterncart_coordination::fleet::pool::{Class, Key as Replica};
+use bitterncart_coordination::fleet::{Item, Outcome, Route, Work};
+use bitterncart_state::ledger::{End, Op, Submission};
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
+use smol::Task;
+
+use crate::clock::{self, within};
+use crate::core::Core;
+use crate::dialect::Dialect;
+use crate::jobs;
+use crate::log;
+use crate::shard::Undecided;
+use crate::store::Store;
+use crate::upstream::{Answer, Message, Next, Place, send};
+
+/// Time between looks for items to start or to stop.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Places of a replica that are left to online requests.
+const RESERVE: u32 = 1;
+
+/// Items started in one look.
+const MAX_STARTS: usize = 4;
+
+/// Silence after which a run is continued elsewhere.
+const SILENCE: Duration = Duration::from_millis(1500);
+
+/// Time for the head of an answer.
+const HEAD: Duration = Duration::from_secs(3);
+
+/// Pause of an item after a failed run.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Time beyond the stated one before an item is given up, for clocks that
+/// differ.
+const GIVE_UP_MARGIN: Duration = Duration::from_secs(3);
+
+/// Time for which a result is offered to the ledger before the item is looked
+/// at again.
+const OFFER: Duration = Duration::from_secs(30);
+
+/// Item of a job.
+pub(crate) type Id = (CompactString, u32);
+
+/// What a daemon has of an item that it runs or ran.
+#[derive(Debug, Default)]
+struct Run {
+    text: String,
+    last_event: u64,
+    failures: u8,
+    rests_until: Duration,
+    task: Option<Task<()>>,
+    replica: Option<Replica>,
+    short: u32,
+    /// The end is decided and on its way to the ledger.
+    ending: bool,
+}
+
+/// Runs of a daemon.
+#[derive(Debug, Default)]
+pub(crate) struct Runs {
+    runs: HashMap<Id, Run>,
+}
+
+impl Runs {
+    /// Short names of the items that run.
+    pub(crate) fn running(&self) -> Vec<u32> {
+        let running = self
+            .runs
+            .values()
+            .filter(|run| run.task.is_some() || run.ending);
+        let mut names: Vec<u32> = running.map(|run| run.short).collect();
+        names.sort_unstable();
+        names
+    }
+
+    /// Whether an item may be started.
+    fn is_free(&self, id: &Id, now: Duration) -> bool {
+        self.runs
+            .get(id)
+            .is_none_or(|run| run.task.is_none() && !run.ending && now >= run.rests_until)
+    }
+
+    /// Run of a replica that has received least.
+    fn least(&self, replica: Replica) -> Option<Id> {
+        self.runs
+            .iter()
+            .filter(|(_, run)| run.task.is_some() && run.replica == Some(replica))
+            .min_by_key(|(_, run)| run.last_event)
+            .map(|(id, _)| id.clone())
+    }
+
+    fn stop(&mut self, id: &Id) {
+        if let Some(run) = self.runs.get_mut(id) {
+            run.task = None;
+            run.replica = None;
+        }
+    }
+}
+
+/// Item that may be started.
+struct Candidate {
+    id: Id,
+    submitted_ms: u64,
+    short: u32,
+}
+
+/// Starts and stops runs.
+pub(crate) async fn run<S: Store, D: Dialect>(core: Core<S, D>) {
+    loop {
+        smol::Timer::after(TICK).await;
+        give_way(&core);
+        stop_ended(&core);
+        if core.is_leaving() {
+            core.runs().runs.clear();
+            return;
+        }
+        if !core.is_store_away(clock::now()) {
+            start(&core);
+        }
+    }
+}
+
+/// Stops runs where online requests want the places.
+fn give_way<S: Store, D: Dialect>(core: &Core<S, D>) {
+    let crowded: Vec<(Replica, u32)> = core.pool().crowded().collect();
+    for (replica, count) in crowded {
+        for _ in 0..count {
+            let mut runs = core.runs();
+            let Some(id) = runs.least(replica) else {
+                break;
+            };
+            let task = runs.runs.get_mut(&id).and_then(|run| run.task.take());
+            runs.stop(&id);
+            drop(runs);
+            // The place is given back outside the lock.
+            drop(task);
+            core.metrics.gave_way();
+        }
+    }
+}
+
+/// Drops the runs of items that are listed or of jobs that were ended.
+fn stop_ended<S: Store, D: Dialect>(core: &Core<S, D>) {
+    let ids: Vec<Id> = core.runs().runs.keys().cloned().collect();
+    for id in ids {
+        let ledger = jobs::shard(core, &id.0).ledger();
+        let wanted = ledger
+            .job(&id.0)
+            .is_some_and(|job| !job.cancelled && !job.listed[id.1 as usize]);
+        drop(ledger);
+        if !wanted {
+            let run = core.runs().runs.remove(&id);
+            drop(run);
+        }
+    }
+}
+
+fn start<S: Store, D: Dialect>(core: &Core<S, D>) {
+    let Some(manifest) = core.manifest() else {
+        return;
+    };
+    let mut candidates = candidates(core);
+    candidates.sort_by_key(|c| c.submitted_ms);
+    let wall_ms = clock::wall().as_millis() as u64;
+    let mut started = 0;
+    for candidate in candidates {
+        let shard = jobs::shard(core, &candidate.id.0);
+        let Some(submission) = shard
+            .ledger()
+            .job(&candidate.id.0)
+            .map(|j| j.submission.clone())
+        else {
+            continue;
+        };
+        let age = Duration::from_millis(wall_ms.saturating_sub(submission.submitted_ms));
+        match jobs::route(&manifest, &submission) {
+            Some(route) if age > route.batch.give_up + GIVE_UP_MARGIN => {
+                finish(core, &candidate, End::GivenUp, "give_up_time");
+            }
+            Some(route) if started < MAX_STARTS => {
+                if launch(core, route, &submission, &candidate) {
+                    started += 1;
+                } else {
+                    started = MAX_STARTS;
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Items that this daemon may start.
+fn candidates<S: Store, D: Dialect>(core: &Core<S, D>) -> Vec<Candidate> {
+    let now = clock::now();
+    let mut found = Vec::new();
+    for shard in &core.shards {
+        let ledger = shard.ledger();
+        let runs = core.runs();
+        let peers = core.peers();
+        let work = Work::new(core.me(), now, &peers);
+        for (_, job) in ledger.jobs().filter(|(_, job)| job.is_open()) {
+            let submission = &job.submission;
+            for index in job.unlisted() {
+                let id = (submission.id.clone(), index);
+                let item = Item {
+                    job: &submission.id,
+                    owner: submission.owner,
+                    short: short(&[submission.id.as_bytes(), &index.to_be_bytes()]),
+                };
+                if runs.is_free(&id, now) && work.is_mine(&item) {
+                    found.push(Candidate {
+                        id,
+                        submitted_ms: submission.submitted_ms,
+                        short: item.short,
+                    });
+                }
+            }
+        }
+    }
+    found
+}
+
+fn launch<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    route: &Route,
+    submission: &Submission,
+    candidate: &Candidate,
+) -> bool {
+    let Some(service) = route.service(rand::random()) else {
+        return false;
+    };
+    let Some(pick) = core.pool().pick_batch(clock::now(), service, RESERVE) else {
+        return false;
+    };
+    let place = Place::new(core, pick, Class::Batch);
+    let mut runs = core.runs();
+    let run = runs.runs.entry(candidate.id.clone()).or_default();
+    run.short = candidate.short;
+    run.replica = Some(place.pick.key);
+    let Some(message) = message(core, submission, candidate.id.1, run.last_event) else {
+        run.rests_until = clock::now() + PAUSE;
+        return true;
+    };
+    let going = Going {
+        core: core.clone(),
+        id: candidate.id.clone(),
+        short: candidate.short,
+        max_attempts: route.max_attempts,
+        message,
+        place,
+    };
+    run.task = Some(core.spawn(going.run()));
+    true
+}
+
+fn message<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    submission: &Submission,
+    index: u32,
+    last_event: u64,
+) -> Option<Message> {
+    let item = submission.items.get(index as usize)?;
+    let mut headers = HeaderMap::new();
+    for (name, value) in &item.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_str(value).ok()?);
+    }
+    headers.insert(header::HOST, HeaderValue::from_str(&submission.host).ok()?);
+    let names = core.dialect.names();
+    headers.insert(names.attempt.clone(), HeaderValue::from_str(&item.id).ok()?);
+    if last_event > 0 {
+        headers.insert(names.last_event.clone(), HeaderValue::from(last_event));
+    }
+    Some(Message {
+        method: Method::POST,
+        uri: item.path.parse().ok()?,
+        headers,
+        body: Bytes::copy_from_slice(&item.body),
+    })
+}
+
+/// Hands an item's end to the ledger.
+fn finish<S: Store, D: Dialect>(core: &Core<S, D>, candidate: &Candidate, end: End, why: &str) {
+    let mut runs = core.runs();
+    let run = runs.runs.entry(candidate.id.clone()).or_default();
+    run.short = candidate.short;
+    run.ending = true;
+    drop(runs);
+    log::item(&candidate.id.0, candidate.id.1, why);
+    core.metrics.item(why);
+    let executor = Arc::clone(&core.executor);
+    let core = core.clone();
+    let id = candidate.id.clone();
+    let offer = async move {
+        let op = Op::Finish(id.0.clone(), id.1, end);
+        loop {
+            let shard = jobs::shard(&core, &id.0);
+            match shard.order(op.clone(), clock::now() + OFFER).await {
+                Ok(_) => break,
+                Err(Undecided::Void | Undecided::Unknown) => {
+                    smol::Timer::after(PAUSE).await;
+                }
+            }
+        }
+    };
+    executor.spawn(offer).detach();
+}
+
+/// Run under way.
+struct Going<S: Store, D: Dialect> {
+    core: Core<S, D>,
+    id: Id,
+    short: u32,
+    max_attempts: u32,
+    message: Message,
+    place: Place<S, D>,
+}
+
+impl<S: Store, D: Dialect> Going<S, D> {
+    async fn run(self) {
+        let answer = send(&self.core, &self.place.pick, &self.message, None, HEAD).await;
+        match answer {
+            Ok(answer) => match answer.head.status {
+                status if status.is_success() => self.events(answer).await,
+                StatusCode::UNPROCESSABLE_ENTITY => self.end(End::GivenUp, "cannot_be_done"),
+                _ => self.failed(),
+            },
+            Err(outcome) => self.broke(outcome),
+        }
+    }
+
+    async fn events(self, mut answer: Answer) {
+        loop {
+            match within(SILENCE, answer.next()).await {
+                Some(Next::Event(event)) => {
+                    let mut runs = self.core.runs();
+                    let Some(run) = runs.runs.get_mut(&self.id) else {
+                        return;
+                    };
+                    if event.id.is_some_and(|id| id != run.last_event + 1) {
+                        drop(runs);
+                        return self.broke(Outcome::Broken);
+                    }
+                    if run.last_event > 0 {
+                        run.text.push('\n');
+                    }
+                    run.text.push_str(&event.data());
+                    run.last_event += 1;
+                }
+                Some(Next::End) => {
+                    answer.done(&self.core);
+                    self.core.pool().succeeded(self.place.pick.key);
+                    let text = self
+                        .core
+                        .runs()
+                        .runs
+                        .get(&self.id)
+                        .map(|run| run.text.clone());
+                    let end = End::Completed(Arc::from(text.unwrap_or_default()));
+                    return self.end(end, "completed");
+                }
+                Some(Next::Broken) => return self.broke(Outcome::Broken),
+                None => return self.broke(Outcome::Silent),
+            }
+        }
+    }
+
+    fn candidate(&self) -> Candidate {
+        Candidate {
+            id: self.id.clone(),
+            submitted_ms: 0,
+            short: self.short,
+        }
+    }
+
+    fn end(self, end: End, why: &str) {
+        finish(&self.core, &self.candidate(), end, why);
+    }
+
+    /// Counts an answer with a failure.
+    fn failed(self) {
+        let mut runs = self.core.runs();
+        let failures = match runs.runs.get_mut(&self.id) {
+            Some(run) => {
+                run.failures += 1;
+                run.rests_until = clock::now() + PAUSE;
+                run.failures
+            }
+            None => return,
+        };
+        drop(runs);
+        if u32::from(failures) >= self.max_attempts {
+            self.end(End::GivenUp, "attempts_exhausted");
+        } else {
+            self.pause();
+        }
+    }
+
+    fn broke(self, outcome: Outcome) {
+        let mut pool = self.core.pool();
+        match outcome {
+            Outcome::Misdirected => pool.misdirected(self.place.pick.key),
+            Outcome::NotRun => {}
+            _ => pool.failed(clock::now(), self.place.pick.key),
+        }
+        drop(pool);
+        log::item(&self.id.0, self.id.1, outcome.name());
+        self.core.metrics.item(outcome.name());
+        self.pause();
+    }
+
+    fn pause(&self) {
+        let mut runs = self.core.runs();
+        if let Some(run) = runs.runs.get_mut(&self.id) {
+            run.rests_until = clock::now() + PAUSE;
+            run.replica = None;
+            // The task ends by itself; its handle is no longer needed.
+            if let Some(task) = run.task.take() {
+                task.detach();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,72 @@
+//! Settings of a daemon, in JSON with comments.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bitterncart_protocol::jsonc::{self, Problem};
+use compact_str::CompactString;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// An IP number and a port; names are not looked up.
+const ADDRESS: &str = r"^([0-9]{1,3}(\.[0-9]{1,3}){3}|\[[0-9A-Fa-f:.]+\]):[0-9]{1,5}$";
+
+/// Settings of a daemon.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+pub struct Settings {
+    /// Instance name.
+    #[schemars(with = "String")]
+    pub name: CompactString,
+    /// Data centre.
+    #[schemars(with = "String")]
+    pub data_centre: CompactString,
+    /// TCP address for clients.
+    #[schemars(with = "String", regex(pattern = ADDRESS))]
+    pub clients: SocketAddr,
+    /// TCP address at which the balancer asks whether the daemon is ready.
+    #[schemars(with = "String", regex(pattern = ADDRESS))]
+    pub ready: SocketAddr,
+    /// UDP address for peers.
+    #[schemars(with = "String", regex(pattern = ADDRESS))]
+    pub peers: SocketAddr,
+    /// TCP address of the store.
+    #[schemars(with = "String", regex(pattern = ADDRESS))]
+    pub store: SocketAddr,
+    /// Addresses of peers that may exist.
+    #[serde(default)]
+    #[schemars(with = "Vec<String>")]
+    pub seeds: Vec<SocketAddr>,
+    /// Partitions of the ledger.
+    #[serde(default = "Settings::default_shards")]
+    #[schemars(range(min = 1, max = 64))]
+    pub shards: u16,
+    /// Time between the order to stop and the kill, in milliseconds.
+    #[serde(default = "Settings::default_stop_ms")]
+    #[schemars(range(min = 1000, max = 600_000))]
+    pub stop_ms: u64,
+}
+
+impl Settings {
+    fn default_shards() -> u16 {
+        1
+    }
+
+    fn default_stop_ms() -> u64 {
+        8000
+    }
+
+    /// Time between the order to stop and the kill.
+    #[must_use]
+    pub fn stop(&self) -> Duration {
+        Duration::from_millis(self.stop_ms)
+    }
+
+    /// Settings of a JSON text with comments.
+    ///
+    /// # Errors
+    ///
+    /// All problems of the text at once.
+    pub fn parse(text: &str) -> Result<Self, Vec<Problem>> {
+        jsonc::parse::<Self>(text).map(|(settings, _)| settings)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shard.rs
@@ -0,0 +1,363 @@
+//! Shard: one partition of the ledger, read and written by every daemon.
+//!
+//! A writer folds up to the end it knows, decides a group of operations on
+//! that state, and appends on the condition that the partition still ends
+//! there. If the answer is lost, the same append is made again: only one of
+//! the two can find the condition met, and reading on shows whether it did.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use bitterncart_state::ledger::{Ledger, Op, Record, Verdict};
+use event_listener::Event;
+
+use crate::clock::{self, within};
+use crate::core::Core;
+use crate::dialect::Dialect;
+use crate::log;
+use crate::store::{Failure, Page, Read, Store, Topic};
+
+/// Time that a read of the ledger is kept waiting by the store.
+const WAIT: Duration = Duration::from_secs(10);
+
+/// Pause between reads that found something, so that one read brings several
+/// records.
+const PACE: Duration = Duration::from_millis(100);
+
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Time for one append.
+const APPEND: Duration = Duration::from_millis(600);
+
+/// Operations of one append.
+const MAX_GROUP: usize = 64;
+
+/// Time beyond its own that an operation waits for its verdict.
+const GRACE: Duration = Duration::from_millis(50);
+
+/// Longest random pause after another daemon's append came first.
+const CONTENTION: Duration = Duration::from_millis(6);
+
+/// Why an operation has no verdict.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Undecided {
+    /// It certainly has no effect.
+    Void,
+    /// It may take effect.
+    Unknown,
+}
+
+type Answer = Result<Verdict, Undecided>;
+
+#[derive(Debug)]
+struct Order {
+    op: Op,
+    until: Duration,
+    answer: Sender<Answer>,
+}
+
+impl Order {
+    /// Tells the verdict; whoever ordered may have stopped waiting.
+    fn tell(&self, answer: Answer) {
+        let _told = self.answer.try_send(answer);
+    }
+}
+
+/// Partition of the ledger.
+#[derive(Debug)]
+pub(crate) struct Shard {
+    number: u16,
+    ledger: Mutex<Ledger>,
+    loaded: std::sync::atomic::AtomicBool,
+    /// Notified when records were folded.
+    pub changed: Event,
+    orders: Sender<Order>,
+    inbox: Receiver<Order>,
+}
+
+impl Shard {
+    pub(crate) fn new(number: u16) -> Self {
+        let (orders, inbox) = async_channel::unbounded();
+        Self {
+            number,
+            ledger: Mutex::default(),
+            loaded: std::sync::atomic::AtomicBool::new(false),
+            changed: Event::new(),
+            orders,
+            inbox,
+        }
+    }
+
+    pub(crate) fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the ledger was read to its end once.
+    pub(crate) fn is_loaded(&self) -> bool {
+        self.loaded.load(std::sync::atomic::Ordering::Acquire)
+    }
+
+    fn topic(&self) -> Topic {
+        Topic::Ledger(self.number)
+    }
+
+    /// Does an operation; waits for its verdict until a time.
+    pub(crate) async fn order(&self, op: Op, until: Duration) -> Answer {
+        let (answer, verdict) = async_channel::bounded(1);
+        let order = Order { op, until, answer };
+        if self.orders.send(order).await.is_err() {
+            return Err(Undecided::Void);
+        }
+        let left = until.saturating_sub(clock::now()) + GRACE;
+        let verdict = within(left, verdict.recv()).await;
+        verdict
+            .and_then(Result::ok)
+            .unwrap_or(Err(Undecided::Unknown))
+    }
+
+    fn fold(&self, read: &Read) {
+        let mut ledger = self.ledger();
+        let fresh = (read.from..).zip(&read.records);
+        let before = ledger.next();
+        for (offset, record) in fresh {
+            ledger.apply(offset, record);
+        }
+        if ledger.next() != before {
+            drop(ledger);
+            self.changed.notify(usize::MAX);
+        }
+    }
+
+    /// Reads on to the end.
+    pub(crate) async fn catch_up<S: Store, D: Dialect>(
+        &self,
+        core: &Core<S, D>,
+    ) -> Result<(), Failure> {
+        loop {
+            if !self.is_loaded() {
+                self.load(core).await?;
+            }
+            let from = self.ledger().next();
+            let read = core.store.read(self.topic(), from, Duration::ZERO).await;
+            match read {
+                Ok(read) => {
+                    core.store_answered();
+                    self.fold(&read);
+                    if self.ledger().next() >= read.end {
+                        return Ok(());
+                    }
+                }
+                Err(Failure::Expired) => self.load(core).await?,
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// Builds the state anew from the newest record of each key.
+    async fn load<S: Store, D: Dialect>(&self, core: &Core<S, D>) -> Result<(), Failure> {
+        let mut ledger = Ledger::default();
+        let mut after: Option<String> = None;
+        let mut first_end = None;
+        loop {
+            let Page { records, more, end } =
+                core.store.newest(self.topic(), after.as_deref()).await?;
+            core.store_answered();
+            first_end.get_or_insert(end);
+            for record in &records {
+                ledger.load(record);
+            }
+            match records.last() {
+                Some(last) if more => after = Some(last.key.to_string()),
+                _ => break,
+            }
+        }
+        ledger.start_at(first_end.unwrap_or(0));
+        let mut known = self.ledger();
+        if ledger.next() > known.next() || !self.is_loaded() {
+            *known = ledger;
+        }
+        drop(known);
+        self.loaded
+            .store(true, std::sync::atomic::Ordering::Release);
+        self.changed.notify(usize::MAX);
+        log::loaded(self.number, first_end.unwrap_or(0));
+        Ok(())
+    }
+}
+
+/// Follows a shard.
+pub(crate) async fn follow<S: Store, D: Dialect>(core: Core<S, D>, number: usize) {
+    let shard = &core.shards[number];
+    loop {
+        if !shard.is_loaded() && shard.catch_up(&core).await.is_err() {
+            smol::Timer::after(PAUSE).await;
+            continue;
+        }
+        let from = shard.ledger().next();
+        match core.store.read(shard.topic(), from, WAIT).await {
+            Ok(read) => {
+                core.store_answered();
+                shard.fold(&read);
+                if shard.ledger().next() >= read.end {
+                    smol::Timer::after(PACE).await;
+                }
+            }
+            Err(Failure::Expired) => {
+                if let Err(e) = shard.load(&core).await {
+                    log::store("load", &e);
+                    smol::Timer::after(PAUSE).await;
+                }
+            }
+            Err(e) => {
+                log::store("read", &e);
+                smol::Timer::after(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Group of operations on its way.
+struct Group {
+    at: u64,
+    records: Vec<Record>,
+    verdicts: Vec<Verdict>,
+}
+
+/// Appends the operations of this daemon to a shard.
+pub(crate) async fn write<S: Store, D: Dialect>(core: Core<S, D>, number: usize) {
+    let shard = &core.shards[number];
+    let mut orders: Vec<Order> = Vec::new();
+    loop {
+        if orders.is_empty() {
+            match shard.inbox.recv().await {
+                Ok(order) => orders.push(order),
+                Err(_) => return,
+            }
+        }
+        while orders.len() < MAX_GROUP {
+            match shard.inbox.try_recv() {
+                Ok(order) => orders.push(order),
+                Err(_) => break,
+            }
+        }
+        expire(&mut orders, Undecided::Void);
+        if orders.is_empty() {
+            continue;
+        }
+        if !shard.is_loaded() {
+            if let Err(e) = shard.catch_up(&core).await {
+                log::store("load", &e);
+                smol::Timer::after(PAUSE).await;
+            }
+            continue;
+        }
+        let group = {
+            let ledger = shard.ledger();
+            let plan = ledger.plan(orders.iter().map(|order| &order.op));
+            Group {
+                at: ledger.next(),
+                records: plan.records,
+                verdicts: plan.verdicts,
+            }
+        };
+        if group.records.is_empty() || append(&core, shard, &group, &mut orders).await {
+            for (order, verdict) in orders.drain(..).zip(group.verdicts) {
+                order.tell(Ok(verdict));
+            }
+        }
+    }
+}
+
+/// Tells the operations whose time is up.
+fn expire(orders: &mut Vec<Order>, why: Undecided) {
+    let now = clock::now();
+    orders.retain(|order| {
+        let in_time = now < order.until;
+        if !in_time {
+            order.tell(Err(why));
+        }
+        in_time
+    });
+}
+
+/// Appends a group; `false` if it has to be planned anew.
+async fn append<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    shard: &Shard,
+    group: &Group,
+    orders: &mut Vec<Order>,
+) -> bool {
+    let mut lost = false;
+    loop {
+        match core
+            .store
+            .append(shard.topic(), group.at, &group.records, APPEND)
+            .await
+        {
+            Ok(_) => {
+                core.store_answered();
+                shard.fold(&Read {
+                    from: group.at,
+                    records: group.records.clone(),
+                    end: 0,
+                });
+                return true;
+            }
+            Err(Failure::Moved) => {
+                core.store_answered();
+                return settle(core, shard, orders, lost).await;
+            }
+            Err(e) => {
+                lost |= !e.has_no_effect();
+                log::store("append", &e);
+                if !lost {
+                    expire(orders, Undecided::Void);
+                    smol::Timer::after(PAUSE).await;
+                    return false;
+                }
+                // The clients are told in time; the group still has to be settled.
+                tell_unknown(orders);
+                smol::Timer::after(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Finds out whether a group that met another end is in the ledger.
+async fn settle<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    shard: &Shard,
+    orders: &mut Vec<Order>,
+    lost: bool,
+) -> bool {
+    let pause = CONTENTION.mul_f64(rand::random());
+    loop {
+        match shard.catch_up(core).await {
+            Ok(()) => break,
+            Err(e) => {
+                log::store("read", &e);
+                if lost {
+                    tell_unknown(orders);
+                } else {
+                    expire(orders, Undecided::Void);
+                }
+                smol::Timer::after(PAUSE).await;
+            }
+        }
+    }
+    // Planned anew on the state that follows, an operation that took effect
+    // has nothing left to do, and its verdict is `Already`.
+    smol::Timer::after(pause).await;
+    false
+}
+
+fn tell_unknown(orders: &mut [Order]) {
+    let now = clock::now();
+    for order in orders {
+        if now >= order.until {
+            order.tell(Err(Undecided::Unknown));
+        }
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod invariant;
 pub mod job;
+pub mod ledger;
 pub mod rollout;
 pub mod shard;
 
