--- a/crates/coordination/src/fleet/pool.rs
+++ b/crates/coordination/src/fleet/pool.rs
@@ -42,6 +42,9 @@
 /// Share of a replica's places that a hop to another data centre weighs.
 const HOP_WEIGHT: f64 = 0.25;
 
+/// Weight of a free place in another data centre beside one in this.
+const FAR_WEIGHT: f64 = 0.1;
+
 /// Requests at one replica.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -240,22 +243,46 @@
     }
 
     /// Replica of a service with a free place beyond `reserve` for a batch
-    /// item, its place taken.
-    pub fn pick_batch(&mut self, now: Duration, service: &str, reserve: u32) -> Option<Pick> {
-        let key = self
+    /// item, its place taken. Picks at random by free places, as other daemons
+    /// pick at the same time from the same view.
+    pub fn pick_batch(
+        &mut self,
+        now: Duration,
+        service: &str,
+        reserve: u32,
+        random: f64,
+    ) -> Option<Pick> {
+        let free: Vec<(Key, f64)> = self
             .entries
             .iter()
-            .filter(|(_, e)| {
-                e.replica.service == service
-                    && e.takes_work(now)
-                    && now >= e.rests_until
-                    && e.total() + reserve < e.replica.slots
+            .filter(|(_, e)| e.replica.service == service)
+            .filter(|(_, e)| e.takes_work(now) && now >= e.rests_until)
+            .map(|(key, e)| (key, self.weight(e, reserve)))
+            .filter(|(_, weight)| *weight > 0.0)
+            .collect();
+        let total: f64 = free.iter().map(|(_, weight)| weight).sum();
+        let mut left = random * total;
+        let key = free
+            .iter()
+            .find(|(_, weight)| {
+                left -= weight;
+                left < 0.0
             })
-            .min_by(|(_, a), (_, b)| self.cost(a).total_cmp(&self.cost(b)))
-            .map(|(key, _)| key)?;
+            .or(free.last())?
+            .0;
         Some(self.take(key, Class::Batch))
     }
 
+    /// Free places for batch items, those of other data centres for less.
+    fn weight(&self, entry: &Entry, reserve: u32) -> f64 {
+        let free = entry.replica.slots.saturating_sub(entry.total() + reserve);
+        if entry.replica.data_centre == self.data_centre {
+            f64::from(free)
+        } else {
+            f64::from(free) * FAR_WEIGHT
+        }
+    }
+
     fn take(&mut self, key: Key, class: Class) -> Pick {
         let entry = &mut self.entries[key];
         *entry.own.of(class) += 1;
--- /dev/null
+++ b/crates/coordination/tests/fleet/main.rs
@@ -0,0 +1,6 @@
+//! Decisions of a fleet: routes, attempts, replicas, peers, batch work.
+
+mod attempt;
+mod manifest;
+mod pool;
+mod work;
--- /dev/null
+++ b/crates/coordination/tests/fleet/work.rs
@@ -0,0 +1,101 @@
+//! Each item has one daemon that runs it, and an heir when that one is gone.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bitterncart_coordination::fleet::peers::SILENCE;
+use bitterncart_coordination::fleet::{Item, Notice, Peers, Work};
+
+fn address(n: u16) -> SocketAddr {
+    ([10, 0, 0, 1], n).into()
+}
+
+fn notice(from: u16, seq: u64) -> Notice {
+    Notice {
+        from: address(from),
+        born_us: 1,
+        seq,
+        leaving: false,
+        writes: true,
+        load: Vec::new(),
+        running: Vec::new(),
+    }
+}
+
+fn item(owner: u16) -> Item<'static> {
+    Item {
+        job: "job",
+        owner: address(owner),
+        short: 9,
+    }
+}
+
+/// Daemons of `all` that would start the item, each hearing all `alive` others.
+fn starters(all: &[u16], alive: &[Notice], now: Duration, item: &Item<'_>) -> Vec<u16> {
+    let starts = |me: u16| {
+        let mut peers = Peers::default();
+        for notice in alive.iter().filter(|n| n.from != address(me)) {
+            peers.heard(Duration::ZERO, notice.clone());
+        }
+        Work::new(address(me), now, &peers).is_mine(item)
+    };
+    all.iter().copied().filter(|me| starts(*me)).collect()
+}
+
+#[test]
+fn owner_runs_its_items() {
+    let alive = [notice(1, 1), notice(2, 1), notice(3, 1)];
+    assert_eq!(starters(&[1, 2, 3], &alive, Duration::ZERO, &item(2)), [2]);
+}
+
+#[test]
+fn one_heir_runs_the_items_of_a_dead_owner() {
+    let alive = [notice(1, 1), notice(2, 1), notice(3, 1)];
+    assert_eq!(
+        starters(&[1, 2, 3], &alive, Duration::ZERO, &item(7)).len(),
+        1
+    );
+}
+
+#[test]
+fn owner_that_leaves_or_cannot_write_has_an_heir() {
+    let leaving = Notice {
+        leaving: true,
+        ..notice(2, 1)
+    };
+    let alive = [notice(1, 1), leaving];
+    assert_eq!(starters(&[1], &alive, Duration::ZERO, &item(2)), [1]);
+    let cut_off = Notice {
+        writes: false,
+        ..notice(2, 1)
+    };
+    let alive = [notice(1, 1), cut_off];
+    assert_eq!(starters(&[1], &alive, Duration::ZERO, &item(2)), [1]);
+}
+
+#[test]
+fn item_that_a_peer_runs_is_left_to_it() {
+    let runs = Notice {
+        running: vec![9],
+        ..notice(3, 1)
+    };
+    let alive = [notice(1, 1), runs];
+    assert_eq!(
+        starters(&[1], &alive, Duration::ZERO, &item(1)),
+        [] as [u16; 0]
+    );
+    // Not after the peer fell silent.
+    assert_eq!(starters(&[1], &alive, SILENCE, &item(1)), [1]);
+}
+
+#[test]
+fn older_notice_changes_nothing() {
+    let mut peers = Peers::default();
+    peers.heard(Duration::ZERO, notice(1, 5));
+    let old = Notice {
+        leaving: true,
+        ..notice(1, 4)
+    };
+    peers.heard(Duration::ZERO, old);
+    assert!(peers.is_serving(Duration::ZERO, &address(1)));
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -13,11 +13,12 @@
 use crate::channel::Connector;
 use crate::clock;
 use crate::dialect::Dialect;
+use crate::log;
 use crate::metrics::Metrics;
 use crate::runner::Runs;
 use crate::settings::Settings;
 use crate::shard::Shard;
-use crate::store::Store;
+use crate::store::{Failure, Store};
 
 /// Tables of one daemon.
 pub(crate) struct Tables<S: Store, D: Dialect> {
@@ -40,8 +41,9 @@
     pool: Mutex<Pool>,
     leaving: AtomicBool,
     has_replicas: AtomicBool,
-    /// Time of the last answer of the store, in milliseconds of the boot clock.
-    store_heard_ms: AtomicU64,
+    /// Time of the first call to the store that failed since one was answered,
+    /// in milliseconds of the boot clock; 0 if none failed.
+    store_failed_ms: AtomicU64,
     /// Time at which the store last came back, likewise; 0 if it was never away.
     store_back_ms: AtomicU64,
 }
@@ -63,8 +65,8 @@
     }
 }
 
-/// Silence of the store after which it counts as away.
-const STORE_SILENCE: Duration = Duration::from_millis(1500);
+/// Time for which calls to the store fail before it counts as away.
+const STORE_FAILS: Duration = Duration::from_millis(400);
 
 impl<S: Store, D: Dialect> Core<S, D> {
     pub(crate) fn new(
@@ -93,7 +95,7 @@
             pool: Mutex::new(pool),
             leaving: AtomicBool::new(false),
             has_replicas: AtomicBool::new(false),
-            store_heard_ms: AtomicU64::new(0),
+            store_failed_ms: AtomicU64::new(0),
             store_back_ms: AtomicU64::new(0),
         }))
     }
@@ -170,12 +172,23 @@
             self.store_back_ms
                 .store(now.as_millis() as u64, Ordering::Relaxed);
         }
-        self.store_heard_ms
-            .store(now.as_millis() as u64, Ordering::Relaxed);
+        self.store_failed_ms.store(0, Ordering::Relaxed);
     }
 
+    /// Notes a call to the store that failed.
+    pub(crate) fn store_failed(&self, call: &str, error: &Failure) {
+        log::store(call, error);
+        let now = clock::now().as_millis() as u64;
+        // An earlier failure stands.
+        let _stands =
+            self.store_failed_ms
+                .compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed);
+    }
+
+    /// Whether calls to the store have failed for a while.
     pub(crate) fn is_store_away(&self, now: Duration) -> bool {
-        now.saturating_sub(ms(&self.store_heard_ms)) > STORE_SILENCE
+        let failed = ms(&self.store_failed_ms);
+        !failed.is_zero() && now.saturating_sub(failed) > STORE_FAILS
     }
 
     /// Time at which the store last came back.
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -159,7 +159,7 @@
     match within(LOOK, shard.catch_up(core)).await {
         Some(Ok(())) => shard.ledger().job(id).map(&read).ok_or(Code::NotFound),
         Some(Err(e)) => {
-            log::store("look", &e);
+            core.store_failed("look", &e);
             Err(Code::LogUnavailable)
         }
         None => Err(Code::LogUnavailable),
@@ -186,7 +186,7 @@
         (count, _) if after > count => {
             // Another daemon has listed more.
             if let Some(Err(e)) = within(LOOK, shard.catch_up(core)).await {
-                log::store("look", &e);
+                core.store_failed("look", &e);
             }
         }
         (count, true) if after == count && !wait.is_zero() => {
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -243,7 +243,10 @@
     let Some(service) = route.service(rand::random()) else {
         return false;
     };
-    let Some(pick) = core.pool().pick_batch(clock::now(), service, RESERVE) else {
+    let Some(pick) = core
+        .pool()
+        .pick_batch(clock::now(), service, RESERVE, rand::random())
+    else {
         return false;
     };
     let place = Place::new(core, pick, Class::Batch);
--- a/crates/gateway/src/shard.rs
+++ b/crates/gateway/src/shard.rs
@@ -5,6 +5,7 @@
 //! there. If the answer is lost, the same append is made again: only one of
 //! the two can find the condition met, and reading on shows whether it did.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -19,7 +20,7 @@
 use crate::store::{Failure, Page, Read, Store, Topic};
 
 /// Time that a read of the ledger is kept waiting by the store.
-const WAIT: Duration = Duration::from_secs(10);
+const WAIT: Duration = Duration::from_secs(2);
 
 /// Pause between reads that found something, so that one read brings several
 /// records.
@@ -70,7 +71,8 @@
 pub(crate) struct Shard {
     number: u16,
     ledger: Mutex<Ledger>,
-    loaded: std::sync::atomic::AtomicBool,
+    loaded: AtomicBool,
+    loading: smol::lock::Mutex<()>,
     /// Notified when records were folded.
     pub changed: Event,
     orders: Sender<Order>,
@@ -83,7 +85,8 @@
         Self {
             number,
             ledger: Mutex::default(),
-            loaded: std::sync::atomic::AtomicBool::new(false),
+            loaded: AtomicBool::new(false),
+            loading: smol::lock::Mutex::new(()),
             changed: Event::new(),
             orders,
             inbox,
@@ -96,7 +99,7 @@
 
     /// Whether the ledger was read to its end once.
     pub(crate) fn is_loaded(&self) -> bool {
-        self.loaded.load(std::sync::atomic::Ordering::Acquire)
+        self.loaded.load(Ordering::Acquire)
     }
 
     fn topic(&self) -> Topic {
@@ -157,6 +160,12 @@
 
     /// Builds the state anew from the newest record of each key.
     async fn load<S: Store, D: Dialect>(&self, core: &Core<S, D>) -> Result<(), Failure> {
+        let before = self.ledger().next();
+        let _loading = self.loading.lock().await;
+        if self.is_loaded() && self.ledger().next() != before {
+            // Another task has loaded it meanwhile.
+            return Ok(());
+        }
         let mut ledger = Ledger::default();
         let mut after: Option<String> = None;
         let mut first_end = None;
@@ -179,8 +188,7 @@
             *known = ledger;
         }
         drop(known);
-        self.loaded
-            .store(true, std::sync::atomic::Ordering::Release);
+        self.loaded.store(true, Ordering::Release);
         self.changed.notify(usize::MAX);
         log::loaded(self.number, first_end.unwrap_or(0));
         Ok(())
@@ -191,7 +199,10 @@
 pub(crate) async fn follow<S: Store, D: Dialect>(core: Core<S, D>, number: usize) {
     let shard = &core.shards[number];
     loop {
-        if !shard.is_loaded() && shard.catch_up(&core).await.is_err() {
+        if !shard.is_loaded()
+            && let Err(e) = shard.catch_up(&core).await
+        {
+            core.store_failed("load", &e);
             smol::Timer::after(PAUSE).await;
             continue;
         }
@@ -206,12 +217,12 @@
             }
             Err(Failure::Expired) => {
                 if let Err(e) = shard.load(&core).await {
-                    log::store("load", &e);
+                    core.store_failed("load", &e);
                     smol::Timer::after(PAUSE).await;
                 }
             }
             Err(e) => {
-                log::store("read", &e);
+                core.store_failed("read", &e);
                 smol::Timer::after(PAUSE).await;
             }
         }
@@ -248,7 +259,7 @@
         }
         if !shard.is_loaded() {
             if let Err(e) = shard.catch_up(&core).await {
-                log::store("load", &e);
+                core.store_failed("load", &e);
                 smol::Timer::after(PAUSE).await;
             }
             continue;
@@ -311,7 +322,7 @@
             }
             Err(e) => {
                 lost |= !e.has_no_effect();
-                log::store("append", &e);
+                core.store_failed("append", &e);
                 if !lost {
                     expire(orders, Undecided::Void);
                     smol::Timer::after(PAUSE).await;
@@ -337,7 +348,7 @@
         match shard.catch_up(core).await {
             Ok(()) => break,
             Err(e) => {
-                log::store("read", &e);
+                core.store_failed("read", &e);
                 if lost {
                     tell_unknown(orders);
                 } else {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -13,7 +13,10 @@
 use crate::store::{Failure, Store, Topic};
 
 /// Time that a read of the operator's topic is kept waiting by the store.
-const WAIT: Duration = Duration::from_secs(8);
+const WAIT: Duration = Duration::from_secs(1);
+
+/// Time that a read of the replicas' topic is kept waiting by the store.
+const SHORT_WAIT: Duration = Duration::from_millis(500);
 
 /// Pause between reads of the replicas' topic, which changes all the time.
 const PACE: Duration = Duration::from_millis(300);
@@ -41,7 +44,7 @@
                     end
                 }
                 Err(e) => {
-                    log::store("newest", &e);
+                    self.core.store_failed("newest", &e);
                     smol::Timer::after(PAUSE).await;
                     continue;
                 }
@@ -56,7 +59,7 @@
                     }
                     Err(Failure::Expired) => break,
                     Err(e) => {
-                        log::store("read", &e);
+                        self.core.store_failed("read", &e);
                         smol::Timer::after(PAUSE).await;
                     }
                 }
@@ -108,7 +111,7 @@
     let tail = Tail {
         core: core.clone(),
         topic: Topic::Replicas,
-        wait: WAIT,
+        wait: SHORT_WAIT,
         pace: PACE,
     };
     let one = |record: &Record| replica(&core, record);
