--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -17,4 +17,4 @@
 pub use peers::{Notice, Peers};
 pub use pool::{Class, Pool};
 pub use replica::{Replica, Stage};
-pub use work::{Item, Work};
+pub use work::{Item, Work, share};
--- a/crates/coordination/src/fleet/peers.rs
+++ b/crates/coordination/src/fleet/peers.rs
@@ -49,6 +49,8 @@
     pub leaving: bool,
     /// Whether it can append to the store.
     pub writes: bool,
+    /// Batch items that it would start if there were places.
+    pub waiting: u32,
     /// Load by replica.
     pub load: Vec<Row>,
     /// Short names of the batch items that it runs.
@@ -101,6 +103,12 @@
         self.live(now).any(|notice| notice.running.contains(&item))
     }
 
+    /// Batch items that all live peers together would start.
+    #[must_use]
+    pub fn waiting(&self, now: Duration) -> u32 {
+        self.live(now).map(|notice| notice.waiting).sum()
+    }
+
     /// What all peers together have at a replica.
     #[must_use]
     pub fn load(&self, now: Duration) -> HashMap<u32, Load> {
--- a/crates/coordination/src/fleet/pool.rs
+++ b/crates/coordination/src/fleet/pool.rs
@@ -14,6 +14,7 @@
 
 use super::peers::short;
 use super::replica::{Replica, Stage};
+use super::work::share;
 
 new_key_type! {
     /// Key of a replica.
@@ -308,13 +309,30 @@
     }
 
     /// Replicas with more requests than places where this daemon runs batch
-    /// items, with the number of items that must give way.
-    pub fn crowded(&self) -> impl Iterator<Item = (Key, u32)> {
-        self.entries.iter().filter_map(|(key, e)| {
-            let over = e.total().saturating_sub(e.replica.slots);
-            let give = over.min(e.own.batch);
-            (give > 0).then_some((key, give))
-        })
+    /// items, with the number of items that it lets give way: its part of
+    /// what is over.
+    pub fn crowded(&self, mut random: impl FnMut() -> f64) -> Vec<(Key, u32)> {
+        let entries = self.entries.iter().filter(|(_, e)| e.own.batch > 0);
+        entries
+            .map(|(key, e)| {
+                let over = e.total().saturating_sub(e.replica.slots);
+                let all = e.own.batch + e.peers.batch;
+                let give = share(over.min(all), e.own.batch, all, random());
+                (key, give.min(e.own.batch))
+            })
+            .filter(|(_, give)| *give > 0)
+            .collect()
+    }
+
+    /// Free places beyond `reserve` for batch items at a service's replicas.
+    #[must_use]
+    pub fn free(&self, now: Duration, service: &str, reserve: u32) -> u32 {
+        self.entries
+            .values()
+            .filter(|e| e.replica.service == service)
+            .filter(|e| e.takes_work(now) && now >= e.rests_until)
+            .map(|e| e.replica.slots.saturating_sub(e.total() + reserve))
+            .sum()
     }
 
     /// Places in use and places of a service's usable replicas.
--- a/crates/coordination/src/fleet/work.rs
+++ b/crates/coordination/src/fleet/work.rs
@@ -70,3 +70,14 @@
             .unwrap_or(self.me)
     }
 }
+
+/// Part of `amount` that falls to one who holds `mine` of `all`, rounded at
+/// random, so that many daemons which act on the same view together do about
+/// as much as there is to do.
+#[must_use]
+pub fn share(amount: u32, mine: u32, all: u32, random: f64) -> u32 {
+    match f64::from(mine) / f64::from(all.max(1)) {
+        part if part >= 1.0 => amount,
+        part => (f64::from(amount) * part + random).floor() as u32,
+    }
+}
--- a/crates/coordination/tests/fleet/pool.rs
+++ b/crates/coordination/tests/fleet/pool.rs
@@ -132,6 +132,10 @@
     }
     assert_eq!(pool.pick_batch(NOW, SERVICE, 0, 0.5), None);
     pick(&mut pool, NOW);
-    let give: Vec<u32> = pool.crowded().map(|(_, count)| count).collect();
+    let give: Vec<u32> = pool
+        .crowded(|| 0.5)
+        .iter()
+        .map(|(_, count)| *count)
+        .collect();
     assert_eq!(give, [1]);
 }
--- a/crates/coordination/tests/fleet/work.rs
+++ b/crates/coordination/tests/fleet/work.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::peers::SILENCE;
-use bitterncart_coordination::fleet::{Item, Notice, Peers, Work};
+use bitterncart_coordination::fleet::{Item, Notice, Peers, Work, share};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 fn address(n: u16) -> SocketAddr {
     ([10, 0, 0, 1], n).into()
@@ -17,6 +19,7 @@
         seq,
         leaving: false,
         writes: true,
+        waiting: 0,
         load: Vec::new(),
         running: Vec::new(),
     }
@@ -99,3 +102,40 @@
     peers.heard(Duration::ZERO, old);
     assert!(peers.is_serving(Duration::ZERO, &address(1)));
 }
+
+/// A backlog at all daemons meets free places that all see at the same time:
+/// the places fill within a few looks and are hardly ever overrun.
+#[test]
+fn backlog_at_all_daemons_fills_the_places_without_overrun() {
+    const DAEMONS: u32 = 12;
+    const PLACES: u32 = 84;
+    let mut random = SmallRng::seed_from_u64(7);
+    let mut waiting = [20_u32; DAEMONS as usize];
+    let (mut used, mut overrun) = (0_u32, 0_u32);
+    for _ in 0..8 {
+        let (free, all) = (PLACES.saturating_sub(used), waiting.iter().sum());
+        for mine in &mut waiting {
+            let starts = share(free, *mine, all, random.random()).min(*mine);
+            *mine -= starts;
+            used += starts;
+        }
+        overrun = overrun.max(used.saturating_sub(PLACES));
+    }
+    assert!(used >= PLACES - 1, "{used} of {PLACES} places used");
+    assert!(overrun <= DAEMONS / 2, "{overrun} over the places");
+}
+
+/// A burst puts some items over the places; all daemons see it together.
+#[test]
+fn burst_makes_no_more_items_give_way_than_it_needs() {
+    const DAEMONS: u32 = 12;
+    let mut random = SmallRng::seed_from_u64(7);
+    let gave: u32 = (0..100)
+        .map(|_| {
+            (0..DAEMONS)
+                .map(|_| share(3, 1, DAEMONS, random.random()))
+                .sum::<u32>()
+        })
+        .sum();
+    assert!((250..350).contains(&gave), "{gave} of 300 gave way");
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -58,6 +58,7 @@
             seq,
             leaving: core.is_leaving(),
             writes: !core.is_store_away(now),
+            waiting: core.runs().waiting,
             load: rows(&core),
             running,
         };
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -10,7 +10,7 @@
 
 use bitterncart_coordination::fleet::peers::short;
 use bitterncart_coordination::fleet::pool::{Class, Key as Replica};
-use bitterncart_coordination::fleet::{Item, Outcome, Route, Work};
+use bitterncart_coordination::fleet::{Item, Outcome, Route, Work, share};
 use bitterncart_state::ledger::{End, Op, Submission};
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -26,15 +26,15 @@
 use crate::store::Store;
 use crate::upstream::{Answer, Message, Next, Place, send};
 
-/// Time between looks for items to start or to stop.
+/// Time between looks for items to stop.
 const TICK: Duration = Duration::from_millis(25);
 
+/// Looks between two for items to start; peers see by then what was started.
+const START_EVERY: u32 = 3;
+
 /// Places of a replica that are left to online requests.
 const RESERVE: u32 = 1;
 
-/// Items started in one look.
-const MAX_STARTS: usize = 4;
-
 /// Silence after which a run is continued elsewhere.
 const SILENCE: Duration = Duration::from_millis(1500);
 
@@ -73,6 +73,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Runs {
     runs: HashMap<Id, Run>,
+    /// Items that would be started if there were places.
+    pub(crate) waiting: u32,
 }
 
 impl Runs {
@@ -120,7 +122,7 @@
 
 /// Starts and stops runs.
 pub(crate) async fn run<S: Store, D: Dialect>(core: Core<S, D>) {
-    loop {
+    for look in 0_u32.. {
         smol::Timer::after(TICK).await;
         give_way(&core);
         stop_ended(&core);
@@ -128,7 +130,7 @@
             core.runs().runs.clear();
             return;
         }
-        if !core.is_store_away(clock::now()) {
+        if look.is_multiple_of(START_EVERY) && !core.is_store_away(clock::now()) {
             start(&core);
         }
     }
@@ -136,7 +138,7 @@
 
 /// Stops runs where online requests want the places.
 fn give_way<S: Store, D: Dialect>(core: &Core<S, D>) {
-    let crowded: Vec<(Replica, u32)> = core.pool().crowded().collect();
+    let crowded = core.pool().crowded(rand::random);
     for (replica, count) in crowded {
         for _ in 0..count {
             let mut runs = core.runs();
@@ -175,30 +177,36 @@
     };
     let mut candidates = candidates(core);
     candidates.sort_by_key(|c| c.submitted_ms);
+    let now = clock::now();
+    let waiting = candidates.len() as u32;
+    core.runs().waiting = waiting;
+    let all = waiting + core.peers().waiting(now);
+    let mut budgets: HashMap<CompactString, u32> = HashMap::new();
     let wall_ms = clock::wall().as_millis() as u64;
-    let mut started = 0;
     for candidate in candidates {
         let shard = jobs::shard(core, &candidate.id.0);
-        let Some(submission) = shard
-            .ledger()
-            .job(&candidate.id.0)
-            .map(|j| j.submission.clone())
-        else {
+        let ledger = shard.ledger();
+        let Some(job) = ledger.job(&candidate.id.0) else {
             continue;
         };
-        let age = Duration::from_millis(wall_ms.saturating_sub(submission.submitted_ms));
-        match jobs::route(&manifest, &submission) {
-            Some(route) if age > route.batch.give_up + GIVE_UP_MARGIN => {
-                finish(core, &candidate, End::GivenUp, "give_up_time");
-            }
-            Some(route) if started < MAX_STARTS => {
-                if launch(core, route, &submission, &candidate) {
-                    started += 1;
-                } else {
-                    started = MAX_STARTS;
-                }
-            }
-            _ => {}
+        let age = Duration::from_millis(wall_ms.saturating_sub(candidate.submitted_ms));
+        let Some(route) = jobs::route(&manifest, &job.submission) else {
+            continue;
+        };
+        if age > route.batch.give_up + GIVE_UP_MARGIN {
+            drop(ledger);
+            finish(core, &candidate, End::GivenUp, "give_up_time");
+            continue;
+        }
+        let Some(service) = route.service(rand::random()) else {
+            continue;
+        };
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            let free = core.pool().free(now, service, RESERVE);
+            share(free, waiting, all, rand::random())
+        });
+        if *budget > 0 && launch(core, route, service, &job.submission, &candidate) {
+            *budget -= 1;
         }
     }
 }
@@ -237,12 +245,10 @@
 fn launch<S: Store, D: Dialect>(
     core: &Core<S, D>,
     route: &Route,
+    service: &str,
     submission: &Submission,
     candidate: &Candidate,
 ) -> bool {
-    let Some(service) = route.service(rand::random()) else {
-        return false;
-    };
     let Some(pick) = core
         .pool()
         .pick_batch(clock::now(), service, RESERVE, rand::random())
