Test the gateway between scripted replicas and a store in memory

Cause: two faults found by tests that failed first. An end that reached a daemon whose ledger lagged was refused; a submission while the store refused appends was answered 'may have run' (504) though nothing was sent. Change: an end looks at the ledger's end before it is ordered; operations are told to be void as soon as appends fail for 400 ms. Ended jobs are forgotten after their time; metrics have an address; a hang-up signal ends nothing.

--- a/crates/coordination/src/fleet/manifest.rs
+++ b/crates/coordination/src/fleet/manifest.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 
 /// What may be repeated, and how a route answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
     /// Calls that may run more than once.
     Idempotent,
@@ -34,7 +35,7 @@
 }
 
 /// Terms of a batch route.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Batch {
     /// Time from the first submission to the due time of all results.
     pub due: Duration,
@@ -45,7 +46,7 @@
 }
 
 /// Service with its share of a route's requests.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Backend {
     /// Service name.
     pub service: CompactString,
@@ -54,7 +55,7 @@
 }
 
 /// Route of a manifest.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Name for logs.
     pub name: CompactString,
@@ -97,7 +98,7 @@
 }
 
 /// Bounds on what a client sends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// Bytes of a request body.
     pub max_body: usize,
@@ -108,7 +109,7 @@
 }
 
 /// What the operator wants, as of one version.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Manifest {
     /// Version; a higher one replaces a lower one.
     pub version: u64,
--- a/crates/coordination/src/fleet/replica.rs
+++ b/crates/coordination/src/fleet/replica.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 
 /// Whether a replica takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Stage {
     /// Takes work.
     Ready,
@@ -14,7 +15,7 @@
 }
 
 /// Listed replica of a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Replica {
     /// Id, unique until its machine starts it again.
     pub id: CompactString,
--- a/crates/coordination/src/fleet/work.rs
+++ b/crates/coordination/src/fleet/work.rs
@@ -53,12 +53,18 @@
     /// Whether this daemon starts an item now.
     #[must_use]
     pub fn is_mine(&self, item: &Item<'_>) -> bool {
-        let owner = if self.members.contains(&item.owner) {
-            item.owner
+        self.is_responsible(item.job, item.owner) && !self.peers.runs(self.now, item.short)
+    }
+
+    /// Whether this daemon looks after a job.
+    #[must_use]
+    pub fn is_responsible(&self, job: &str, owner: SocketAddr) -> bool {
+        let owner = if self.members.contains(&owner) {
+            owner
         } else {
-            self.heir(item.job)
+            self.heir(job)
         };
-        owner == self.me && !self.peers.runs(self.now, item.short)
+        owner == self.me
     }
 
     fn heir(&self, job: &str) -> SocketAddr {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::ops::Deref;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -11,10 +11,10 @@
 use smol::{Executor, Task};
 
 use crate::channel::Connector;
-use crate::clock;
 use crate::dialect::Dialect;
 use crate::log;
 use crate::metrics::Metrics;
+use crate::reach::Reach;
 use crate::runner::Runs;
 use crate::settings::Settings;
 use crate::shard::Shard;
@@ -40,12 +40,9 @@
     peers: Mutex<Peers>,
     pool: Mutex<Pool>,
     leaving: AtomicBool,
+    closes: AtomicBool,
     has_replicas: AtomicBool,
-    /// Time of the first call to the store that failed since one was answered,
-    /// in milliseconds of the boot clock; 0 if none failed.
-    store_failed_ms: AtomicU64,
-    /// Time at which the store last came back, likewise; 0 if it was never away.
-    store_back_ms: AtomicU64,
+    store_reach: Reach,
 }
 
 /// Handle to the tables.
@@ -65,9 +62,6 @@
     }
 }
 
-/// Time for which calls to the store fail before it counts as away.
-const STORE_FAILS: Duration = Duration::from_millis(400);
-
 impl<S: Store, D: Dialect> Core<S, D> {
     pub(crate) fn new(
         settings: Settings,
@@ -94,9 +88,9 @@
             peers: Mutex::default(),
             pool: Mutex::new(pool),
             leaving: AtomicBool::new(false),
+            closes: AtomicBool::new(false),
             has_replicas: AtomicBool::new(false),
-            store_failed_ms: AtomicU64::new(0),
-            store_back_ms: AtomicU64::new(0),
+            store_reach: Reach::default(),
         }))
     }
 
@@ -157,6 +151,16 @@
         self.stopping.notify(usize::MAX);
     }
 
+    /// Whether client connections are to be closed.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closes.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn close(&self) {
+        self.closes.store(true, Ordering::Relaxed);
+        self.closing.notify(usize::MAX);
+    }
+
     pub(crate) fn replicas_read(&self) {
         self.has_replicas.store(true, Ordering::Relaxed);
     }
@@ -167,36 +171,22 @@
 
     /// Notes an answer of the store.
     pub(crate) fn store_answered(&self) {
-        let now = clock::now();
-        if self.is_store_away(now) {
-            self.store_back_ms
-                .store(now.as_millis() as u64, Ordering::Relaxed);
-        }
-        self.store_failed_ms.store(0, Ordering::Relaxed);
+        self.store_reach.answered();
     }
 
     /// Notes a call to the store that failed.
     pub(crate) fn store_failed(&self, call: &str, error: &Failure) {
         log::store(call, error);
-        let now = clock::now().as_millis() as u64;
-        // An earlier failure stands.
-        let _stands =
-            self.store_failed_ms
-                .compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed);
+        self.store_reach.failed();
     }
 
     /// Whether calls to the store have failed for a while.
     pub(crate) fn is_store_away(&self, now: Duration) -> bool {
-        let failed = ms(&self.store_failed_ms);
-        !failed.is_zero() && now.saturating_sub(failed) > STORE_FAILS
+        self.store_reach.is_away(now)
     }
 
     /// Time at which the store last came back.
     pub(crate) fn store_back(&self) -> Option<Duration> {
-        Some(ms(&self.store_back_ms)).filter(|back| !back.is_zero())
+        self.store_reach.back()
     }
 }
-
-fn ms(value: &AtomicU64) -> Duration {
-    Duration::from_millis(value.load(Ordering::Relaxed))
-}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -1,13 +1,13 @@
 //! Start and stop of a daemon.
 
+use std::fmt;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use async_signal::{Signal, Signals};
 use bitterncart_state::ledger::Op;
-use futures_lite::StreamExt;
 use smol::Executor;
 use smol::net::UdpSocket;
 
@@ -16,7 +16,7 @@
 use crate::core::Core;
 use crate::dialect::Dialect;
 use crate::log;
-use crate::server::{self, Open};
+use crate::server::{self, Door, Open};
 use crate::settings::Settings;
 use crate::store::Store;
 use crate::{gossip, runner, shard, watch};
@@ -34,44 +34,99 @@
 /// Time for announcing this daemon in the ledger.
 const JOIN: Duration = Duration::from_secs(20);
 
-/// Runs a daemon until it is told to stop.
-///
-/// # Errors
-///
-/// If an address cannot be bound.
-pub async fn run<S: Store, D: Dialect>(
-    settings: Settings,
-    store: S,
-    dialect: D,
-    executor: Arc<Executor<'static>>,
-    connector: Connector,
-) -> io::Result<()> {
-    let signals = Signals::new([Signal::Term, Signal::Int])?;
-    let clients = server::bind(settings.clients).await?;
-    let ready = server::bind(settings.ready).await?;
-    let peers = UdpSocket::bind(settings.peers).await?;
-    let core = Core::new(settings, store, dialect, executor, connector);
-    log::started(&core.settings.name);
-    let open = Open::default();
-    core.spawn(server::listen(core.clone(), clients, Arc::clone(&open)))
-        .detach();
-    core.spawn(server::listen(core.clone(), ready, Open::default()))
-        .detach();
-    core.spawn(gossip::receive(core.clone(), peers.clone()))
-        .detach();
-    core.spawn(gossip::tell(core.clone(), peers)).detach();
-    core.spawn(watch::manifest(core.clone())).detach();
-    core.spawn(watch::replicas(core.clone())).detach();
-    core.spawn(watch::expire(core.clone())).detach();
-    core.spawn(runner::run(core.clone())).detach();
-    for number in 0..core.shards.len() {
-        core.spawn(shard::follow(core.clone(), number)).detach();
-        core.spawn(shard::write(core.clone(), number)).detach();
+/// Daemon that serves.
+pub struct Daemon<S: Store, D: Dialect> {
+    core: Core<S, D>,
+    open: Open,
+}
+
+impl<S: Store, D: Dialect> fmt::Debug for Daemon<S, D> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Daemon").finish_non_exhaustive()
+    }
+}
+
+impl<S: Store, D: Dialect> Daemon<S, D> {
+    /// Starts a daemon.
+    ///
+    /// # Errors
+    ///
+    /// If an address cannot be bound.
+    pub async fn start(
+        mut settings: Settings,
+        store: S,
+        dialect: D,
+        executor: Arc<Executor<'static>>,
+        connector: Connector,
+    ) -> io::Result<Self> {
+        let clients = server::bind(settings.clients).await?;
+        let ready = server::bind(settings.ready).await?;
+        let peers = UdpSocket::bind(settings.peers).await?;
+        settings.clients = clients.local_addr()?;
+        settings.peers = peers.local_addr()?;
+        let metrics = match settings.metrics {
+            Some(address) => Some(server::bind(address).await?),
+            None => None,
+        };
+        let core = Core::new(settings, store, dialect, executor, connector);
+        log::started(&core.settings.name);
+        let open = Open::default();
+        let listen = |listener, door, open| {
+            core.spawn(server::listen(core.clone(), listener, door, open))
+                .detach();
+        };
+        listen(clients, Door::Clients, Arc::clone(&open));
+        listen(ready, Door::Ready, Open::default());
+        if let Some(metrics) = metrics {
+            listen(metrics, Door::Metrics, Open::default());
+        }
+        core.spawn(gossip::receive(core.clone(), peers.clone()))
+            .detach();
+        core.spawn(gossip::tell(core.clone(), peers)).detach();
+        core.spawn(watch::manifest(core.clone())).detach();
+        core.spawn(watch::replicas(core.clone())).detach();
+        core.spawn(watch::expire(core.clone())).detach();
+        core.spawn(runner::run(core.clone())).detach();
+        for number in 0..core.shards.len() {
+            core.spawn(shard::follow(core.clone(), number)).detach();
+            core.spawn(shard::write(core.clone(), number)).detach();
+        }
+        core.spawn(join(core.clone())).detach();
+        Ok(Self { core, open })
+    }
+
+    /// Address for clients, with the port that was given.
+    #[must_use]
+    pub fn clients(&self) -> SocketAddr {
+        self.core.settings.clients
+    }
+
+    /// Whether the daemon takes work.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.core.is_ready()
+    }
+
+    /// Version of the manifest in force.
+    #[must_use]
+    pub fn version(&self) -> Option<u64> {
+        self.core.manifest().map(|manifest| manifest.version)
+    }
+
+    /// Takes no more work, lets requests under way finish and returns.
+    pub async fn stop(&self) {
+        let (core, open) = (&self.core, &self.open);
+        log::stopping(&core.settings.name);
+        let begun = clock::now();
+        core.leave();
+        smol::Timer::after(STILL_CHOSEN).await;
+        core.close();
+        let end = begun + core.settings.stop().saturating_sub(MARGIN);
+        while open.load(Ordering::Relaxed) > 0 && clock::now() < end {
+            smol::Timer::after(LOOK).await;
+        }
+        log::stopped(&core.settings.name, open.load(Ordering::Relaxed));
     }
-    core.spawn(join(core.clone())).detach();
-    told_to_stop(signals).await;
-    stop(&core, &open).await;
-    Ok(())
 }
 
 /// Announces this daemon, so that others find it.
@@ -83,24 +138,3 @@
         .is_err()
     {}
 }
-
-async fn told_to_stop(mut signals: Signals) {
-    while let Some(signal) = signals.next().await {
-        if matches!(signal, Ok(Signal::Term | Signal::Int)) {
-            return;
-        }
-    }
-}
-
-async fn stop<S: Store, D: Dialect>(core: &Core<S, D>, open: &Open) {
-    log::stopping(&core.settings.name);
-    let begun = clock::now();
-    core.leave();
-    smol::Timer::after(STILL_CHOSEN).await;
-    core.closing.notify(usize::MAX);
-    let end = begun + core.settings.stop().saturating_sub(MARGIN);
-    while open.load(Ordering::Relaxed) > 0 && clock::now() < end {
-        smol::Timer::after(LOOK).await;
-    }
-    log::stopped(&core.settings.name, open.load(Ordering::Relaxed));
-}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -58,9 +58,6 @@
     /// Call about a batch job, if the request is one.
     fn call(&self, method: &Method, uri: &Uri) -> Option<Call>;
 
-    /// Whether the request asks if the daemon is ready.
-    fn is_ready_probe(&self, uri: &Uri) -> bool;
-
     /// Items of a submission.
     ///
     /// # Errors
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -19,7 +19,7 @@
 use crate::store::Store;
 
 /// Time for the store to take a change.
-const CHANGE: Duration = Duration::from_millis(2500);
+const CHANGE: Duration = Duration::from_millis(1500);
 
 /// Time for a look at the end of the ledger.
 const LOOK: Duration = Duration::from_millis(1500);
@@ -220,19 +220,14 @@
 }
 
 async fn end<S: Store, D: Dialect>(core: &Core<S, D>, id: CompactString) -> Response<Body> {
-    if shard(core, &id)
-        .ledger()
-        .job(&id)
-        .is_some_and(|job| job.cancelled)
-    {
-        return empty(StatusCode::OK);
+    match known(core, &id, |job| job.cancelled).await {
+        Ok(true) => return empty(StatusCode::OK),
+        Ok(false) => {}
+        Err(code) => return refuse(core, &id, code),
     }
     let order = shard(core, &id).order(Op::Cancel(id.clone()), clock::now() + CHANGE);
     match order.await {
-        Ok(Verdict::Unknown) => match known(core, &id, |_| ()).await {
-            Err(code) => refuse(core, &id, code),
-            Ok(()) => refuse(core, &id, Code::LogUnavailable),
-        },
+        Ok(Verdict::Unknown) => refuse(core, &id, Code::NotFound),
         Ok(_) => {
             log::ended(&id);
             empty(StatusCode::OK)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod jobs;
 mod metrics;
 mod online;
+mod reach;
 mod runner;
 mod server;
 mod shard;
@@ -31,7 +32,7 @@
 pub mod store;
 
 pub use channel::Connector;
-pub use daemon::run;
+pub use daemon::Daemon;
 pub use dialect::Dialect;
 pub use settings::Settings;
 pub use store::Store;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -29,6 +29,11 @@
     }
 }
 
+/// Tells that a hang-up signal changed nothing.
+pub fn settings_kept() {
+    info!("hang-up signal; the settings in force are kept");
+}
+
 pub(crate) fn attempt(
     id: &str,
     route: &Route,
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -52,6 +52,16 @@
 /// at again.
 const OFFER: Duration = Duration::from_secs(30);
 
+/// Time between looks for jobs that nobody needs any more.
+const FORGET: Duration = Duration::from_secs(5);
+
+/// Time beyond the stated one for which ended jobs are kept, for clocks that
+/// differ.
+const KEEP_MARGIN: Duration = Duration::from_secs(10);
+
+/// Jobs that are dropped in one look.
+const MAX_FORGET: usize = 20;
+
 /// Item of a job.
 pub(crate) type Id = (CompactString, u32);
 
@@ -122,6 +132,7 @@
 
 /// Starts and stops runs.
 pub(crate) async fn run<S: Store, D: Dialect>(core: Core<S, D>) {
+    core.spawn(forget(core.clone())).detach();
     for look in 0_u32.. {
         smol::Timer::after(TICK).await;
         give_way(&core);
@@ -136,6 +147,40 @@
     }
 }
 
+/// Drops ended jobs that nobody needs any more.
+async fn forget<S: Store, D: Dialect>(core: Core<S, D>) {
+    loop {
+        smol::Timer::after(FORGET).await;
+        let wall_ms = clock::wall().as_millis() as u64;
+        let keep_ms = (core.settings.keep() + KEEP_MARGIN).as_millis() as u64;
+        for shard in &core.shards {
+            let over: Vec<CompactString> = {
+                let ledger = shard.ledger();
+                let peers = core.peers();
+                let work = Work::new(core.me(), clock::now(), &peers);
+                ledger
+                    .jobs()
+                    .map(|(_, job)| job)
+                    .filter(|job| job.is_over(wall_ms, keep_ms))
+                    .map(|job| &job.submission)
+                    .filter(|job| work.is_responsible(&job.id, job.owner))
+                    .map(|job| job.id.clone())
+                    .take(MAX_FORGET)
+                    .collect()
+            };
+            for id in over {
+                if shard
+                    .order(Op::Forget(id), clock::now() + OFFER)
+                    .await
+                    .is_err()
+                {
+                    break;
+                }
+            }
+        }
+    }
+}
+
 /// Stops runs where online requests want the places.
 fn give_way<S: Store, D: Dialect>(core: &Core<S, D>) {
     let crowded = core.pool().crowded(rand::random);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -49,10 +49,22 @@
 /// Open connections.
 pub(crate) type Open = Arc<AtomicUsize>;
 
+/// Who connects to an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Door {
+    /// Clients.
+    Clients,
+    /// The balancer, to ask whether the daemon is ready.
+    Ready,
+    /// Whoever reads the metrics.
+    Metrics,
+}
+
 /// Accepts connections on an address.
 pub(crate) async fn listen<S: Store, D: Dialect>(
     core: Core<S, D>,
     listener: TcpListener,
+    door: Door,
     open: Open,
 ) {
     loop {
@@ -63,7 +75,7 @@
                 let core = core.clone();
                 let executor = Arc::clone(&core.executor);
                 let task = async move {
-                    connection(core, stream).await;
+                    connection(core, stream, door).await;
                     open.fetch_sub(1, Ordering::Relaxed);
                 };
                 executor.spawn(task).detach();
@@ -81,14 +93,14 @@
     TcpListener::bind(address).await
 }
 
-async fn connection<S: Store, D: Dialect>(core: Core<S, D>, stream: TcpStream) {
+async fn connection<S: Store, D: Dialect>(core: Core<S, D>, stream: TcpStream, door: Door) {
     if tune(&stream).is_err() {
         return;
     }
     let closing = core.closing.listen();
     let service = service_fn(|request| {
         let core = core.clone();
-        async move { Ok::<_, Infallible>(respond(&core, request).await) }
+        async move { Ok::<_, Infallible>(respond(&core, request, door).await) }
     });
     let mut connection = std::pin::pin!(
         http1::Builder::new()
@@ -97,7 +109,9 @@
             .serve_connection(FuturesIo::new(stream), service)
     );
     let closed = future::or(async { Some(connection.as_mut().await) }, async {
-        closing.await;
+        if !core.is_closing() {
+            closing.await;
+        }
         None
     })
     .await;
@@ -111,9 +125,14 @@
 async fn respond<S: Store, D: Dialect>(
     core: &Core<S, D>,
     request: Request<Incoming>,
+    door: Door,
 ) -> Response<Body> {
     let arrived = clock::now();
-    let mut response = route(core, request, arrived).await;
+    let mut response = match door {
+        Door::Clients => route(core, request, arrived).await,
+        Door::Ready => ready(core),
+        Door::Metrics => Response::new(Body::whole(core.metrics.text().into())),
+    };
     *response.version_mut() = Version::HTTP_11;
     if core.is_leaving() {
         let close = HeaderValue::from_static("close");
@@ -122,19 +141,19 @@
     response
 }
 
+fn ready<S: Store, D: Dialect>(core: &Core<S, D>) -> Response<Body> {
+    let mut response = Response::new(Body::Whole(None));
+    if !core.is_ready() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
 async fn route<S: Store, D: Dialect>(
     core: &Core<S, D>,
     request: Request<Incoming>,
     arrived: Duration,
 ) -> Response<Body> {
-    if core.dialect.is_ready_probe(request.uri()) {
-        let ready = core.is_ready();
-        let mut response = Response::new(Body::Whole(None));
-        if !ready {
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-        }
-        return response;
-    }
     let manifest = core.manifest();
     let max_body = manifest
         .as_ref()
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -40,10 +40,19 @@
     #[serde(default = "Settings::default_shards")]
     #[schemars(range(min = 1, max = 64))]
     pub shards: u16,
-    /// Time between the order to stop and the kill, in milliseconds.
-    #[serde(default = "Settings::default_stop_ms")]
-    #[schemars(range(min = 1000, max = 600_000))]
-    pub stop_ms: u64,
+    /// TCP address for metrics as text.
+    #[serde(default)]
+    #[schemars(with = "Option<String>", regex(pattern = ADDRESS))]
+    pub metrics: Option<SocketAddr>,
+    /// Time for which an ended job can be read after its submission, in
+    /// seconds.
+    #[serde(default = "Settings::default_keep_s")]
+    #[schemars(range(min = 1.0, max = 31_536_000.0))]
+    pub keep_s: f64,
+    /// Time between the order to stop and the kill, in seconds.
+    #[serde(default = "Settings::default_stop_s")]
+    #[schemars(range(min = 1.0, max = 600.0))]
+    pub stop_s: f64,
 }
 
 impl Settings {
@@ -51,14 +60,24 @@
         1
     }
 
-    fn default_stop_ms() -> u64 {
-        8000
+    fn default_keep_s() -> f64 {
+        3600.0
+    }
+
+    fn default_stop_s() -> f64 {
+        8.0
     }
 
     /// Time between the order to stop and the kill.
     #[must_use]
     pub fn stop(&self) -> Duration {
-        Duration::from_millis(self.stop_ms)
+        Duration::from_secs_f64(self.stop_s)
+    }
+
+    /// Time for which an ended job can be read after its submission.
+    #[must_use]
+    pub fn keep(&self) -> Duration {
+        Duration::from_secs_f64(self.keep_s)
     }
 
     /// Settings of a JSON text with comments.
--- a/crates/gateway/src/shard.rs
+++ b/crates/gateway/src/shard.rs
@@ -17,6 +17,7 @@
 use crate::core::Core;
 use crate::dialect::Dialect;
 use crate::log;
+use crate::reach::Reach;
 use crate::store::{Failure, Page, Read, Store, Topic};
 
 /// Time that a read of the ledger is kept waiting by the store.
@@ -36,7 +37,7 @@
 const MAX_GROUP: usize = 64;
 
 /// Time beyond its own that an operation waits for its verdict.
-const GRACE: Duration = Duration::from_millis(50);
+const GRACE: Duration = Duration::from_millis(300);
 
 /// Longest random pause after another daemon's append came first.
 const CONTENTION: Duration = Duration::from_millis(6);
@@ -73,6 +74,7 @@
     ledger: Mutex<Ledger>,
     loaded: AtomicBool,
     loading: smol::lock::Mutex<()>,
+    appends: Reach,
     /// Notified when records were folded.
     pub changed: Event,
     orders: Sender<Order>,
@@ -87,6 +89,7 @@
             ledger: Mutex::default(),
             loaded: AtomicBool::new(false),
             loading: smol::lock::Mutex::new(()),
+            appends: Reach::default(),
             changed: Event::new(),
             orders,
             inbox,
@@ -102,6 +105,11 @@
         self.loaded.load(Ordering::Acquire)
     }
 
+    /// Whether appends have failed for a while.
+    pub(crate) fn is_away(&self, now: Duration) -> bool {
+        self.appends.is_away(now)
+    }
+
     fn topic(&self) -> Topic {
         Topic::Ledger(self.number)
     }
@@ -260,6 +268,7 @@
         if !shard.is_loaded() {
             if let Err(e) = shard.catch_up(&core).await {
                 core.store_failed("load", &e);
+                refuse(&core, shard, &mut orders);
                 smol::Timer::after(PAUSE).await;
             }
             continue;
@@ -293,6 +302,17 @@
     });
 }
 
+/// Tells operations that have no effect so, all of them if the store is away.
+fn refuse<S: Store, D: Dialect>(core: &Core<S, D>, shard: &Shard, orders: &mut Vec<Order>) {
+    let now = clock::now();
+    if core.is_store_away(now) || shard.is_away(now) {
+        for order in orders.drain(..) {
+            order.tell(Err(Undecided::Void));
+        }
+    }
+    expire(orders, Undecided::Void);
+}
+
 /// Appends a group; `false` if it has to be planned anew.
 async fn append<S: Store, D: Dialect>(
     core: &Core<S, D>,
@@ -309,6 +329,7 @@
         {
             Ok(_) => {
                 core.store_answered();
+                shard.appends.answered();
                 shard.fold(&Read {
                     from: group.at,
                     records: group.records.clone(),
@@ -318,13 +339,15 @@
             }
             Err(Failure::Moved) => {
                 core.store_answered();
+                shard.appends.answered();
                 return settle(core, shard, orders, lost).await;
             }
             Err(e) => {
                 lost |= !e.has_no_effect();
                 core.store_failed("append", &e);
+                shard.appends.failed();
                 if !lost {
-                    expire(orders, Undecided::Void);
+                    refuse(core, shard, orders);
                     smol::Timer::after(PAUSE).await;
                     return false;
                 }
@@ -352,7 +375,7 @@
                 if lost {
                     tell_unknown(orders);
                 } else {
-                    expire(orders, Undecided::Void);
+                    refuse(core, shard, orders);
                 }
                 smol::Timer::after(PAUSE).await;
             }
--- /dev/null
+++ b/crates/gateway/tests/gateway/main.rs
@@ -0,0 +1,8 @@
+//! A daemon between clients, scripted replicas and a store in memory.
+
+mod batch;
+mod discovery;
+mod online;
+mod replica;
+mod store;
+mod world;
--- a/crates/state/src/ledger/entry.rs
+++ b/crates/state/src/ledger/entry.rs
@@ -89,6 +89,13 @@
         !self.cancelled && self.results.len() < self.submission.items.len()
     }
 
+    /// Whether nobody needs it any more: it has ended, and was submitted
+    /// longer ago than results are kept.
+    #[must_use]
+    pub fn is_over(&self, wall_ms: u64, keep_ms: u64) -> bool {
+        !self.is_open() && wall_ms.saturating_sub(self.submission.submitted_ms) > keep_ms
+    }
+
     /// Indexes of the items that are not listed.
     pub fn unlisted(&self) -> impl Iterator<Item = u32> {
         let listed = self.listed.iter().enumerate();
