Count failed attempts in the ledger, and listen before inheriting items

Change: an heir starts nothing before it has listened for 1.2 s, also after it stood still; each failure is a record of the ledger.

--- a/crates/coordination/src/fleet/peers.rs
+++ b/crates/coordination/src/fleet/peers.rs
@@ -16,6 +16,9 @@
 /// Silence after which a peer counts as gone.
 pub const SILENCE: Duration = Duration::from_millis(1200);
 
+/// Time between two looks after which a daemon stood still.
+const STOOD_STILL: Duration = Duration::from_millis(600);
+
 /// Age after which a peer's load is no longer counted.
 const STALE: Duration = Duration::from_millis(800);
 
@@ -67,6 +70,8 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     peers: HashMap<SocketAddr, Peer>,
+    looked: Option<Duration>,
+    settles_at: Duration,
 }
 
 impl Peers {
@@ -82,6 +87,27 @@
         }
     }
 
+    /// Notes that this daemon runs. After its start, and after a time in which
+    /// it stood still, it has to listen before silence tells it anything.
+    pub fn look(&mut self, now: Duration) {
+        let stood_still = self
+            .looked
+            .is_none_or(|last| now.saturating_sub(last) > STOOD_STILL);
+        if stood_still {
+            self.settles_at = now + SILENCE;
+        }
+        self.looked = Some(now);
+    }
+
+    /// Whether this daemon has listened long enough to know who is silent.
+    #[must_use]
+    pub fn is_settled(&self, now: Duration) -> bool {
+        let looks = self
+            .looked
+            .is_some_and(|last| now.saturating_sub(last) <= STOOD_STILL);
+        looks && now >= self.settles_at
+    }
+
     /// Whether a peer was heard lately and stays.
     #[must_use]
     pub fn is_serving(&self, now: Duration, peer: &SocketAddr) -> bool {
--- a/crates/coordination/src/fleet/work.rs
+++ b/crates/coordination/src/fleet/work.rs
@@ -1,7 +1,8 @@
 //! Work: which daemon runs a batch item, and in which order.
 //!
 //! The daemon that accepted a job runs its items while it lives; otherwise
-//! the live peer with the highest rendezvous score does. An item that a live
+//! the live peer with the highest rendezvous score does, once it has listened
+//! long enough to know who is silent. An item that a live
 //! peer reports as running is left to it, so that a change of owner does not
 //! run items twice.
 
@@ -59,12 +60,11 @@
     /// Whether this daemon looks after a job.
     #[must_use]
     pub fn is_responsible(&self, job: &str, owner: SocketAddr) -> bool {
-        let owner = if self.members.contains(&owner) {
-            owner
-        } else {
-            self.heir(job)
-        };
-        owner == self.me
+        match owner {
+            owner if owner == self.me => true,
+            owner if self.members.contains(&owner) => false,
+            _ => self.peers.is_settled(self.now) && self.heir(job) == self.me,
+        }
     }
 
     fn heir(&self, job: &str) -> SocketAddr {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -51,6 +51,7 @@
     for seq in 1_u64.. {
         smol::Timer::after(CHANGED).await;
         let now = clock::now();
+        core.peers().look(now);
         let running = core.runs().running();
         let notice = Notice {
             from: core.me(),
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -445,23 +445,34 @@
         finish(&self.core, &self.candidate(), end, why);
     }
 
-    /// Counts an answer with a failure.
+    /// Counts an answer with a failure, for whichever daemon runs the item
+    /// next.
     fn failed(self) {
+        let (job, index) = &self.id;
+        let shard = jobs::shard(&self.core, job);
+        let counted = shard.ledger().job(job).map(|j| j.failures[*index as usize]);
         let mut runs = self.core.runs();
-        let failures = match runs.runs.get_mut(&self.id) {
-            Some(run) => {
-                run.failures += 1;
-                run.rests_until = clock::now() + PAUSE;
-                run.failures
-            }
-            None => return,
+        let Some(run) = runs.runs.get_mut(&self.id) else {
+            return;
         };
+        run.failures = run.failures.max(counted.unwrap_or(0)).saturating_add(1);
+        let failures = run.failures;
         drop(runs);
         if u32::from(failures) >= self.max_attempts {
-            self.end(End::GivenUp, "attempts_exhausted");
-        } else {
-            self.pause();
+            return self.end(End::GivenUp, "attempts_exhausted");
         }
+        log::item(job, *index, "failed");
+        let op = Op::Fail(job.clone(), *index, failures);
+        let core = self.core.clone();
+        let job = job.clone();
+        let count = async move {
+            // If it is not counted, the next daemon has one more attempt.
+            let _counted = jobs::shard(&core, &job)
+                .order(op, clock::now() + OFFER)
+                .await;
+        };
+        self.core.spawn(count).detach();
+        self.pause();
     }
 
     fn broke(self, outcome: Outcome) {
--- a/crates/gateway/tests/gateway/batch.rs
+++ b/crates/gateway/tests/gateway/batch.rs
@@ -177,3 +177,23 @@
         assert_eq!(replica.requests().len(), 2);
     });
 }
+
+/// Attempts that failed at a daemon count for the one that goes on.
+#[test]
+fn failures_are_counted_over_daemons() {
+    smol::block_on(async {
+        let fails = Act::Answer(500, "signature: s\r\ncontent-length: 0\r\n", "");
+        let replica = Scripted::start("r", vec![vec![fails]]).await;
+        let store = store(&[&replica]);
+        let (one, two) = (Running::start(&store).await, Running::start(&store).await);
+        let job = request("POST", "/items/", "job", "one\n");
+        assert_eq!(status(&one.ask(&job).await), 202);
+        until("a counted failure", || store.count("f/job") > 0).await;
+        let before = store.count("f/job");
+        drop(one);
+        assert_eq!(results(&two, "job", 1).await, ["0 one given up"]);
+        // The first daemon may have had one more answer that it could not count.
+        let runs = replica.requests().len();
+        assert!((3..=4).contains(&runs), "{runs} runs, {before} counted");
+    });
+}
