--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -171,13 +171,17 @@
 
     /// Notes an answer of the store.
     pub(crate) fn store_answered(&self) {
-        self.store_reach.answered();
+        if let Some(failed) = self.store_reach.answered() {
+            log::store_answers(failed);
+        }
     }
 
     /// Notes a call to the store that failed.
     pub(crate) fn store_failed(&self, call: &str, error: &Failure) {
-        log::store(call, error);
-        self.store_reach.failed();
+        self.metrics.store(call);
+        if self.store_reach.failed() {
+            log::store_fails(call, error);
+        }
     }
 
     /// Whether calls to the store have failed for a while.
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -65,8 +65,13 @@
     info!("run of an item ended", kv: { job, index, end });
 }
 
-pub(crate) fn store(call: &str, error: &Failure) {
-    warn!("call to the store failed", kv: { call, why: = error });
+pub(crate) fn store_fails(call: &str, error: &Failure) {
+    warn!("calls to the store fail", kv: { call, why: = error });
+}
+
+pub(crate) fn store_answers(failed: Duration) {
+    let failed_ms = failed.as_millis() as u64;
+    info!("the store answers again", kv: { failed_ms });
 }
 
 pub(crate) fn loaded(shard: u16, offset: u64) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,6 +40,10 @@
         ));
     }
 
+    pub(crate) fn store(&self, call: &str) {
+        self.add(format_compact!("store_failures_total{{call=\"{call}\"}}"));
+    }
+
     pub(crate) fn gave_way(&self) {
         self.add("batch_gave_way_total".into());
     }
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -18,20 +18,24 @@
 }
 
 impl Reach {
-    pub(crate) fn answered(&self) {
+    /// Notes an answer; tells how long calls had failed.
+    pub(crate) fn answered(&self) -> Option<Duration> {
         let now = clock::now();
         if self.is_away(now) {
             self.back_ms.store(millis(now), Ordering::Relaxed);
         }
-        self.failed_ms.store(0, Ordering::Relaxed);
+        match self.failed_ms.swap(0, Ordering::Relaxed) {
+            0 => None,
+            since => Some(now.saturating_sub(Duration::from_millis(since))),
+        }
     }
 
-    pub(crate) fn failed(&self) {
+    /// Notes a failure; tells whether it is the first since an answer.
+    pub(crate) fn failed(&self) -> bool {
         let now = millis(clock::now());
-        // An earlier failure stands.
-        let _stands = self
-            .failed_ms
-            .compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed);
+        self.failed_ms
+            .compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed)
+            .is_ok()
     }
 
     /// Whether calls have failed for a while.
--- a/crates/gateway/src/shard.rs
+++ b/crates/gateway/src/shard.rs
@@ -329,7 +329,7 @@
         {
             Ok(_) => {
                 core.store_answered();
-                shard.appends.answered();
+                let _failed = shard.appends.answered();
                 shard.fold(&Read {
                     from: group.at,
                     records: group.records.clone(),
@@ -339,13 +339,14 @@
             }
             Err(Failure::Moved) => {
                 core.store_answered();
-                shard.appends.answered();
+                let _failed = shard.appends.answered();
                 return settle(core, shard, orders, lost).await;
             }
             Err(e) => {
                 lost |= !e.has_no_effect();
                 core.store_failed("append", &e);
-                shard.appends.failed();
+                // The store's own record of failures logs it.
+                let _first = shard.appends.failed();
                 if !lost {
                     refuse(core, shard, orders);
                     smol::Timer::after(PAUSE).await;
