Pace notices by the number of peers, shard the ledger, read it on demand

Change: notices to peers of the same data centre and of others are paced to 240 and 160 a second; four shards; a writer reads on before it plans; slower background reads, and reads on demand; picks spread over replicas that differ by about a request.

--- a/crates/coordination/src/fleet/peers.rs
+++ b/crates/coordination/src/fleet/peers.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bitterncart_protocol::hash;
+use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
 use super::pool::Load;
@@ -19,8 +20,27 @@
 /// Time between two looks after which a daemon stood still.
 const STOOD_STILL: Duration = Duration::from_millis(600);
 
-/// Age after which a peer's load is no longer counted.
-const STALE: Duration = Duration::from_millis(800);
+/// Times its period after which a peer's load is no longer counted.
+const STALE: u32 = 4;
+
+/// Shortest time between two notices to a peer.
+const SHORTEST: Duration = Duration::from_millis(50);
+
+/// Longest time between two notices to a peer; several fit into [`SILENCE`].
+const LONGEST: Duration = Duration::from_millis(350);
+
+/// Notices a second to the peers of the same data centre.
+const NEAR_RATE: u32 = 240;
+
+/// Notices a second to the peers of other data centres.
+const FAR_RATE: u32 = 160;
+
+/// Time between two notices to each of `count` peers, near or far.
+#[must_use]
+pub fn period(count: usize, near: bool) -> Duration {
+    let rate = if near { NEAR_RATE } else { FAR_RATE };
+    (Duration::from_secs(count as u64) / rate).clamp(SHORTEST, LONGEST)
+}
 
 /// Short name of a replica or item in datagrams.
 #[must_use]
@@ -48,6 +68,10 @@
     pub born_us: u64,
     /// Number within one run of the process.
     pub seq: u64,
+    /// Data centre.
+    pub data_centre: CompactString,
+    /// Time until the next notice to the same peer, in milliseconds.
+    pub period_ms: u32,
     /// Whether it is shutting down and starts nothing.
     pub leaving: bool,
     /// Whether it can append to the store.
@@ -66,6 +90,12 @@
     notice: Notice,
 }
 
+impl Peer {
+    fn stale(&self) -> Duration {
+        Duration::from_millis(u64::from(self.notice.period_ms)) * STALE
+    }
+}
+
 /// What the peers told.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -142,7 +172,7 @@
         let fresh = self
             .peers
             .values()
-            .filter(|p| now.saturating_sub(p.heard) < STALE);
+            .filter(|p| now.saturating_sub(p.heard) < p.stale());
         for row in fresh.flat_map(|p| &p.notice.load) {
             let sum = sums.entry(row.replica).or_default();
             sum.online += u32::from(row.online);
--- a/crates/coordination/src/fleet/pool.rs
+++ b/crates/coordination/src/fleet/pool.rs
@@ -43,6 +43,9 @@
 /// Share of a replica's places that a hop to another data centre weighs.
 const HOP_WEIGHT: f64 = 0.25;
 
+/// Requests by which replicas that are as good as one another may differ.
+const SPREAD: f64 = 1.2;
+
 /// Weight of a free place in another data centre beside one in this.
 const FAR_WEIGHT: f64 = 0.1;
 
@@ -218,7 +221,6 @@
         rested: bool,
         random: &mut impl FnMut() -> f64,
     ) -> Option<Key> {
-        const JITTER: f64 = 0.01;
         self.entries
             .iter()
             .filter(|(key, e)| {
@@ -227,20 +229,22 @@
                     && !tried.contains(key)
                     && (!rested || now >= e.rests_until)
             })
-            .map(|(key, e)| (key, self.cost(e) + JITTER * random()))
+            .map(|(key, e)| (key, self.cost(e, random())))
             .min_by(|a, b| a.1.total_cmp(&b.1))
             .map(|(key, _)| key)
     }
 
-    /// Share of the places in use, with what a hop adds.
-    fn cost(&self, entry: &Entry) -> f64 {
+    /// Share of the places in use, with what a hop adds. `random` spreads
+    /// requests over replicas that differ by less than [`SPREAD`], as other
+    /// daemons pick at the same time from the same view.
+    fn cost(&self, entry: &Entry, random: f64) -> f64 {
         let slots = f64::from(entry.replica.slots.max(1));
         let hop = if entry.replica.data_centre == self.data_centre {
             0.0
         } else {
             HOP_WEIGHT
         };
-        f64::from(entry.total()) / slots + hop
+        (f64::from(entry.total()) + SPREAD * random) / slots + hop
     }
 
     /// Replica of a service with a free place beyond `reserve` for a batch
--- a/crates/coordination/tests/fleet/work.rs
+++ b/crates/coordination/tests/fleet/work.rs
@@ -20,6 +20,8 @@
         from: address(from),
         born_us: 1,
         seq,
+        data_centre: "here".into(),
+        period_ms: 50,
         leaving: false,
         writes: true,
         waiting: 0,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::Notice;
-use bitterncart_coordination::fleet::peers::Row;
+use bitterncart_coordination::fleet::peers::{Row, period};
 use smol::net::UdpSocket;
 
 use crate::clock;
@@ -14,14 +14,14 @@
 use crate::log;
 use crate::store::Store;
 
-/// Time between notices while the load changes.
-const CHANGED: Duration = Duration::from_millis(50);
+/// Time between looks for notices to send.
+const LOOK: Duration = Duration::from_millis(50);
 
-/// Notices between two that are sent although nothing changed.
-const QUIET: u32 = 5;
+/// Time between notices that say nothing new.
+const QUIET: Duration = Duration::from_millis(250);
 
-/// Notices between two to peers that are not heard.
-const UNHEARD: u32 = 20;
+/// Time between notices to peers that are not heard.
+const UNHEARD: Duration = Duration::from_secs(1);
 
 /// Bytes of a datagram.
 const MAX_DATAGRAM: usize = 8192;
@@ -38,51 +38,75 @@
             },
             Err(e) => {
                 log::datagram(&e.to_string());
-                smol::Timer::after(CHANGED).await;
+                smol::Timer::after(LOOK).await;
             }
         }
     }
 }
 
+/// Peers that get the same notices.
+#[derive(Debug, Default)]
+struct Circle {
+    near: bool,
+    last: Option<Notice>,
+    sent: Duration,
+}
+
+impl Circle {
+    /// Sends what changed, or that nothing did, if it is time.
+    async fn tell(
+        &mut self,
+        socket: &UdpSocket,
+        now: Duration,
+        notice: &Notice,
+        to: &[SocketAddr],
+    ) {
+        let period = period(to.len(), self.near);
+        let since = now.saturating_sub(self.sent);
+        let notice = Notice {
+            period_ms: period.max(QUIET).as_millis() as u32,
+            ..notice.clone()
+        };
+        let is_new = self.last.as_ref().is_none_or(|last| {
+            let seq = notice.seq;
+            Notice {
+                seq,
+                ..last.clone()
+            } != notice
+        });
+        // A look may come a little early.
+        let due = since + LOOK / 4;
+        if due >= period.max(QUIET) || (is_new && due >= period) {
+            send(socket, &notice, to).await;
+            self.sent = now;
+            self.last = Some(notice);
+        }
+    }
+}
+
 /// Tells the peers.
 pub(crate) async fn tell<S: Store, D: Dialect>(core: Core<S, D>, socket: UdpSocket) {
     let born_us = clock::wall().as_micros() as u64;
-    let mut last: Option<Notice> = None;
+    let mut near = Circle {
+        near: true,
+        ..Circle::default()
+    };
+    let mut far = Circle::default();
+    let mut unheard_told = Duration::ZERO;
     for seq in 1_u64.. {
-        smol::Timer::after(CHANGED).await;
+        smol::Timer::after(LOOK).await;
         let now = clock::now();
         core.peers().look(now);
-        let running = core.runs().running();
-        let notice = Notice {
-            from: core.me(),
-            born_us,
-            seq,
-            leaving: core.is_leaving(),
-            writes: !core.is_store_away(now),
-            waiting: core.runs().waiting,
-            load: rows(&core),
-            running,
-        };
-        let changed = last.as_ref().is_none_or(|old| {
-            (old.leaving, old.writes, &old.load, &old.running)
-                != (notice.leaving, notice.writes, &notice.load, &notice.running)
-        });
-        let to_heard = changed || seq.is_multiple_of(u64::from(QUIET));
-        let to_unheard = seq.is_multiple_of(u64::from(UNHEARD));
-        let heard: BTreeSet<SocketAddr> = core.peers().live(now).map(|n| n.from).collect();
-        let Ok(bytes) = postcard::to_stdvec(&notice) else {
-            continue;
-        };
-        if to_heard {
-            send(&socket, &bytes, &heard).await;
-        }
-        if to_unheard {
-            let known = known(&core);
-            let unheard = known.difference(&heard).copied().collect();
-            send(&socket, &bytes, &unheard).await;
-        }
-        if to_heard {
-            last = Some(notice);
+        let notice = notice(&core, born_us, seq, now);
+        let (here, there) = heard(&core, now);
+        near.tell(&socket, now, &notice, &here).await;
+        far.tell(&socket, now, &notice, &there).await;
+        if now.saturating_sub(unheard_told) >= UNHEARD {
+            unheard_told = now;
+            let mut unheard = known(&core);
+            unheard.retain(|peer| !here.contains(peer) && !there.contains(peer));
+            let unheard: Vec<SocketAddr> = unheard.into_iter().collect();
+            send(&socket, &notice, &unheard).await;
         }
         let load = core.peers().load(now);
         core.pool()
@@ -90,6 +114,44 @@
     }
 }
 
+fn notice<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    born_us: u64,
+    seq: u64,
+    now: Duration,
+) -> Notice {
+    let runs = core.runs();
+    let (waiting, running) = (runs.waiting, runs.running());
+    drop(runs);
+    Notice {
+        from: core.me(),
+        born_us,
+        seq,
+        data_centre: core.settings.data_centre.clone(),
+        period_ms: UNHEARD.as_millis() as u32,
+        leaving: core.is_leaving(),
+        writes: !core.is_store_away(now),
+        waiting,
+        load: rows(core),
+        running,
+    }
+}
+
+/// Live peers of this data centre and of others.
+fn heard<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    now: Duration,
+) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    let peers = core.peers();
+    let all = peers
+        .live(now)
+        .map(|n| (n.from, n.data_centre == core.settings.data_centre));
+    let (near, far): (Vec<_>, Vec<_>) = all.partition(|(_, near)| *near);
+    let addresses =
+        |peers: Vec<(SocketAddr, bool)>| peers.into_iter().map(|(from, _)| from).collect();
+    (addresses(near), addresses(far))
+}
+
 fn rows<S: Store, D: Dialect>(core: &Core<S, D>) -> Vec<Row> {
     let pool = core.pool();
     let rows = pool.own().map(|(replica, load)| Row {
@@ -111,9 +173,14 @@
         .collect()
 }
 
-async fn send(socket: &UdpSocket, bytes: &[u8], peers: &BTreeSet<SocketAddr>) {
-    for peer in peers {
-        // A datagram that cannot be sent is one that got lost.
-        drop(socket.send_to(bytes, *peer).await);
+async fn send(socket: &UdpSocket, notice: &Notice, peers: &[SocketAddr]) {
+    match postcard::to_stdvec(notice) {
+        Ok(bytes) => {
+            for peer in peers {
+                // A datagram that cannot be sent is one that got lost.
+                drop(socket.send_to(&bytes, *peer).await);
+            }
+        }
+        Err(e) => log::datagram(&e.to_string()),
     }
 }
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -24,6 +24,9 @@
 /// Time for a look at the end of the ledger.
 const LOOK: Duration = Duration::from_millis(1500);
 
+/// Age of the ledger at which a read that finds nothing new looks at its end.
+const FRESH: Duration = Duration::from_millis(250);
+
 /// Longest time for which a read is kept waiting.
 const MAX_WAIT: Duration = Duration::from_millis(1000);
 
@@ -182,17 +185,16 @@
         .map_or(Duration::ZERO, Duration::from_millis)
         .min(MAX_WAIT);
     let shard = shard(core, id);
-    match listed {
-        (count, _) if after > count => {
-            // Another daemon has listed more.
-            if let Some(Err(e)) = within(LOOK, shard.catch_up(core)).await {
-                core.store_failed("look", &e);
-            }
-        }
-        (count, true) if after == count && !wait.is_zero() => {
-            within(wait, more(core, shard, id, after)).await;
+    let (mut count, open) = listed;
+    if after > count || (after == count && open && shard.age() > FRESH) {
+        // Another daemon may have listed more.
+        if let Some(Err(e)) = within(LOOK, shard.catch_up(core)).await {
+            core.store_failed("look", &e);
         }
-        _ => {}
+        count = shard.ledger().job(id).map_or(0, |job| job.results.len());
+    }
+    if open && after >= count && !wait.is_zero() {
+        within(wait, more(core, shard, id, after)).await;
     }
     let ledger = shard.ledger();
     let Some(job) = ledger.job(id) else {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -57,7 +57,7 @@
 
 impl Settings {
     fn default_shards() -> u16 {
-        1
+        4
     }
 
     fn default_keep_s() -> f64 {
--- a/crates/gateway/src/shard.rs
+++ b/crates/gateway/src/shard.rs
@@ -5,7 +5,7 @@
 //! there. If the answer is lost, the same append is made again: only one of
 //! the two can find the condition met, and reading on shows whether it did.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -24,8 +24,11 @@
 const WAIT: Duration = Duration::from_secs(2);
 
 /// Pause between reads that found something, so that one read brings several
-/// records.
-const PACE: Duration = Duration::from_millis(100);
+/// records. Whoever needs a later state reads on demand.
+const PACE: Duration = Duration::from_millis(700);
+
+/// Age at which a state is read on before something is decided on it.
+const FRESH: Duration = Duration::from_millis(60);
 
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(100);
@@ -75,6 +78,8 @@
     loaded: AtomicBool,
     loading: smol::lock::Mutex<()>,
     appends: Reach,
+    /// Time of the last answer that was read to the end.
+    read_at: AtomicU64,
     /// Notified when records were folded.
     pub changed: Event,
     orders: Sender<Order>,
@@ -90,6 +95,7 @@
             loaded: AtomicBool::new(false),
             loading: smol::lock::Mutex::new(()),
             appends: Reach::default(),
+            read_at: AtomicU64::new(0),
             changed: Event::new(),
             orders,
             inbox,
@@ -110,6 +116,12 @@
         self.appends.is_away(now)
     }
 
+    /// Age of what is folded.
+    pub(crate) fn age(&self) -> Duration {
+        let read_at = Duration::from_millis(self.read_at.load(Ordering::Relaxed));
+        clock::now().saturating_sub(read_at)
+    }
+
     fn topic(&self) -> Topic {
         Topic::Ledger(self.number)
     }
@@ -129,6 +141,8 @@
     }
 
     fn fold(&self, read: &Read) {
+        let now = clock::now().as_millis() as u64;
+        self.read_at.store(now, Ordering::Relaxed);
         let mut ledger = self.ledger();
         let fresh = (read.from..).zip(&read.records);
         let before = ledger.next();
@@ -265,12 +279,11 @@
         if orders.is_empty() {
             continue;
         }
-        if !shard.is_loaded() {
-            if let Err(e) = shard.catch_up(&core).await {
-                core.store_failed("load", &e);
-                refuse(&core, shard, &mut orders);
-                smol::Timer::after(PAUSE).await;
-            }
+        let is_old = !shard.is_loaded() || shard.age() > FRESH;
+        if is_old && let Err(e) = shard.catch_up(&core).await {
+            core.store_failed("load", &e);
+            refuse(&core, shard, &mut orders);
+            smol::Timer::after(PAUSE).await;
             continue;
         }
         let group = {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -19,7 +19,7 @@
 const SHORT_WAIT: Duration = Duration::from_millis(500);
 
 /// Pause between reads of the replicas' topic, which changes all the time.
-const PACE: Duration = Duration::from_millis(300);
+const PACE: Duration = Duration::from_millis(600);
 
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(150);
--- a/crates/gateway/tests/gateway/world.rs
+++ b/crates/gateway/tests/gateway/world.rs
@@ -138,7 +138,7 @@
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
         let text = format!(
             r#"{{"name": "d", "data_centre": "here", "clients": "{any}", "ready": "{any}",
-                "peers": "{any}", "store": "{any}"}}"#
+                "peers": "{any}", "store": "{any}", "shards": 1}}"#
         );
         let settings = Settings::parse(&text).expect("settings");
         let executor = Arc::new(Executor::new());
