Send a request to the least used of three near and two far replicas

Cause: on the grown fleet the daemons of a data centre all sent the onset of a peak to the few replicas that looked empty on a view 150 ms old: up to 26 requests more than seen at one replica, first events after 1 s. Change: the least used of a few that are drawn at random; a log line an answer with replica, load seen and latency; latency histograms in the metrics.

--- a/crates/coordination/src/fleet/pool.rs
+++ b/crates/coordination/src/fleet/pool.rs
@@ -43,6 +43,14 @@
 /// Share of a replica's places that a hop to another data centre weighs.
 const HOP_WEIGHT: f64 = 0.25;
 
+/// Replicas of this data centre among which a request goes to the least used.
+/// Few, as what is known of their load is old: with many, all daemons would
+/// send to the one that looks empty.
+const NEAR_CHOICES: usize = 3;
+
+/// Likewise of other data centres.
+const FAR_CHOICES: usize = 2;
+
 /// Requests by which replicas that are as good as one another may differ.
 const SPREAD: f64 = 1.2;
 
@@ -108,6 +116,10 @@
     pub id: CompactString,
     /// Address.
     pub address: SocketAddr,
+    /// This daemon's requests there before this one.
+    pub own: u32,
+    /// Requests of all peers there, as they told.
+    pub peers: u32,
 }
 
 /// Replicas with what is known of their load.
@@ -213,6 +225,7 @@
         Some(self.take(key, Class::Online))
     }
 
+    /// Cheapest of a few replicas drawn at random, near and far.
     fn least(
         &self,
         now: Duration,
@@ -221,15 +234,19 @@
         rested: bool,
         random: &mut impl FnMut() -> f64,
     ) -> Option<Key> {
-        self.entries
-            .iter()
-            .filter(|(key, e)| {
-                e.replica.service == service
-                    && e.takes_work(now)
-                    && !tried.contains(key)
-                    && (!rested || now >= e.rests_until)
-            })
-            .map(|(key, e)| (key, self.cost(e, random())))
+        let usable = self.entries.iter().filter(|(key, e)| {
+            e.replica.service == service
+                && e.takes_work(now)
+                && !tried.contains(key)
+                && (!rested || now >= e.rests_until)
+        });
+        let (mut near, mut far): (Vec<_>, Vec<_>) =
+            usable.partition(|(_, e)| e.replica.data_centre == self.data_centre);
+        let near = draw(&mut near, NEAR_CHOICES, random);
+        let far = draw(&mut far, FAR_CHOICES, random);
+        near.iter()
+            .chain(far)
+            .map(|(key, e)| (*key, self.cost(e, random())))
             .min_by(|a, b| a.1.total_cmp(&b.1))
             .map(|(key, _)| key)
     }
@@ -290,8 +307,11 @@
 
     fn take(&mut self, key: Key, class: Class) -> Pick {
         let entry = &mut self.entries[key];
+        let (own, peers) = (entry.own.total(), entry.peers.total());
         *entry.own.of(class) += 1;
         Pick {
+            own,
+            peers,
             key,
             id: entry.replica.id.clone(),
             address: entry.replica.address,
@@ -389,3 +409,14 @@
         }
     }
 }
+
+/// Some elements drawn at random, moved to the front.
+fn draw<'a, T>(all: &'a mut [T], count: usize, random: &mut impl FnMut() -> f64) -> &'a [T] {
+    let count = count.min(all.len());
+    for n in 0..count {
+        let rest = (all.len() - n) as f64;
+        let other = n + (random() * rest) as usize;
+        all.swap(n, other.min(all.len() - 1));
+    }
+    &all[..count]
+}
--- a/crates/coordination/tests/fleet/pool.rs
+++ b/crates/coordination/tests/fleet/pool.rs
@@ -6,6 +6,8 @@
 use bitterncart_coordination::fleet::peers::short;
 use bitterncart_coordination::fleet::pool::Load;
 use bitterncart_coordination::fleet::{Class, Pool, Replica, Stage};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 const NOW: Duration = Duration::from_secs(100);
 const SERVICE: &str = "s";
@@ -139,3 +141,29 @@
         .collect();
     assert_eq!(give, [1]);
 }
+
+/// A peak begins: many daemons place requests on the same old view, in which
+/// one replica looks empty.
+#[test]
+fn peak_on_an_old_view_does_not_flood_the_replica_that_looks_empty() {
+    const REPLICAS: usize = 74;
+    const REQUESTS: usize = 40;
+    let mut random = SmallRng::seed_from_u64(3);
+    let mut counts: HashMap<String, usize> = HashMap::new();
+    for _ in 0..REQUESTS {
+        // Each daemon has a pool of its own and has not heard of the others.
+        let mut pool = pool(REPLICAS, 8);
+        let empty = short(&[b"i-0"]);
+        let busy = Load {
+            online: 5,
+            batch: 0,
+        };
+        pool.told(|id| if id == empty { Load::default() } else { busy });
+        let pick = pool
+            .pick(NOW, SERVICE, &[], || random.random())
+            .expect("a replica");
+        *counts.entry(pick.id.to_string()).or_default() += 1;
+    }
+    let most = counts.values().max().copied().unwrap_or(0);
+    assert!(most <= 8, "{most} of {REQUESTS} requests at one replica");
+}
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bitterncart_coordination::fleet::pool::Pick;
 use bitterncart_coordination::fleet::{Outcome, Route, Step};
 use bitterncart_protocol::Code;
 use spdlog::formatter::JsonFormatter;
@@ -12,6 +13,34 @@
 
 use crate::store::Failure;
 
+/// Bound on the lines about requests.
+mod budget {
+    use std::sync::atomic::{AtomicU64, Ordering};
+
+    use spdlog::warn;
+
+    use crate::clock;
+
+    /// Lines about requests in one second.
+    const LINES: u64 = 100;
+
+    static SECOND: AtomicU64 = AtomicU64::new(0);
+    static WRITTEN: AtomicU64 = AtomicU64::new(0);
+
+    /// Whether another line may be written now; what was left out is told
+    /// when the next second begins.
+    pub(super) fn take() -> bool {
+        let second = clock::now().as_secs();
+        if SECOND.swap(second, Ordering::Relaxed) != second {
+            let left_out = WRITTEN.swap(0, Ordering::Relaxed).saturating_sub(LINES);
+            if left_out > 0 {
+                warn!("lines about requests left out", kv: { left_out });
+            }
+        }
+        WRITTEN.fetch_add(1, Ordering::Relaxed) < LINES
+    }
+}
+
 /// Sends log lines to standard output as JSON.
 pub fn to_stdout() {
     let sink = StdStreamSink::builder()
@@ -42,13 +71,30 @@
     step: Step,
     left: Duration,
 ) {
+    if !budget::take() {
+        return;
+    }
     let (outcome, left_ms) = (outcome.name(), left.as_millis() as u64);
     info!("attempt failed", kv: {
         request = id, route = route.name.as_str(), replica, outcome, then:? = step, left_ms
     });
 }
 
+pub(crate) fn answered(id: &str, route: &str, pick: &Pick, first: Duration, total: Duration) {
+    if !budget::take() {
+        return;
+    }
+    let (replica, own, peers) = (pick.id.as_str(), pick.own, pick.peers);
+    let (first_ms, total_ms) = (first.as_millis() as u64, total.as_millis() as u64);
+    info!("request answered", kv: {
+        request = id, route, replica, own, peers, first_ms, total_ms
+    });
+}
+
 pub(crate) fn refused(id: &str, route: &str, code: Code, left: Duration) {
+    if !budget::take() {
+        return;
+    }
     let (number, name, left_ms) = (code.number(), code.name(), left.as_millis() as u64);
     info!("request not served", kv: { request = id, route, code = number, name, left_ms });
 }
@@ -62,6 +108,9 @@
 }
 
 pub(crate) fn item(job: &str, index: u32, end: &str) {
+    if !budget::take() {
+        return;
+    }
     info!("run of an item ended", kv: { job, index, end });
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,30 +2,46 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bitterncart_coordination::fleet::{Outcome, Route, Step};
 use bitterncart_protocol::Code;
 use compact_str::{CompactString, format_compact};
+use hdrhistogram::Histogram;
 
-/// Counters by name and label.
+/// Quantiles that are shown.
+const QUANTILES: [f64; 4] = [0.5, 0.95, 0.99, 1.0];
+
+/// Counters by name and label, latencies by route.
 #[derive(Debug, Default)]
 pub(crate) struct Metrics {
     counts: Mutex<BTreeMap<CompactString, u64>>,
+    /// Milliseconds to the first event or the whole answer.
+    latencies: Mutex<BTreeMap<CompactString, Histogram<u32>>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Metrics {
     fn add(&self, name: CompactString) {
-        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
-        *counts.entry(name).or_default() += 1;
+        *lock(&self.counts).entry(name).or_default() += 1;
     }
 
-    pub(crate) fn answered(&self, route: &Route, sent: u32) {
+    pub(crate) fn answered(&self, route: &Route, sent: u32, first: Duration) {
+        let sent = sent + 1;
         self.add(format_compact!(
-            "answered_total{{route=\"{}\",attempts=\"{}\"}}",
-            route.name,
-            sent + 1
+            "answered_total{{route=\"{}\",attempts=\"{sent}\"}}",
+            route.name
         ));
+        let mut latencies = lock(&self.latencies);
+        let histogram = latencies.entry(route.name.clone()).or_insert_with(|| {
+            // Two digits over a range that grows by itself.
+            Histogram::new(2).expect("two digits make a histogram")
+        });
+        histogram.saturating_record(first.as_millis() as u64);
     }
 
     pub(crate) fn refused(&self, code: Code) {
@@ -52,15 +68,22 @@
         self.add(format_compact!("batch_runs_total{{end=\"{why}\"}}"));
     }
 
-    /// All counters as text, one a line.
+    /// Everything as text, one value a line.
     pub(crate) fn text(&self) -> String {
-        let counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
-        counts
-            .iter()
-            .fold(String::new(), |mut text, (name, value)| {
-                // Writing to a string does not fail.
-                let _ = writeln!(text, "bitterncart_{name} {value}");
-                text
-            })
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        for (name, value) in lock(&self.counts).iter() {
+            let _ = writeln!(text, "bitterncart_{name} {value}");
+        }
+        for (route, histogram) in lock(&self.latencies).iter() {
+            for quantile in QUANTILES {
+                let ms = histogram.value_at_quantile(quantile);
+                let _ = writeln!(
+                    text,
+                    "bitterncart_first_ms{{route=\"{route}\",quantile=\"{quantile}\"}} {ms}"
+                );
+            }
+        }
+        text
     }
 }
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -44,6 +44,9 @@
     tries: Tries,
     tried: Vec<Key>,
     last_event: Option<u64>,
+    arrived: Duration,
+    /// Time from the arrival to the first event or the whole answer.
+    first: Duration,
 }
 
 impl<S: Store, D: Dialect> Online<S, D> {
@@ -76,9 +79,19 @@
             tries: Tries::default(),
             tried: Vec::new(),
             last_event,
+            arrived,
+            first: Duration::ZERO,
         }
     }
 
+    fn answered(&self, place: &Place<S, D>) {
+        let total = clock::now().saturating_sub(self.arrived);
+        self.core
+            .metrics
+            .answered(&self.route, self.tries.sent(), self.first);
+        log::answered(&self.id, &self.route.name, &place.pick, self.first, total);
+    }
+
     fn left(&self) -> Duration {
         self.deadline.saturating_sub(clock::now())
     }
@@ -213,7 +226,8 @@
         let mut response = Response::new(Body::whole(bytes));
         *response.status_mut() = head.status;
         *response.headers_mut() = passed(head.headers);
-        self.core.metrics.answered(&self.route, self.tries.sent());
+        self.first = clock::now().saturating_sub(self.arrived);
+        self.answered(place);
         Ok(response)
     }
 
@@ -265,6 +279,7 @@
         let Some(first) = first else {
             return true;
         };
+        self.first = clock::now().saturating_sub(self.arrived);
         let (mut place, mut answer) = (place, answer);
         self.passed_on(first.id);
         if sender.send(Ok(first.bytes)).await.is_err() {
@@ -282,7 +297,7 @@
                 }
                 Some(Next::End) => {
                     self.core.pool().succeeded(place.pick.key);
-                    self.core.metrics.answered(&self.route, self.tries.sent());
+                    self.answered(&place);
                     answer.done(&self.core);
                     return true;
                 }
