Try another replica after a misdirected request, and gather a request's log lines

Change: a misdirected request counts like one that was not sent; the verb bitternctl trace prints the lines that name an id, by time.

--- a/crates/coordination/src/fleet/attempt.rs
+++ b/crates/coordination/src/fleet/attempt.rs
@@ -86,7 +86,8 @@
     /// another attempt could still be answered before the deadline.
     pub fn ended(&mut self, route: &Route, outcome: Outcome, in_time: bool) -> Step {
         match outcome {
-            Outcome::NotSent => self.unsent += 1,
+            // No replica of the route has seen the request.
+            Outcome::NotSent | Outcome::Misdirected => self.unsent += 1,
             _ => self.sent += 1,
         }
         self.may_have_run |= !outcome.has_not_run();
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -25,6 +25,7 @@
     Job(Job),
     Codes(Codes),
     Key(Key),
+    Trace(Trace),
 }
 
 /// the environment document
@@ -213,3 +214,15 @@
     #[argh(positional)]
     pub(crate) id: String,
 }
+
+/// gather the log lines of a request, job or replica from the logs of daemons
+#[derive(FromArgs)]
+#[argh(subcommand, name = "trace")]
+pub(crate) struct Trace {
+    /// id of a request, job or replica
+    #[argh(positional)]
+    pub(crate) id: String,
+    /// logs: JSON lines, with or without words before the object
+    #[argh(positional)]
+    pub(crate) logs: Vec<PathBuf>,
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod error;
 mod operators;
+mod trace;
 
 use std::process::ExitCode;
 
@@ -22,6 +23,7 @@
                 operators::codes();
                 Ok(())
             }
+            Command::Trace(trace) => trace::print(trace),
             Command::Key(key) => {
                 operators::key(key);
                 Ok(())
