--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -36,6 +36,10 @@
     /// Notified when the client connections are to be closed.
     pub closing: Event,
     pub runs: Mutex<Runs>,
+    /// Held while a shard is loaded, so that one is at a time.
+    pub loading: smol::lock::Mutex<()>,
+    /// Notified when the manifest or the replicas were read.
+    listed: Event,
     manifest: RwLock<Option<Arc<Manifest>>>,
     peers: Mutex<Peers>,
     pool: Mutex<Pool>,
@@ -84,6 +88,8 @@
             stopping: Event::new(),
             closing: Event::new(),
             runs: Mutex::default(),
+            loading: smol::lock::Mutex::new(()),
+            listed: Event::new(),
             manifest: RwLock::default(),
             peers: Mutex::default(),
             pool: Mutex::new(pool),
@@ -139,6 +145,8 @@
         if newer {
             *manifest = Some(Arc::new(new));
         }
+        drop(manifest);
+        self.listed.notify(usize::MAX);
         newer
     }
 
@@ -161,8 +169,21 @@
         self.closing.notify(usize::MAX);
     }
 
+    /// Waits until manifest and replicas are known, which online requests
+    /// need first.
+    pub(crate) async fn until_listed(&self) {
+        loop {
+            let listed = self.listed.listen();
+            if self.has_replicas.load(Ordering::Relaxed) && self.manifest().is_some() {
+                return;
+            }
+            listed.await;
+        }
+    }
+
     pub(crate) fn replicas_read(&self) {
         self.has_replicas.store(true, Ordering::Relaxed);
+        self.listed.notify(usize::MAX);
     }
 
     pub(crate) fn is_ready(&self) -> bool {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -31,6 +31,9 @@
 /// Time between looks for open connections while stopping.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// Pause before another try to announce this daemon.
+const AGAIN: Duration = Duration::from_millis(200);
+
 /// Time for announcing this daemon in the ledger.
 const JOIN: Duration = Duration::from_secs(20);
 
@@ -136,5 +139,7 @@
         .order(Op::Join(core.me()), clock::now() + JOIN)
         .await
         .is_err()
-    {}
+    {
+        smol::Timer::after(AGAIN).await;
+    }
 }
--- a/crates/gateway/src/shard.rs
+++ b/crates/gateway/src/shard.rs
@@ -76,7 +76,6 @@
     number: u16,
     ledger: Mutex<Ledger>,
     loaded: AtomicBool,
-    loading: smol::lock::Mutex<()>,
     appends: Reach,
     /// Time of the last answer that was read to the end.
     read_at: AtomicU64,
@@ -93,7 +92,6 @@
             number,
             ledger: Mutex::default(),
             loaded: AtomicBool::new(false),
-            loading: smol::lock::Mutex::new(()),
             appends: Reach::default(),
             read_at: AtomicU64::new(0),
             changed: Event::new(),
@@ -155,14 +153,14 @@
         }
     }
 
-    /// Reads on to the end.
+    /// Reads on to the end, if the ledger was loaded.
     pub(crate) async fn catch_up<S: Store, D: Dialect>(
         &self,
         core: &Core<S, D>,
     ) -> Result<(), Failure> {
         loop {
             if !self.is_loaded() {
-                self.load(core).await?;
+                return Err(Failure::Unsent("the ledger is not loaded yet".into()));
             }
             let from = self.ledger().next();
             let read = core.store.read(self.topic(), from, Duration::ZERO).await;
@@ -174,26 +172,30 @@
                         return Ok(());
                     }
                 }
-                Err(Failure::Expired) => self.load(core).await?,
+                Err(Failure::Expired) => self.loaded.store(false, Ordering::Release),
                 Err(e) => return Err(e),
             }
         }
     }
 
-    /// Builds the state anew from the newest record of each key.
-    async fn load<S: Store, D: Dialect>(&self, core: &Core<S, D>) -> Result<(), Failure> {
-        let before = self.ledger().next();
-        let _loading = self.loading.lock().await;
-        if self.is_loaded() && self.ledger().next() != before {
-            // Another task has loaded it meanwhile.
-            return Ok(());
-        }
+    /// Builds the state anew from the newest record of each key. A page that
+    /// fails is read again, as others were read already; all daemons may load
+    /// at the same time and share what the store can send.
+    async fn load<S: Store, D: Dialect>(&self, core: &Core<S, D>) {
+        let _loading = core.loading.lock().await;
         let mut ledger = Ledger::default();
         let mut after: Option<String> = None;
         let mut first_end = None;
         loop {
-            let Page { records, more, end } =
-                core.store.newest(self.topic(), after.as_deref()).await?;
+            let page = core.store.newest(self.topic(), after.as_deref()).await;
+            let Page { records, more, end } = match page {
+                Ok(page) => page,
+                Err(e) => {
+                    core.store_failed("load", &e);
+                    smol::Timer::after(PAUSE).await;
+                    continue;
+                }
+            };
             core.store_answered();
             first_end.get_or_insert(end);
             for record in &records {
@@ -205,15 +207,10 @@
             }
         }
         ledger.start_at(first_end.unwrap_or(0));
-        let mut known = self.ledger();
-        if ledger.next() > known.next() || !self.is_loaded() {
-            *known = ledger;
-        }
-        drop(known);
+        *self.ledger() = ledger;
         self.loaded.store(true, Ordering::Release);
         self.changed.notify(usize::MAX);
         log::loaded(self.number, first_end.unwrap_or(0));
-        Ok(())
     }
 }
 
@@ -221,12 +218,9 @@
 pub(crate) async fn follow<S: Store, D: Dialect>(core: Core<S, D>, number: usize) {
     let shard = &core.shards[number];
     loop {
-        if !shard.is_loaded()
-            && let Err(e) = shard.catch_up(&core).await
-        {
-            core.store_failed("load", &e);
-            smol::Timer::after(PAUSE).await;
-            continue;
+        if !shard.is_loaded() {
+            core.until_listed().await;
+            shard.load(&core).await;
         }
         let from = shard.ledger().next();
         match core.store.read(shard.topic(), from, WAIT).await {
@@ -237,12 +231,7 @@
                     smol::Timer::after(PACE).await;
                 }
             }
-            Err(Failure::Expired) => {
-                if let Err(e) = shard.load(&core).await {
-                    core.store_failed("load", &e);
-                    smol::Timer::after(PAUSE).await;
-                }
-            }
+            Err(Failure::Expired) => shard.loaded.store(false, Ordering::Release),
             Err(e) => {
                 core.store_failed("read", &e);
                 smol::Timer::after(PAUSE).await;
@@ -279,7 +268,13 @@
         if orders.is_empty() {
             continue;
         }
-        let is_old = !shard.is_loaded() || shard.age() > FRESH;
+        if !shard.is_loaded() {
+            for order in orders.drain(..) {
+                order.tell(Err(Undecided::Void));
+            }
+            continue;
+        }
+        let is_old = shard.age() > FRESH;
         if is_old && let Err(e) = shard.catch_up(&core).await {
             core.store_failed("load", &e);
             refuse(&core, shard, &mut orders);
--- a/crates/gateway/tests/gateway/batch.rs
+++ b/crates/gateway/tests/gateway/batch.rs
@@ -197,3 +197,23 @@
         assert!((3..=4).contains(&runs), "{runs} runs, {before} counted");
     });
 }
+
+/// A daemon whose ledger cannot be read yet serves online requests, says of no
+/// job that it does not exist, and takes jobs once it has read it.
+#[test]
+fn daemon_that_has_not_read_the_ledger_is_not_sure_of_jobs() {
+    smol::block_on(async {
+        let replica = Scripted::start("r", vec![vec![WHOLE, Act::Close]]).await;
+        let store = store(&[&replica]);
+        store.fault(Fault::Down);
+        let daemon = Running::start(&store).await;
+        assert_eq!(status(&daemon.ask(&read("job")).await), 503);
+        assert_eq!(status(&daemon.ask(&submit("job")).await), 503);
+        store.fault(Fault::None);
+        while status(&daemon.ask(&submit("job")).await) != 202 {
+            smol::Timer::after(Duration::from_millis(50)).await;
+        }
+        results(&daemon, "job", 2).await;
+        assert_eq!(status(&daemon.ask(&read("other")).await), 404);
+    });
+}
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -19,7 +19,7 @@
     Slow(Duration),
     /// They are not answered, and taken later if they still fit.
     Lost(Duration),
-    /// They are refused.
+    /// They are refused, and so are pages of the ledger.
     Down,
 }
 
@@ -151,6 +151,10 @@
     }
 
     async fn newest(&self, topic: Topic, after: Option<&str>) -> Result<Page, Failure> {
+        let fault = *self.0.fault.lock().expect("lock");
+        if fault == Fault::Down && matches!(topic, Topic::Ledger(_)) {
+            return Err(Failure::Refused(503));
+        }
         let records = self.records(topic);
         let end = records.len() as u64;
         let newest: BTreeMap<_, _> = records.into_iter().map(|r| (r.key.clone(), r)).collect();
