Sixteen shards, and a pause that doubles when another append came first

Change: sixteen shards over two topics, the pause after a lost race doubles and comes before the read; slower background reads.

--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -25,7 +25,7 @@
 const LOOK: Duration = Duration::from_millis(1500);
 
 /// Age of the ledger at which a read that finds nothing new looks at its end.
-const FRESH: Duration = Duration::from_millis(250);
+const FRESH: Duration = Duration::from_millis(500);
 
 /// Longest time for which a read is kept waiting.
 const MAX_WAIT: Duration = Duration::from_millis(1000);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -36,7 +36,11 @@
     #[serde(default)]
     #[schemars(with = "Vec<String>")]
     pub seeds: Vec<SocketAddr>,
-    /// Partitions of the ledger.
+    /// Partitions that a topic of the store has.
+    #[serde(default = "Settings::default_partitions")]
+    #[schemars(range(min = 1, max = 1024))]
+    pub partitions: u16,
+    /// Shards of the ledger, each a partition; the same for the whole fleet.
     #[serde(default = "Settings::default_shards")]
     #[schemars(range(min = 1, max = 64))]
     pub shards: u16,
@@ -56,8 +60,12 @@
 }
 
 impl Settings {
+    fn default_partitions() -> u16 {
+        8
+    }
+
     fn default_shards() -> u16 {
-        4
+        16
     }
 
     fn default_keep_s() -> f64 {
--- a/crates/gateway/src/shard.rs
+++ b/crates/gateway/src/shard.rs
@@ -25,7 +25,7 @@
 
 /// Pause between reads that found something, so that one read brings several
 /// records. Whoever needs a later state reads on demand.
-const PACE: Duration = Duration::from_millis(700);
+const PACE: Duration = Duration::from_millis(1500);
 
 /// Age at which a state is read on before something is decided on it.
 const FRESH: Duration = Duration::from_millis(60);
@@ -42,8 +42,12 @@
 /// Time beyond its own that an operation waits for its verdict.
 const GRACE: Duration = Duration::from_millis(300);
 
-/// Longest random pause after another daemon's append came first.
-const CONTENTION: Duration = Duration::from_millis(6);
+/// Longest random pause after another daemon's append came first; it doubles
+/// with each that did.
+const CONTENTION: Duration = Duration::from_millis(8);
+
+/// Doublings of that pause.
+const MAX_DOUBLINGS: u32 = 4;
 
 /// Why an operation has no verdict.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -251,8 +255,10 @@
 pub(crate) async fn write<S: Store, D: Dialect>(core: Core<S, D>, number: usize) {
     let shard = &core.shards[number];
     let mut orders: Vec<Order> = Vec::new();
+    let mut beaten = 0;
     loop {
         if orders.is_empty() {
+            beaten = 0;
             match shard.inbox.recv().await {
                 Ok(order) => orders.push(order),
                 Err(_) => return,
@@ -290,10 +296,12 @@
                 verdicts: plan.verdicts,
             }
         };
-        if group.records.is_empty() || append(&core, shard, &group, &mut orders).await {
+        if group.records.is_empty() || append(&core, shard, &group, &mut orders, beaten).await {
             for (order, verdict) in orders.drain(..).zip(group.verdicts) {
                 order.tell(Ok(verdict));
             }
+        } else {
+            beaten += 1;
         }
     }
 }
@@ -327,6 +335,7 @@
     shard: &Shard,
     group: &Group,
     orders: &mut Vec<Order>,
+    beaten: u32,
 ) -> bool {
     let mut lost = false;
     loop {
@@ -348,7 +357,7 @@
             Err(Failure::Moved) => {
                 core.store_answered();
                 let _failed = shard.appends.answered();
-                return settle(core, shard, orders, lost).await;
+                return settle(core, shard, orders, lost, beaten).await;
             }
             Err(e) => {
                 lost |= !e.has_no_effect();
@@ -374,8 +383,11 @@
     shard: &Shard,
     orders: &mut Vec<Order>,
     lost: bool,
+    beaten: u32,
 ) -> bool {
-    let pause = CONTENTION.mul_f64(rand::random());
+    // The pause comes before the read, so that the append follows it at once.
+    let longest = CONTENTION * (1 << beaten.min(MAX_DOUBLINGS));
+    smol::Timer::after(longest.mul_f64(rand::random())).await;
     loop {
         match shard.catch_up(core).await {
             Ok(()) => break,
@@ -392,7 +404,6 @@
     }
     // Planned anew on the state that follows, an operation that took effect
     // has nothing left to do, and its verdict is `Already`.
-    smol::Timer::after(pause).await;
     false
 }
 
