--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,16 +2,14 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Arc;
 
 use argh::FromArgs;
 use async_signal::{Signal, Signals};
 use bitterncart_daemon::Daemon;
+use bitterncart_gateway::log;
 use bitterncart_protocol::Settings;
 use futures_lite::{StreamExt, future};
 use spdlog::error;
-use spdlog::formatter::JsonFormatter;
-use spdlog::sink::{Sink, StdStreamSink};
 
 /// Entry daemon for online and batch inference.
 #[derive(FromArgs)]
@@ -37,7 +35,7 @@
         println!("{}: valid", args.settings.display());
         return ExitCode::SUCCESS;
     }
-    log_json();
+    log::to_stdout();
     let daemon = match Daemon::start(settings) {
         Ok(daemon) => daemon,
         Err(e) => {
@@ -74,19 +72,3 @@
         lines.join("\n")
     })
 }
-
-fn log_json() {
-    let sink = StdStreamSink::builder()
-        .stdout()
-        .formatter(JsonFormatter::new())
-        .build();
-    let Ok(sink) = sink else { return };
-    let logger = spdlog::default_logger().fork_with(|logger| {
-        *logger.sinks_mut() = vec![Arc::new(sink) as Arc<dyn Sink>];
-        Ok(())
-    });
-    if let Ok(logger) = logger {
-        logger.set_flush_level_filter(spdlog::LevelFilter::All);
-        spdlog::set_default_logger(logger);
-    }
-}
