coordination: count an acknowledgement only for the process that sent it

Cause: a packet sent before a restart carries ended processes as alive, as its sender or in its gossip. The process that now has the address answered the probes of the old id, and `receive_ack` compared sequence numbers only, so the old id stayed alive at all members and none of its shards was challenged (the red case `recorded_response_survives_the_restart_of_all_entry_instances`).

Change: a probe is answered only if its target sent the acknowledgement, or a relay reports first in its gossip that the target answered; and a daemon declares every other id at its own address dead whenever somebody reports it as alive. The packet format stays.

Before: 5 of the 6 placements of one late packet among three restarted members keep an ended process alive for 12 s; the red case's cause was inferred before, these tests show the mechanism. After: none, and no flapping behind a cut. `fleet::peers` keys peers by address with the start time of the process, so a heartbeat from before a restart cannot do the same there.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -7,6 +7,11 @@
 //! refutes the suspicion in time. The load on a daemon does not depend on the size
 //! of the fleet. The platform's instance list only gives addresses to contact.
 //!
+//! A restarted daemon has a new id at the address that it had. An
+//! acknowledgement therefore counts only for the id that sent it, and a daemon
+//! declares every other id at its own address dead: packets that were sent before
+//! the restart would otherwise keep the ended process alive.
+//!
 //! After "SWIM: Scalable Weakly-consistent Infection-style Process Group
 //! Membership Protocol" (Das, Gupta, Motivala, 2002).
 
@@ -240,7 +245,7 @@
             Probe::Relay { seq, target } => {
                 self.forward_probe(seq, target, from.heartbeat, &mut actions);
             }
-            Probe::Ack { seq } => self.receive_ack(seq, &mut actions),
+            Probe::Ack { seq } => self.receive_ack(seq, packet, &mut actions),
         }
         actions
     }
@@ -267,11 +272,11 @@
         actions.push(self.send(target, Probe::Ping { seq }, None));
     }
 
-    fn receive_ack(&mut self, seq: u64, actions: &mut Vec<Action>) {
+    fn receive_ack(&mut self, seq: u64, packet: &Packet, actions: &mut Vec<Action>) {
         if self
             .pending_probe
             .as_ref()
-            .is_some_and(|probe| probe.seq == seq)
+            .is_some_and(|probe| probe.seq == seq && self.proves(packet, probe))
         {
             self.pending_probe = None;
         }
@@ -289,11 +294,24 @@
                 Probe::Ack {
                     seq: relayed.requester_seq,
                 },
-                None,
+                Some(packet.from.clone()),
             ));
         }
     }
 
+    /// Whether an acknowledgement proves that the probed member is alive: it sent
+    /// the packet, or a relay reports first in its gossip that it answered.
+    fn proves(&self, packet: &Packet, probe: &PendingProbe) -> bool {
+        let is_direct = self
+            .member(&probe.daemon)
+            .is_none_or(|probed| probed.heartbeat == packet.from.heartbeat);
+        let answered_by = match packet.gossip.first() {
+            Some(reported) if !is_direct => &reported.daemon,
+            _ => &packet.from.daemon,
+        };
+        *answered_by == probe.daemon
+    }
+
     fn check_probe_timeout(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let Some(probe) = self.pending_probe.clone() else {
             return;
@@ -461,6 +479,10 @@
             self.refute(member);
             return;
         }
+        if member.heartbeat == self.me.heartbeat {
+            self.declare_ended(now, member, actions);
+            return;
+        }
         let before = self.members.get(&member.daemon).map(|entry| &entry.member);
         let rank = |member: &Member| (member.incarnation, member.health);
         if before.is_some_and(|before| rank(member) <= rank(before)) {
@@ -485,6 +507,28 @@
         }
     }
 
+    /// Declares an earlier process at this daemon's address dead, in each report
+    /// that says otherwise, so that the sender of the report learns it.
+    fn declare_ended(&mut self, now: Duration, reported: &Member, actions: &mut Vec<Action>) {
+        if reported.health > Health::Suspect {
+            return;
+        }
+        let was_alive = self.is_alive(&reported.daemon);
+        let known = self.member(&reported.daemon).map(|m| m.incarnation);
+        let member = Member {
+            health: Health::Dead,
+            incarnation: reported.incarnation.max(known.unwrap_or(0)),
+            ..reported.clone()
+        };
+        let entry = Entry { member, since: now };
+        self.members.insert(reported.daemon.clone(), entry);
+        self.enqueue_update(reported.daemon.clone());
+        if was_alive {
+            self.generation += 1;
+            actions.push(Action::Changed);
+        }
+    }
+
     /// Declares earlier daemons at the address of a new member dead; returns whether any was.
     ///
     /// A restarted daemon has a new id at the same address.
