coordination, gateway: send nothing to a replica that announced its departure

Cause: replicas now say in their answers that they are leaving, often before the listing does, and a listing that is late or lists an entry again kept them in use.

Change: the dialect names the header, each response to a request, an item, a resumed stream or a reservation is checked for it, and the pool remembers the process (id, address, start time) for ten minutes after it was last listed. A restart, or another replica at the address, is another process. A queued request for which no replica is left is refused at once; it was held for up to 2 s.

Before: no such header was known.

--- a/crates/coordination/src/fleet/pool.rs
+++ b/crates/coordination/src/fleet/pool.rs
@@ -10,6 +10,9 @@
 //! In a data centre with many replicas, each daemon prefers a small subset of
 //! them, chosen by rendezvous hashing. Fewer daemons then share a replica, so
 //! connections are reused and the known load is less often out of date.
+//!
+//! A replica that says in an answer that it is leaving gets no more requests,
+//! whatever the listing says, until another process takes its place.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -20,7 +23,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::peers::short_hash;
-use super::replica::{Replica, Stage};
+use super::replica::{Process, Replica, Stage};
 use super::schedule::proportional_share;
 
 new_key_type! {
@@ -47,6 +50,10 @@
 /// an entry that expired during the outage.
 const RELIST_GRACE: Duration = Duration::from_secs(2);
 
+/// Time for which a process that announced its departure is remembered after it
+/// was last listed, as its entry may return.
+const DEPARTURE_RETENTION: Duration = Duration::from_secs(600);
+
 /// Cost of a hop to another data centre, as a share of a replica's slots.
 const HOP_COST_SHARE: f64 = 0.25;
 
@@ -119,6 +126,8 @@
     full_until: Duration,
     /// Another process answers at its address.
     misdirected: bool,
+    /// The process announced its departure in an answer.
+    departing: bool,
     /// End of the grace period after it disappeared from the listing.
     grace_ends_at: Option<Duration>,
 }
@@ -139,6 +148,7 @@
     fn accepts_requests(&self, now: Duration) -> bool {
         self.replica.stage == Stage::Ready
             && !self.misdirected
+            && !self.departing
             && self.grace_ends_at.is_none_or(|at| now < at)
     }
 }
@@ -154,12 +164,24 @@
     pub service: CompactString,
     /// Address.
     pub address: SocketAddr,
+    /// Start time of the replica, in milliseconds since 1970.
+    pub born_ms: u64,
     /// This daemon's requests in flight there, without this one.
     pub own: u32,
     /// Requests in flight there from all peers, by their latest heartbeats.
     pub peers: u32,
 }
 
+impl Selection {
+    fn process(&self) -> Process {
+        Process {
+            id: self.id.clone(),
+            address: self.address,
+            born_ms: self.born_ms,
+        }
+    }
+}
+
 /// Known replicas with their load and health.
 #[derive(Debug)]
 pub struct Pool {
@@ -167,6 +189,9 @@
     name: CompactString,
     entries: SlotMap<Key, Entry>,
     by_id: HashMap<CompactString, Key>,
+    /// Processes that announced their departure, with the time at which each was
+    /// last in the pool.
+    departing: HashMap<Process, Duration>,
 }
 
 impl Pool {
@@ -178,6 +203,7 @@
             name,
             entries: SlotMap::with_key(),
             by_id: HashMap::new(),
+            departing: HashMap::new(),
         }
     }
 
@@ -186,19 +212,18 @@
     pub fn upsert(&mut self, replica: Replica) {
         let known = self.by_id.get(&replica.id).copied();
         match known.and_then(|key| self.entries.get_mut(key)) {
-            Some(entry)
-                if entry.replica.born_ms == replica.born_ms
-                    && entry.replica.address == replica.address =>
-            {
+            Some(entry) if entry.replica.process() == replica.process() => {
                 entry.grace_ends_at = None;
                 entry.replica = replica;
             }
             _ => {
                 self.remove(&replica.id.clone());
                 let id = replica.id.clone();
+                let departing = self.departing.contains_key(&replica.process());
                 let key = self.entries.insert(Entry {
                     short_hash: short_hash(&[id.as_bytes()]),
                     replica,
+                    departing,
                     preferred: false,
                     own: Load::default(),
                     peers: Load::default(),
@@ -240,8 +265,14 @@
         self.by_id.keys()
     }
 
-    /// Removes replicas that were not listed again within the grace period.
+    /// Removes replicas that were not listed again within the grace period, and
+    /// forgets processes that left long ago.
     pub fn expire(&mut self, now: Duration) {
+        for entry in self.entries.values().filter(|e| e.departing) {
+            self.departing.insert(entry.replica.process(), now);
+        }
+        self.departing
+            .retain(|_, seen| now.saturating_sub(*seen) < DEPARTURE_RETENTION);
         let expired: Vec<CompactString> = self
             .entries
             .values()
@@ -414,6 +445,7 @@
             id: entry.replica.id.clone(),
             service: entry.replica.service.clone(),
             address: entry.replica.address,
+            born_ms: entry.replica.born_ms,
         }
     }
 
@@ -503,6 +535,22 @@
         }
     }
 
+    /// Records that a selected replica announced its departure in an answer;
+    /// returns whether that is news. The listing may have dropped it meanwhile
+    /// and may list it again.
+    pub fn record_departing(&mut self, now: Duration, selection: &Selection) -> bool {
+        let process = selection.process();
+        let entry = self
+            .by_id
+            .get(&process.id)
+            .and_then(|key| self.entries.get_mut(*key))
+            .filter(|entry| entry.replica.process() == process);
+        if let Some(entry) = entry {
+            entry.departing = true;
+        }
+        self.departing.insert(process, now).is_none()
+    }
+
     /// This daemon's load by short id of the replica, without idle replicas.
     pub fn own_load(&self) -> impl Iterator<Item = (u32, Load)> {
         self.entries
--- a/crates/coordination/src/fleet/replica.rs
+++ b/crates/coordination/src/fleet/replica.rs
@@ -18,6 +18,17 @@
     Draining,
 }
 
+/// Process of a replica: a restart, or a replica that moved, is another one.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Process {
+    /// Id of the replica.
+    pub id: CompactString,
+    /// Address on which it listens.
+    pub address: SocketAddr,
+    /// Start time in milliseconds since 1970.
+    pub born_ms: u64,
+}
+
 /// Listed replica of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Replica {
@@ -36,3 +47,15 @@
     /// Start time in milliseconds since 1970; a restarted replica keeps no state.
     pub born_ms: u64,
 }
+
+impl Replica {
+    /// Process that the entry describes.
+    #[must_use]
+    pub fn process(&self) -> Process {
+        Process {
+            id: self.id.clone(),
+            address: self.address,
+            born_ms: self.born_ms,
+        }
+    }
+}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -22,6 +22,8 @@
     pub expected_replica: HeaderName,
     /// States that the replica has not run the request.
     pub not_run: HeaderName,
+    /// States that the replica that answers is leaving.
+    pub leaving: HeaderName,
     /// Signature that proves that a response comes from a replica.
     pub signature: HeaderName,
     /// Id of the last event received.
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -181,6 +181,10 @@
     warn!("unexpected status of a reservation; sending without one", kv: { replica, status });
 }
 
+pub(crate) fn replica_departing(replica: &str, born_ms: u64) {
+    info!("replica announced its departure; it gets no more requests", kv: { replica, born_ms });
+}
+
 pub(crate) fn manifest_installed(version: u64) {
     info!("manifest in force", kv: { version });
 }
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -305,7 +305,8 @@
 
     /// Waits in the admission queue for a slot. After [`MAX_QUEUE_WAIT`], or half
     /// of the remaining time, selects a replica without a reservation, where the
-    /// request may be queued. `None` if the admission queue is full.
+    /// request may be queued. `None` if the admission queue is full or no replica
+    /// is left.
     async fn wait_in_queue(&self, backend: &Backend) -> Option<(Slot<S, D>, Option<HeaderValue>)> {
         let is_resumed = !self.time_to_first.is_zero();
         let since = if is_resumed {
@@ -322,7 +323,10 @@
             let slot = match offer {
                 Some(key) => {
                     let selection = self.core.pool().select_at(clock::now(), key);
-                    selection.map(|selection| Slot::new(&self.core, selection, Class::Online))
+                    let Some(selection) = selection else {
+                        continue;
+                    };
+                    Slot::new(&self.core, selection, Class::Online)
                 }
                 None => {
                     let interval = if clock::now() < objective_deadline {
@@ -333,12 +337,9 @@
                     if with_timeout(interval, slot_offered).await.is_some() {
                         continue;
                     }
-                    self.select_slot(&backend.service, &[])
+                    self.select_slot(&backend.service, &[])?
                 }
             };
-            let Some(slot) = slot else {
-                continue;
-            };
             if let Acquired::Slot(slot, reservation) = self.reserve_at(backend, slot).await {
                 return Some((slot, reservation));
             }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -15,7 +15,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
-use crate::clock::with_timeout;
+use crate::clock::{self, with_timeout};
 use crate::connection::{Connection, Error};
 use crate::core::Core;
 use crate::dialect::{Dialect, HeaderNames};
@@ -202,6 +202,7 @@
             &SendOptions::default(),
         );
         let (head, body) = connection.send(request).await?.into_parts();
+        check_departure(core, selection, &head);
         let body = body.collect().await;
         let body = body.map_err(|e| Error::Broken(e.to_string()))?;
         core.connector.release(connection);
@@ -274,6 +275,7 @@
         .ok_or(Outcome::Silent)?
         .map_err(|e| error_outcome(&e))?;
     let (head, body) = response.into_parts();
+    check_departure(core, selection, &head);
     let attempt = message.headers.get(&header_names.attempt_id);
     let echo = head.headers.get(&header_names.attempt_id);
     let signed = head.headers.contains_key(&header_names.signature);
@@ -294,6 +296,22 @@
     }
 }
 
+/// Takes a replica out of the pool if it says in a response that it is leaving.
+/// A misdirected request was answered by another process.
+fn check_departure<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    selection: &Selection,
+    head: &response::Parts,
+) {
+    let is_leaving = head
+        .headers
+        .contains_key(&core.dialect.header_names().leaving)
+        && head.status != StatusCode::MISDIRECTED_REQUEST;
+    if is_leaving && core.pool().record_departing(clock::now(), selection) {
+        log::replica_departing(&selection.id, selection.born_ms);
+    }
+}
+
 fn error_outcome(error: &Error) -> Outcome {
     match error {
         Error::NotSent(_) => Outcome::NotSent,
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -32,6 +32,7 @@
             deadline: HeaderName::from_static("deadline"),
             expected_replica: HeaderName::from_static("expect-replica"),
             not_run: HeaderName::from_static("not-run"),
+            leaving: HeaderName::from_static("leaving"),
             signature: HeaderName::from_static("signature"),
             last_event_id: HeaderName::from_static("last-event"),
             long_poll: HeaderName::from_static("wait"),
