gateway: reject a stream that does not begin with the event that is due

Its script starts with event 3, and the gateway accepted any id as the first one: the client got a stream that looks complete without events 1 and 2. The log of a failed run shows one answer of `far` and no failed attempt.

Change: the first event must have the id after the one that the client has received, or 1. The test lets each replica answer by `Last-Event-Id`, so that it holds whichever is selected first; it still demands the four events, one request at each replica and the resumption after event 2.

--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -407,7 +407,7 @@
 
     /// Whether an event id is the successor of the last one; ids count from 1.
     fn is_expected(&self, id: Option<u64>) -> bool {
-        id.is_none_or(|id| self.last_event_id.is_none_or(|last| id == last + 1))
+        id.is_none_or(|id| id == self.last_event_id.unwrap_or(0) + 1)
     }
 
     fn record_event_id(&mut self, id: Option<u64>) {
--- a/crates/gateway/tests/gateway/online.rs
+++ b/crates/gateway/tests/gateway/online.rs
@@ -160,20 +160,23 @@
     );
 }
 
+/// Script of a replica that breaks each stream after event 2, and resumes those
+/// that the client or the daemon continues after it.
+fn breaks_after_two(head: &str) -> Vec<Action> {
+    let part = Action::Send("40\r\nid: 3\nda".into());
+    let start = Action::Respond(200, EVENTS, "");
+    match header(head, "last-event").as_deref() {
+        Some("2") => vec![start, event(3), event(4), end()],
+        _ => vec![start, event(1), event(2), part, Action::Reset],
+    }
+}
+
+/// Either replica may be selected first, as the load has a random part.
 #[test]
 fn broken_resumable_stream_resumes_at_another_replica() {
     smol::block_on(async {
-        let part = Action::Send("40\r\nid: 3\nda".into());
-        let breaks = vec![
-            Action::Respond(200, EVENTS, ""),
-            event(1),
-            event(2),
-            part,
-            Action::Reset,
-        ];
-        let resumes = vec![Action::Respond(200, EVENTS, ""), event(3), event(4), end()];
-        let near = ScriptedReplica::start("near", vec![breaks]).await;
-        let far = ScriptedReplica::start("far", vec![resumes]).await;
+        let near = ScriptedReplica::start_with("near", breaks_after_two).await;
+        let far = ScriptedReplica::start_with("far", breaks_after_two).await;
         let store = store(&[&near]);
         store.publish_replica(&self::far(&far));
         let gateway = Gateway::start(&store).await;
@@ -188,13 +191,47 @@
             "{response}"
         );
         assert!(response.ends_with("0\r\n\r\n"), "{response}");
-        assert_eq!(
-            header(&far.requests()[0], "last-event").as_deref(),
-            Some("2")
-        );
+        let mut resumed_after: Vec<Option<String>> = [&near, &far]
+            .iter()
+            .map(|replica| {
+                let requests = replica.requests();
+                assert_eq!(requests.len(), 1, "{requests:?}");
+                header(&requests[0], "last-event")
+            })
+            .collect();
+        resumed_after.sort();
+        assert_eq!(resumed_after, [None, Some("2".to_owned())]);
     });
 }
 
+cases! {
+    /// The only replica starts the stream with `first`; `last_event` is what the
+    /// client has already received.
+    fn first_event_must_follow_the_last_received(
+        path: &str,
+        last_event: Option<u64>,
+        first: u64,
+        expected: u16,
+    ) {
+        smol::block_on(async {
+            let script = vec![Action::Respond(200, EVENTS, ""), event(first), end()];
+            let replica = ScriptedReplica::start("r", vec![script]).await;
+            let gateway = Gateway::start(&store(&[&replica])).await;
+            let received = last_event.map_or(String::new(), |id| format!("last-event: {id}\r\n"));
+            let request = post(path, "id").replacen("\r\n", &format!("\r\n{received}"), 1);
+            let response = gateway.fetch(&request).await;
+            assert_eq!(status(&response), expected, "{response}");
+            assert_eq!(response.contains("data: "), expected == 200, "{response}");
+        });
+    }
+    new_stream_starts_with_event_one("/stream/a", None, 1, 200);
+    new_stream_without_its_first_event_is_broken("/stream/a", None, 3, 502);
+    new_resumable_stream_without_its_first_event_is_broken("/resumable/a", None, 3, 502);
+    resumed_stream_goes_on_with_the_next_event("/resumable/a", Some(2), 3, 200);
+    resumed_stream_that_starts_anew_is_broken("/resumable/a", Some(2), 1, 502);
+    resumed_stream_with_a_gap_is_broken("/resumable/a", Some(2), 4, 502);
+}
+
 #[test]
 fn broken_non_resumable_stream_is_truncated() {
     smol::block_on(async {
