coordination, gateway: batch yields to queued online requests of all daemons

Change: heartbeats carry the length of each admission queue (behind the fields that earlier versions read), and `fleet::backlog` acts on it: no item starts at replicas of a data centre whose daemons have requests queued, and one item is preempted for each of them every 200 ms, shared among the daemons by what they run.

--- a/crates/coordination/src/fleet/admission_queue.rs
+++ b/crates/coordination/src/fleet/admission_queue.rs
@@ -7,6 +7,7 @@
 //! first to those that can still meet their latency objective, oldest first,
 //! then to the others, oldest first.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -73,6 +74,16 @@
         }
     }
 
+    /// Number of requests by service that have no offer.
+    #[must_use]
+    pub fn lengths(&self) -> BTreeMap<CompactString, u32> {
+        let mut lengths = BTreeMap::new();
+        for entry in self.entries.values().filter(|e| e.offer.is_none()) {
+            *lengths.entry(entry.service.clone()).or_default() += 1;
+        }
+        lengths
+    }
+
     /// Takes the offer made to a request, if any; the request stays queued.
     pub fn take_offer(&mut self, ticket: Ticket) -> Option<pool::Key> {
         self.entries.get_mut(ticket)?.offer.take()
--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 //! the caller passes in time and randomness.
 
 pub mod admission_queue;
+pub mod backlog;
 pub mod manifest;
 pub mod ownership;
 pub mod peers;
@@ -17,6 +18,7 @@
 pub mod retry;
 pub mod schedule;
 
+pub use backlog::{Backlog, Group, Queued};
 pub use manifest::{Batch, Kind, Limits, Manifest, Route};
 pub use ownership::{Candidate, View};
 pub use peers::{Heartbeat, Peers};
--- a/crates/coordination/src/fleet/peers.rs
+++ b/crates/coordination/src/fleet/peers.rs
@@ -17,6 +17,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use super::backlog::Queued;
 use super::pool::Load;
 
 /// Time without a heartbeat after which a peer counts as dead.
@@ -113,6 +114,34 @@
     pub load: Vec<Usage>,
     /// Short ids of the batch items that it runs.
     pub running: Vec<u32>,
+    /// Online requests in its admission queue. Follows the other fields in a
+    /// datagram, where daemons of earlier versions do not expect it.
+    #[serde(skip)]
+    pub queued: Vec<Queued>,
+}
+
+impl Heartbeat {
+    /// Encodes the heartbeat as a datagram.
+    ///
+    /// # Errors
+    ///
+    /// If a field cannot be serialized.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_extend(&self.queued, postcard::to_stdvec(self)?)
+    }
+
+    /// Decodes a datagram. One of an earlier version ends before the queue.
+    ///
+    /// # Errors
+    ///
+    /// If the datagram is not a heartbeat.
+    pub fn decode(datagram: &[u8]) -> Result<Self, postcard::Error> {
+        let (mut heartbeat, rest): (Self, &[u8]) = postcard::take_from_bytes(datagram)?;
+        if !rest.is_empty() {
+            heartbeat.queued = postcard::from_bytes(rest)?;
+        }
+        Ok(heartbeat)
+    }
 }
 
 #[derive(Debug)]
@@ -254,6 +283,15 @@
         self.live(now).map(|heartbeat| heartbeat.waiting).sum()
     }
 
+    /// Online requests that the live peers have queued.
+    pub fn queued(&self, now: Duration) -> impl Iterator<Item = Queued> {
+        let fresh = self
+            .peers
+            .values()
+            .filter(move |p| now.saturating_sub(p.received_at) < p.load_ttl());
+        fresh.flat_map(|p| p.heartbeat.queued.iter().copied())
+    }
+
     /// Load from all peers together, by short id of the replica. The load of a
     /// peer expires after four of its heartbeat periods.
     #[must_use]
--- a/crates/coordination/src/fleet/pool.rs
+++ b/crates/coordination/src/fleet/pool.rs
@@ -22,6 +22,7 @@
 use compact_str::CompactString;
 use slotmap::{SlotMap, new_key_type};
 
+use super::backlog::{Backlog, Group, Queued};
 use super::peers::short_hash;
 use super::replica::{Process, Replica, Stage};
 use super::schedule::proportional_share;
@@ -115,6 +116,7 @@
     replica: Replica,
     /// Short id in heartbeats.
     short_hash: u32,
+    group: Group,
     /// Whether it is in this daemon's preferred subset.
     preferred: bool,
     own: Load,
@@ -192,6 +194,7 @@
     /// Processes that announced their departure, with the time at which each was
     /// last in the pool.
     departing: HashMap<Process, Duration>,
+    backlog: Backlog,
 }
 
 impl Pool {
@@ -204,6 +207,7 @@
             entries: SlotMap::with_key(),
             by_id: HashMap::new(),
             departing: HashMap::new(),
+            backlog: Backlog::default(),
         }
     }
 
@@ -222,6 +226,7 @@
                 let departing = self.departing.contains_key(&replica.process());
                 let key = self.entries.insert(Entry {
                     short_hash: short_hash(&[id.as_bytes()]),
+                    group: Group::new(&replica.service, &replica.data_centre),
                     replica,
                     departing,
                     preferred: false,
@@ -424,9 +429,22 @@
         Some(self.assign_slot(key, Class::Batch))
     }
 
+    /// Replaces the queued online requests of all daemons.
+    pub fn set_backlog(&mut self, reports: impl IntoIterator<Item = Queued>) {
+        self.backlog.update(reports);
+    }
+
+    /// Free slots for batch items: none while online requests are queued.
+    fn free_batch_slots_at(&self, now: Duration, entry: &Entry, reserve: u32) -> u32 {
+        match self.backlog.requests(entry.group) {
+            0 => entry.free_slots(now).saturating_sub(reserve),
+            _ => 0,
+        }
+    }
+
     /// Free slots for batch items; remote slots count [`REMOTE_SLOT_WEIGHT`] each.
     fn batch_weight(&self, now: Duration, entry: &Entry, reserve: u32) -> f64 {
-        let free = entry.free_slots(now).saturating_sub(reserve);
+        let free = self.free_batch_slots_at(now, entry, reserve);
         if entry.replica.data_centre == self.data_centre {
             f64::from(free)
         } else {
@@ -479,6 +497,41 @@
             .collect()
     }
 
+    /// Items of this daemon to preempt for queued online requests: replicas of a
+    /// service in a data centre, and the number of items at any of them.
+    pub fn backlog_preemptions(
+        &mut self,
+        now: Duration,
+        mut random: impl FnMut() -> f64,
+    ) -> Vec<(Vec<Key>, u32)> {
+        /// Batch items at the replicas of a group.
+        #[derive(Default)]
+        struct Items {
+            replicas: Vec<Key>,
+            own: u32,
+            all: u32,
+        }
+        let mut groups: HashMap<Group, Items> = HashMap::new();
+        for (key, e) in &self.entries {
+            let items = groups.entry(e.group).or_default();
+            items.own += e.own.batch;
+            items.all += e.own.batch + e.peers.batch;
+            if e.own.batch > 0 {
+                items.replicas.push(key);
+            }
+        }
+        groups
+            .into_iter()
+            .map(|(group, items)| {
+                let count = self
+                    .backlog
+                    .start_round(now, group, items.own, items.all, random());
+                (items.replicas, count)
+            })
+            .filter(|(_, count)| *count > 0)
+            .collect()
+    }
+
     /// Headroom of each replica of a service: slots kept free of batch items
     /// for the online requests that arrive next.
     #[must_use]
@@ -499,7 +552,7 @@
             .values()
             .filter(|e| e.replica.service == service)
             .filter(|e| e.accepts_requests(now) && now >= e.backoff_until)
-            .map(|e| e.free_slots(now).saturating_sub(reserve))
+            .map(|e| self.free_batch_slots_at(now, e, reserve))
             .sum()
     }
 
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 //! queue, shard ownership and batch scheduling.
 
 mod admission_queue;
+mod backlog;
 mod departure;
 mod manifest;
 mod ownership;
--- a/crates/coordination/tests/fleet/ownership.rs
+++ b/crates/coordination/tests/fleet/ownership.rs
@@ -32,6 +32,7 @@
         waiting: 0,
         load: Vec::new(),
         running: Vec::new(),
+        queued: Vec::new(),
     }
 }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::peers::{Ownership, Usage, heartbeat_period};
-use bitterncart_coordination::fleet::{Heartbeat, Kind, Route};
+use bitterncart_coordination::fleet::{Group, Heartbeat, Kind, Queued, Route};
 use smol::net::UdpSocket;
 
 use crate::clock;
@@ -40,7 +40,7 @@
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((size, _)) => match postcard::from_bytes::<Heartbeat>(&buffer[..size]) {
+            Ok((size, _)) => match Heartbeat::decode(&buffer[..size]) {
                 Ok(heartbeat) if heartbeat.from != core.peer_address() => {
                     core.peers().receive(clock::now(), heartbeat);
                 }
@@ -127,9 +127,14 @@
             let inactive: Vec<SocketAddr> = inactive.into_iter().collect();
             send(&socket, &heartbeat, &inactive).await;
         }
-        let load = core.peers().load_by_replica(now);
-        core.pool()
-            .set_peer_load(|replica| load.get(&replica).copied().unwrap_or_default());
+        let peers = core.peers();
+        let load = peers.load_by_replica(now);
+        let queued: Vec<Queued> = peers.queued(now).chain(heartbeat.queued).collect();
+        drop(peers);
+        let mut pool = core.pool();
+        pool.set_peer_load(|replica| load.get(&replica).copied().unwrap_or_default());
+        pool.set_backlog(queued);
+        drop(pool);
     }
 }
 
@@ -156,9 +161,20 @@
         waiting,
         load: usage_by_replica(core),
         running,
+        queued: queued_requests(core),
     }
 }
 
+/// Online requests in the admission queue of this daemon.
+fn queued_requests<S: Store, D: Dialect>(core: &Core<S, D>) -> Vec<Queued> {
+    let lengths = core.admission_queue().lengths();
+    let queued = lengths.into_iter().map(|(service, length)| Queued {
+        group: Group::new(&service, &core.settings.data_centre),
+        requests: u16::try_from(length).unwrap_or(u16::MAX),
+    });
+    queued.collect()
+}
+
 /// Live peers in this data centre and in others.
 fn live_peers<S: Store, D: Dialect>(
     core: &Core<S, D>,
@@ -221,7 +237,7 @@
 }
 
 async fn send(socket: &UdpSocket, heartbeat: &Heartbeat, peers: &[SocketAddr]) {
-    match postcard::to_stdvec(heartbeat) {
+    match heartbeat.encode() {
         Ok(bytes) => {
             for peer in peers {
                 // A failed send is treated as a lost datagram.
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -143,12 +143,12 @@
             .is_none_or(|run| run.task.is_none() && !run.finishing && now >= run.retry_at)
     }
 
-    /// Item at a replica that loses least by being preempted: one that will miss
+    /// Item at one of `replicas` that loses least by being preempted: one that will miss
     /// its due time in any case, otherwise the one with the fewest events.
     /// Restricted to owned shards, as only their items are resumed here.
     fn preemption_victim(
         &self,
-        replica: Replica,
+        replicas: &[Replica],
         now: Duration,
         owned: impl Fn(u16) -> bool,
     ) -> Option<ItemId> {
@@ -156,7 +156,8 @@
             |run: &Run| now + self.estimator.remaining(run.last_event_id) <= run.due_at;
         self.runs
             .iter()
-            .filter(|(_, run)| run.task.is_some() && run.replica == Some(replica))
+            .filter(|(_, run)| run.task.is_some())
+            .filter(|(_, run)| run.replica.is_some_and(|at| replicas.contains(&at)))
             .filter(|(_, run)| owned(run.shard))
             .min_by_key(|(_, run)| (meets_due_time(run), run.last_event_id))
             .map(|(id, _)| id.clone())
@@ -233,11 +234,18 @@
 /// Preempts items at replicas whose slots are needed by online requests.
 fn preempt<S: Store, D: Dialect>(core: &Core<S, D>) {
     let owned = |shard: u16| !core.is_draining() && core.shards[usize::from(shard)].is_owned();
-    let preemptions = core.pool().preemptions(rand::random);
-    for (replica, count) in preemptions {
+    let now = clock::now();
+    let mut pool = core.pool();
+    let overcommitted = pool.preemptions(rand::random).into_iter();
+    let overcommitted = overcommitted.map(|(replica, count)| (vec![replica], count));
+    let preemptions: Vec<_> = overcommitted
+        .chain(pool.backlog_preemptions(now, rand::random))
+        .collect();
+    drop(pool);
+    for (replicas, count) in preemptions {
         for _ in 0..count {
             let mut runs = core.runs();
-            let Some(id) = runs.preemption_victim(replica, clock::now(), owned) else {
+            let Some(id) = runs.preemption_victim(&replicas, now, owned) else {
                 break;
             };
             let task = runs.runs.get_mut(&id).and_then(|run| run.task.take());
--- a/crates/gateway/tests/gateway/owner.rs
+++ b/crates/gateway/tests/gateway/owner.rs
@@ -38,6 +38,7 @@
                 waiting: 0,
                 load: Vec::new(),
                 running: Vec::new(),
+                queued: Vec::new(),
             };
             let bytes = postcard::to_stdvec(&heartbeat).expect("a heartbeat");
             // A lost heartbeat is followed by others.
