state, coordination, gateway: store the output of unfinished items

Cause: outputs of running and preempted items were kept in memory only.

Change: once a second each daemon appends what its items have received to the ledger, as parts with keys of their own (`p/JOB/ITEM/AFTER`), which the result deletes. A start takes the longer of the daemon's own and the stored output and resumes behind it. A part is planned only behind the stored output, and given only if the stored one is the beginning of the run's own, so that the outputs of two runs of an item are never joined (2,000 schedules, and the ledger's schedules).

--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod admission_queue;
 pub mod backlog;
+pub mod checkpoint;
 pub mod manifest;
 pub mod ownership;
 pub mod peers;
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 
 mod admission_queue;
 mod backlog;
+mod checkpoint;
 mod departure;
 mod manifest;
 mod ownership;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -77,6 +77,10 @@
         self.add("batch_gave_way_total".into());
     }
 
+    pub(crate) fn checkpoint(&self, end: &str) {
+        self.add(format_compact!("checkpoints_total{{end=\"{end}\"}}"));
+    }
+
     pub(crate) fn item_run(&self, why: &str) {
         self.add(format_compact!("batch_runs_total{{end=\"{why}\"}}"));
     }
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -4,8 +4,9 @@
 //! start order, while replicas have slots beyond those reserved for online
 //! requests. When online requests need the slots, it preempts the items that
 //! lose least. A run keeps the output received so far, so that an item that is
-//! preempted or whose connection breaks resumes after its last event. Completed
-//! output is kept until the ledger has recorded it. Failed attempts are counted
+//! preempted or whose connection breaks resumes after its last event. The output
+//! is also stored in the ledger, from which another daemon resumes the item.
+//! Completed output is kept until the ledger has recorded it. Failed attempts are counted
 //! in the ledger, so that the attempt limit holds across daemons.
 
 use std::cmp::Reverse;
@@ -13,6 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bitterncart_coordination::fleet::checkpoint::{self, Output};
 use bitterncart_coordination::fleet::manifest::Backend;
 use bitterncart_coordination::fleet::peers::short_hash;
 use bitterncart_coordination::fleet::pool::{Class, Key as Replica};
@@ -20,7 +22,7 @@
 use bitterncart_coordination::fleet::{
     Eligibility, Estimator, Manifest, Outcome, Route, proportional_share,
 };
-use bitterncart_state::ledger::{self, Op, Submission};
+use bitterncart_state::ledger::{self, Decision, Job, Op, OutputPart, Submission};
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
@@ -62,6 +64,9 @@
 /// submitted again.
 const LEDGER_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Timeout of storing a part of an output.
+const CHECKPOINT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Interval between purges of ended jobs.
 const PURGE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -79,9 +84,9 @@
 #[derive(Debug, Default)]
 struct Run {
     /// Output received so far.
-    output: String,
-    /// Id of the last event received, or their number; ids count from 1.
-    last_event_id: u64,
+    output: Output,
+    /// A part of the output is being stored.
+    checkpointing: bool,
     failures: u8,
     /// Time before which the item is not started again.
     retry_at: Duration,
@@ -130,10 +135,14 @@
             .filter(|run| run.task.is_some() || run.finishing)
     }
 
-    /// Expected remaining run time of an item.
-    fn remaining(&self, id: &ItemId) -> Duration {
-        self.estimator
-            .remaining(self.runs.get(id).map_or(0, |run| run.last_event_id))
+    /// Expected remaining run time of an item of which `stored` events are in the
+    /// ledger.
+    fn remaining(&self, id: &ItemId, stored: u64) -> Duration {
+        let received = self
+            .runs
+            .get(id)
+            .map_or(0, |run| run.output.last_event_id());
+        self.estimator.remaining(received.max(stored))
     }
 
     /// Whether an item is not active and its retry delay has passed.
@@ -153,13 +162,13 @@
         owned: impl Fn(u16) -> bool,
     ) -> Option<ItemId> {
         let meets_due_time =
-            |run: &Run| now + self.estimator.remaining(run.last_event_id) <= run.due_at;
+            |run: &Run| now + self.estimator.remaining(run.output.last_event_id()) <= run.due_at;
         self.runs
             .iter()
             .filter(|(_, run)| run.task.is_some())
             .filter(|(_, run)| run.replica.is_some_and(|at| replicas.contains(&at)))
             .filter(|(_, run)| owned(run.shard))
-            .min_by_key(|(_, run)| (meets_due_time(run), run.last_event_id))
+            .min_by_key(|(_, run)| (meets_due_time(run), run.output.last_event_id()))
             .map(|(id, _)| id.clone())
     }
 
@@ -186,8 +195,13 @@
 /// Runs the scheduler: starts, preempts and drops items.
 pub(crate) async fn schedule<S: Store, D: Dialect>(core: Core<S, D>) {
     core.spawn(purge_ended_jobs(core.clone())).detach();
+    let mut next_checkpoint = clock::now();
     for poll in 0_u32.. {
         smol::Timer::after(POLL_INTERVAL).await;
+        if clock::now() >= next_checkpoint {
+            next_checkpoint = clock::now() + checkpoint::INTERVAL;
+            store_outputs(&core);
+        }
         preempt(&core);
         drop_unneeded(&core);
         if core.is_draining() {
@@ -200,6 +214,52 @@
     }
 }
 
+/// Stores the output that items have received since the last checkpoint.
+fn store_outputs<S: Store, D: Dialect>(core: &Core<S, D>) {
+    if core.is_store_unavailable(clock::now()) {
+        return;
+    }
+    let is_stored_here =
+        |run: &Run| run.task.is_some() || core.shards[usize::from(run.shard)].is_owned();
+    let ids: Vec<ItemId> = {
+        let runs = core.runs();
+        let unsaved = runs
+            .runs
+            .iter()
+            .filter(|(_, run)| !run.finishing && !run.checkpointing && is_stored_here(run));
+        unsaved.map(|(id, _)| id.clone()).collect()
+    };
+    for id in ids {
+        let ledger = jobs::shard_of(core, &id.0).ledger();
+        let mut runs = core.runs();
+        let (Some(job), Some(run)) = (ledger.job(&id.0), runs.runs.get_mut(&id)) else {
+            continue;
+        };
+        let stored = job.progress.get(&id.1);
+        if let Some(part) = run.output.part_behind(id.1, stored) {
+            run.checkpointing = true;
+            core.spawn(store_output(core.clone(), id, part)).detach();
+        }
+    }
+}
+
+/// Stores a part of an output. If that fails, the next checkpoint stores a longer
+/// one; the writer of the shard logs why.
+async fn store_output<S: Store, D: Dialect>(core: Core<S, D>, id: ItemId, part: OutputPart) {
+    let op = Op::RecordOutput(id.0.clone(), part);
+    let shard = jobs::shard_of(&core, &id.0);
+    let stored = shard.submit(op, clock::now() + CHECKPOINT_TIMEOUT).await;
+    core.metrics.checkpoint(match stored {
+        Ok(Decision::Planned) => "stored",
+        Ok(_) => "superseded",
+        Err(Undecided::NotApplied) => "failed",
+        Err(Undecided::Unknown) => "unknown",
+    });
+    if let Some(run) = core.runs().runs.get_mut(&id) {
+        run.checkpointing = false;
+    }
+}
+
 /// Removes ended jobs from the ledger whose submission is older than the retention.
 async fn purge_ended_jobs<S: Store, D: Dialect>(core: Core<S, D>) {
     loop {
@@ -318,7 +378,7 @@
                 reserve,
             )
         });
-        if *budget > 0 && start_run(core, route, backend, *reserve, &job.submission, &candidate) {
+        if *budget > 0 && start_run(core, route, backend, *reserve, job, &candidate) {
             *budget -= 1;
         }
     }
@@ -343,7 +403,11 @@
                 let item_hash = short_hash(&[submission.id.as_bytes(), &index.to_be_bytes()]);
                 if runs.is_startable(&id, now) && eligibility.may_start(item_hash, read_at) {
                     found.push(Candidate {
-                        start_order: start_order(age, runs.remaining(&id), due),
+                        start_order: start_order(
+                            age,
+                            runs.remaining(&id, job.stored_events(index)),
+                            due,
+                        ),
                         id,
                         shard: shard.number(),
                         age,
@@ -364,7 +428,7 @@
     route: &Route,
     backend: &Backend,
     reserve: u32,
-    submission: &Submission,
+    job: &Job,
     candidate: &Candidate,
 ) -> bool {
     let Some(selection) =
@@ -380,7 +444,14 @@
     run.shard = candidate.shard;
     run.due_at = candidate.due_at;
     run.replica = Some(slot.selection.key);
-    let Some(message) = item_message(core, submission, candidate.id.1, run.last_event_id) else {
+    match job.progress.get(&candidate.id.1) {
+        Some(stored) if stored.last_event_id > run.output.last_event_id() => {
+            run.output = Output::resume(stored);
+        }
+        _ => {}
+    }
+    let last_event_id = run.output.last_event_id();
+    let Some(message) = item_message(core, &job.submission, candidate.id.1, last_event_id) else {
         run.retry_at = clock::now() + RETRY_DELAY;
         return true;
     };
@@ -388,7 +459,7 @@
         core: core.clone(),
         id: candidate.id.clone(),
         item_hash: candidate.item_hash,
-        started: (clock::now(), run.last_event_id),
+        started: (clock::now(), last_event_id),
         max_attempts: route.max_attempts,
         message,
         reserves: backend.reserves,
@@ -540,15 +611,14 @@
                     let Some(run) = runs.runs.get_mut(&self.id) else {
                         return;
                     };
-                    if event.id.is_some_and(|id| id != run.last_event_id + 1) {
+                    if event
+                        .id
+                        .is_some_and(|id| id != run.output.last_event_id() + 1)
+                    {
                         drop(runs);
                         return self.record_broken(Outcome::Broken);
                     }
-                    if run.last_event_id > 0 {
-                        run.output.push('\n');
-                    }
-                    run.output.push_str(&event.data());
-                    run.last_event_id += 1;
+                    run.output.push(&event.data());
                 }
                 Some(Received::End) => {
                     response.release_connection(&self.core);
@@ -572,12 +642,13 @@
             return Arc::default();
         };
         let (started, last_event_before) = self.started;
+        let last_event_id = run.output.last_event_id();
         estimator.record_run(
-            run.last_event_id - last_event_before,
+            last_event_id - last_event_before,
             clock::now().saturating_sub(started),
         );
-        estimator.record_finished(run.last_event_id);
-        Arc::from(run.output.as_str())
+        estimator.record_finished(last_event_id);
+        Arc::from(run.output.text())
     }
 
     fn finish(self, outcome: ledger::Outcome, reason: &str) {
--- a/crates/gateway/tests/gateway/batch.rs
+++ b/crates/gateway/tests/gateway/batch.rs
@@ -349,3 +349,39 @@
         assert_eq!(status(&gateway.fetch(&read("other")).await), 404);
     });
 }
+
+/// Sends two events and goes silent, but completes an item that is resumed.
+fn stalls_after_two(head: &str) -> Vec<Action> {
+    match header(head, "last-event").as_deref() {
+        Some("2") => vec![
+            Action::Respond(200, EVENTS, "id: 3\ndata: c\n\n"),
+            Action::Close,
+        ],
+        _ => vec![
+            Action::Respond(200, EVENTS, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+            Action::AwaitDisconnect,
+        ],
+    }
+}
+
+/// Neither the loss of the daemon nor that of its memory starts the item anew.
+#[test]
+fn item_of_a_lost_daemon_resumes_after_its_stored_output() {
+    smol::block_on(async {
+        let replica = ScriptedReplica::start_with("r", stalls_after_two).await;
+        let store = store(&[&replica]);
+        let one = Gateway::start(&store).await;
+        let job = request("POST", "/items/", "job", "one\n");
+        assert_eq!(status(&one.fetch(&job).await), 202);
+        wait_until("a checkpoint", || store.count_records("p/job") > 0).await;
+        drop(one);
+        let sent_before = replica.requests().len();
+        let two = Gateway::start(&store).await;
+        assert_eq!(results(&two, "job", 1).await, ["0 one a,b,c"]);
+        let requests = replica.requests();
+        assert!(requests.len() > sent_before);
+        for head in &requests[sent_before..] {
+            assert_eq!(header(head, "last-event").as_deref(), Some("2"), "{head}");
+        }
+    });
+}
--- a/crates/state/src/ledger/entry.rs
+++ b/crates/state/src/ledger/entry.rs
@@ -1,10 +1,11 @@
 //! Jobs, items and results of the ledger, and the record that stores them.
 //!
-//! [`Submission`], [`Item`], [`ItemResult`] and [`Outcome`] are encoded into
-//! record values; the order and types of their fields are part of the stored
+//! [`Submission`], [`Item`], [`ItemResult`], [`Outcome`] and [`OutputPart`] are
+//! encoded into record values; the order and types of their fields are part of the stored
 //! format.
-//! [`Job`] is the in-memory state of a job and is not stored.
+//! [`Job`] and [`Progress`] are in-memory state and are not stored.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use compact_str::CompactString;
@@ -67,6 +68,45 @@
     pub end: Outcome,
 }
 
+/// Part of the output of an unfinished item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutputPart {
+    /// Index of the item in the submission.
+    pub item: u32,
+    /// Id of the last event before the part; 0 for the first part.
+    pub after: u64,
+    /// Id of the last event in the part.
+    pub last_event_id: u64,
+    /// Data of its events, separated by line feeds.
+    pub text: Arc<str>,
+}
+
+/// Stored output of an unfinished item.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// Id of the last event.
+    pub last_event_id: u64,
+    /// Data of the events, separated by line feeds.
+    pub output: String,
+    /// [`OutputPart::after`] of the parts.
+    pub(super) parts: Vec<u64>,
+}
+
+impl Progress {
+    /// Appends the part that follows; any other part is ignored.
+    pub(super) fn append(&mut self, part: &OutputPart) {
+        if part.after != self.last_event_id || part.last_event_id <= part.after {
+            return;
+        }
+        if part.after > 0 {
+            self.output.push('\n');
+        }
+        self.output.push_str(&part.text);
+        self.last_event_id = part.last_event_id;
+        self.parts.push(part.after);
+    }
+}
+
 /// Batch job with its progress.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -78,6 +118,8 @@
     pub has_result: Vec<bool>,
     /// Number of failed attempts, by item index.
     pub failures: Vec<u8>,
+    /// Stored output of unfinished items, by item index.
+    pub progress: HashMap<u32, Progress>,
     /// Whether the client cancelled the job.
     pub cancelled: bool,
     /// Number of records that hold the submission, not counting its head.
@@ -106,6 +148,14 @@
             .map(|(index, _)| index as u32)
     }
 
+    /// Id of the last event of an item whose output is stored; 0 for none.
+    #[must_use]
+    pub fn stored_events(&self, item: u32) -> u64 {
+        self.progress
+            .get(&item)
+            .map_or(0, |progress| progress.last_event_id)
+    }
+
     /// Whether the job was submitted to a host, under a path prefix.
     #[must_use]
     pub fn matches_prefix(&self, host: &str, prefix: &str) -> bool {
--- a/crates/state/src/ledger/mod.rs
+++ b/crates/state/src/ledger/mod.rs
@@ -13,6 +13,6 @@
 mod plan;
 mod state;
 
-pub use entry::{Item, ItemResult, Job, Outcome, Record, Submission};
+pub use entry::{Item, ItemResult, Job, Outcome, OutputPart, Progress, Record, Submission};
 pub use plan::{Decision, Op, Plan, Quota};
 pub use state::{Key, Ledger};
--- a/crates/state/src/ledger/plan.rs
+++ b/crates/state/src/ledger/plan.rs
@@ -9,7 +9,7 @@
 
 use compact_str::{CompactString, format_compact};
 
-use super::entry::{ItemResult, Outcome, Record, Submission};
+use super::entry::{ItemResult, Job, Outcome, OutputPart, Record, Submission};
 use super::state::{Ledger, encode, submission_records};
 
 /// Limit of queued batch tokens of a route.
@@ -34,6 +34,8 @@
     RecordResult(CompactString, u32, Outcome),
     /// Record the number of failed attempts of an item, by job id and item index.
     RecordFailures(CompactString, u32, u8),
+    /// Store a part of the output of an unfinished item, by job id.
+    RecordOutput(CompactString, OutputPart),
     /// Cancel a job.
     Cancel(CompactString),
     /// Delete all records of a job.
@@ -45,8 +47,8 @@
 pub enum Decision {
     /// The plan contains the records of the operation.
     Planned,
-    /// No record is needed: the job exists or is cancelled already, or the item has a result or
-    /// at least as many failed attempts.
+    /// No record is needed: the job exists or is cancelled already, or the item has a result, at
+    /// least as many failed attempts or another stored output.
     Unchanged,
     /// The job does not fit in the quota.
     QuotaExceeded,
@@ -65,6 +67,8 @@
     accepted_tokens: HashMap<CompactString, u64>,
     /// Items that get a result by this plan.
     finished_items: HashSet<(CompactString, u32)>,
+    /// Items whose output is extended by this plan, with [`OutputPart::after`].
+    extended_items: HashMap<(CompactString, u32), u64>,
     /// Next free result position, by job id.
     next_positions: HashMap<CompactString, u32>,
 }
@@ -75,6 +79,18 @@
     format_compact!("r/{id}/{position:06}")
 }
 
+/// Key of a part of an output, zero-padded like that of a result.
+fn output_key(id: &str, item: u32, after: u64) -> CompactString {
+    format_compact!("p/{id}/{item:06}/{after:08}")
+}
+
+/// Keys of the stored output of an item.
+fn output_keys(job: &Job, item: u32) -> impl Iterator<Item = CompactString> {
+    let id = &job.submission.id;
+    let parts = job.progress.get(&item).into_iter().flat_map(|p| &p.parts);
+    parts.map(move |after| output_key(id, item, *after))
+}
+
 impl Ledger {
     /// Plans operations on the current state, to be appended at [`Self::next`].
     #[must_use]
@@ -100,6 +116,7 @@
                 Some(_) => Decision::Unchanged,
                 None => Decision::UnknownJob,
             },
+            Op::RecordOutput(id, part) => self.plan_output(ledger, id, part),
             Op::Cancel(id) => match ledger.job(id) {
                 Some(job) if job.cancelled => Decision::Unchanged,
                 Some(_) => self.push(format_compact!("c/{id}"), vec![1]),
@@ -117,6 +134,11 @@
         Decision::Planned
     }
 
+    fn delete(&mut self, keys: impl IntoIterator<Item = CompactString>) {
+        let tombstones = keys.into_iter().map(|key| Record { key, value: None });
+        self.records.extend(tombstones);
+    }
+
     fn plan_accept(
         &mut self,
         ledger: &Ledger,
@@ -163,9 +185,32 @@
         let key = result_key(id, *position as usize);
         *position += 1;
         let end = end.clone();
+        let planned = self.extended_items.get(&(id.clone(), item)).copied();
+        self.delete(output_keys(job, item).chain(planned.map(|after| output_key(id, item, after))));
         self.push(key, encode(&ItemResult { item, end }))
     }
 
+    /// A part is stored only behind the stored output: an item may run at two
+    /// daemons, and the output must not be joined from both runs.
+    fn plan_output(&mut self, ledger: &Ledger, id: &CompactString, part: &OutputPart) -> Decision {
+        let Some(job) = ledger.job(id) else {
+            return Decision::UnknownJob;
+        };
+        let item = (id.clone(), part.item);
+        let is_open = !job.cancelled
+            && job.has_result.get(part.item as usize) == Some(&false)
+            && !self.finished_items.contains(&item);
+        if !is_open
+            || job.stored_events(part.item) != part.after
+            || part.last_event_id <= part.after
+            || self.extended_items.contains_key(&item)
+        {
+            return Decision::Unchanged;
+        }
+        self.extended_items.insert(item, part.after);
+        self.push(output_key(id, part.item, part.after), encode(part))
+    }
+
     fn plan_purge(&mut self, ledger: &Ledger, id: &CompactString) -> Decision {
         let Some(job) = ledger.job(id) else {
             return Decision::UnknownJob;
@@ -178,11 +223,11 @@
         let keys: Vec<CompactString> = parts
             .chain(results)
             .chain(failures)
+            .chain(job.progress.keys().flat_map(|item| output_keys(job, *item)))
             .chain(job.cancelled.then(|| format_compact!("c/{id}")))
             .chain([format_compact!("j/{id}")])
             .collect();
-        let tombstones = keys.into_iter().map(|key| Record { key, value: None });
-        self.records.extend(tombstones);
+        self.delete(keys);
         Decision::Planned
     }
 }
--- a/crates/state/src/ledger/state.rs
+++ b/crates/state/src/ledger/state.rs
@@ -3,7 +3,8 @@
 //! The head of a job has the key `j/{id}`, and its encoded submission is split
 //! over records `b/{id}/{n}`. A job exists as soon as its head and all parts
 //! have been read. Results have keys `r/{id}/{position}`, failure counts
-//! `f/{id}/{item}` and cancellations `c/{id}`. A partition is loaded from pages
+//! `f/{id}/{item}`, cancellations `c/{id}`, and parts of the output of unfinished
+//! items `p/{id}/{item}/{after}`. A partition is loaded from pages
 //! of the newest record of each key, which come in the order of keys, and then
 //! follows the log by offset. A record may be read both from a page and from
 //! the log; reading it twice does not change the jobs.
@@ -14,7 +15,7 @@
 use serde::Deserialize;
 use slotmap::{SlotMap, new_key_type};
 
-use super::entry::{ItemResult, Job, Record, Submission};
+use super::entry::{ItemResult, Job, OutputPart, Record, Submission};
 use crate::invariant;
 
 new_key_type! {
@@ -39,8 +40,8 @@
     key_by_id: HashMap<CompactString, Key>,
     /// Heads and parts of submissions that are not complete yet, by record key.
     parts: HashMap<CompactString, Vec<u8>>,
-    /// Results, failure counts and cancellations that were read before their job, by job id, as
-    /// pages of the newest records are not in offset order.
+    /// Results, failure counts, outputs and cancellations that were read before their job, by job
+    /// id, as pages of the newest records are not in offset order.
     pending: HashMap<CompactString, Vec<(CompactString, Vec<u8>)>>,
 }
 
@@ -82,7 +83,7 @@
                 self.assemble_job(id);
             }
             (Some("j"), _, None) => self.remove_job(id),
-            (Some("r" | "f" | "c"), _, Some(value)) => {
+            (Some("r" | "f" | "c" | "p"), _, Some(value)) => {
                 let name = record.key.clone();
                 match self.key_by_id.get(id).copied() {
                     Some(key) => self.update_job(key, &name, value),
@@ -131,6 +132,7 @@
             results: Vec::new(),
             has_result: vec![false; count],
             failures: vec![0; count],
+            progress: HashMap::new(),
             cancelled: false,
             parts,
         });
@@ -154,6 +156,7 @@
                     *count = (*count).max(*failures);
                 }
             }
+            Some(b'p') => append_output(job, value),
             _ => record_result(job, trailing_number(name), value),
         }
     }
@@ -194,6 +197,17 @@
     }
 }
 
+fn append_output(job: &mut Job, value: &[u8]) {
+    match postcard::from_bytes::<OutputPart>(value) {
+        Ok(part) if job.has_result.get(part.item as usize) == Some(&false) => {
+            job.progress.entry(part.item).or_default().append(&part);
+        }
+        // A page may still hold parts of an item that has ended.
+        Ok(_) => {}
+        Err(_) => invariant::check(false, "a stored part of an output can be decoded"),
+    }
+}
+
 fn record_result(job: &mut Job, position: u32, value: &[u8]) {
     let Ok(result) = postcard::from_bytes::<ItemResult>(value) else {
         invariant::check(false, "a stored result can be decoded");
@@ -214,6 +228,7 @@
     );
     invariant::check(!job.has_result[index], "an item has one result");
     job.has_result[index] = true;
+    job.progress.remove(&result.item);
     job.submission.items[index].body = std::sync::Arc::from([]);
     job.results.push(result);
 }
--- a/crates/state/tests/ledger.rs
+++ b/crates/state/tests/ledger.rs
@@ -1,7 +1,9 @@
 //! Tests of the ledger: each change takes effect once, with several writers,
 //! lost append responses, and any order of loading the records.
 
-use bitterncart_state::ledger::{Decision, Item, Ledger, Op, Outcome, Quota, Record, Submission};
+use bitterncart_state::ledger::{
+    Decision, Item, Ledger, Op, Outcome, OutputPart, Quota, Record, Submission,
+};
 use bitterncart_testing::cases;
 
 fn submission(id: &str, items: usize, body: usize) -> Submission {
@@ -221,6 +223,122 @@
     restart_with_submission_in_several_parts(3, 150_000, usize::MAX);
 }
 
+fn record_output(item: u32, after: u64, last_event_id: u64, text: &str) -> Op {
+    let part = OutputPart {
+        item,
+        after,
+        last_event_id,
+        text: text.into(),
+    };
+    Op::RecordOutput("job".into(), part)
+}
+
+/// Ledger of a daemon that starts after the topic was written.
+fn restarted(topic: &Topic) -> Ledger {
+    let mut ledger = Ledger::default();
+    for record in topic.newest() {
+        ledger.apply_newest(&record);
+    }
+    ledger
+}
+
+/// All daemons are lost while items run: their outputs go on from the last part.
+#[test]
+fn output_of_unfinished_items_survives_the_loss_of_all_daemons() {
+    let (mut topic, mut ledger) = (Topic::default(), Ledger::default());
+    apply_ops(&mut topic, &mut ledger, &[accept("job", 12)]);
+    for n in 0..12 {
+        let ops = [
+            record_output(11, 9 * n, 9 * n + 9, &format!("t{n}")),
+            record_output(2, n, n + 1, "x"),
+        ];
+        assert_eq!(
+            apply_ops(&mut topic, &mut ledger, &ops),
+            [Decision::Planned; 2]
+        );
+    }
+    let mut restarted = restarted(&topic);
+    topic.replay(&mut restarted);
+    let job = restarted.job("job").expect("the job exists");
+    assert_eq!(job.stored_events(11), 108);
+    let expected: Vec<String> = (0..12).map(|n| format!("t{n}")).collect();
+    assert_eq!(job.progress[&11].output, expected.join("\n"));
+    assert_eq!(job.stored_events(2), 12);
+    assert_eq!(job.stored_events(3), 0);
+}
+
+cases! {
+    /// An item runs at two daemons; only parts of one run are joined.
+    fn part_of_another_run_is_not_stored(after: u64, last_event_id: u64) {
+        let (mut topic, mut ledger) = (Topic::default(), Ledger::default());
+        let ops = [accept("job", 2)];
+        apply_ops(&mut topic, &mut ledger, &ops);
+        let ops = [record_output(0, 0, 20, "a")];
+        apply_ops(&mut topic, &mut ledger, &ops);
+        let other = [record_output(0, after, last_event_id, "b")];
+        assert_eq!(apply_ops(&mut topic, &mut ledger, &other), [Decision::Unchanged]);
+        assert_eq!(ledger.job("job").expect("the job").progress[&0].output, "a");
+    }
+    part_of_a_run_from_the_start(0, 30);
+    part_that_ends_earlier(0, 10);
+    part_that_begins_inside(10, 30);
+    part_that_leaves_a_gap(21, 30);
+    part_without_events(20, 20);
+}
+
+#[test]
+fn one_part_of_a_group_is_stored() {
+    let (mut topic, mut ledger) = (Topic::default(), Ledger::default());
+    apply_ops(&mut topic, &mut ledger, &[accept("job", 1)]);
+    let ops = [record_output(0, 0, 5, "a"), record_output(0, 0, 7, "b")];
+    let decisions = apply_ops(&mut topic, &mut ledger, &ops);
+    assert_eq!(decisions, [Decision::Planned, Decision::Unchanged]);
+}
+
+cases! {
+    /// The result replaces the stored parts, also those of the same append.
+    fn ended_item_keeps_no_output(parts: u64, ending: &[Op], decision: Decision) {
+        let (mut topic, mut ledger) = (Topic::default(), Ledger::default());
+        apply_ops(&mut topic, &mut ledger, &[accept("job", 1)]);
+        for n in 0..parts {
+            apply_ops(&mut topic, &mut ledger, &[record_output(0, n, n + 1, "t")]);
+        }
+        let decisions = apply_ops(&mut topic, &mut ledger, ending);
+        assert_eq!(decisions.last(), Some(&decision));
+        let job = ledger.job("job").expect("the job exists");
+        assert!(job.progress.is_empty());
+        assert!(topic.newest().iter().all(|r| !r.key.starts_with("p/")));
+        assert!(restarted(&topic).job("job").expect("the job").progress.is_empty());
+    }
+    result_removes_earlier_parts(
+        3,
+        &[Op::RecordResult("job".into(), 0, Outcome::Completed("t".into()))],
+        Decision::Planned
+    );
+    result_removes_a_part_of_the_same_append(
+        1,
+        &[record_output(0, 1, 2, "t"), Op::RecordResult("job".into(), 0, Outcome::GivenUp)],
+        Decision::Planned
+    );
+    part_after_the_result_is_not_stored(
+        1,
+        &[Op::RecordResult("job".into(), 0, Outcome::GivenUp), record_output(0, 1, 2, "t")],
+        Decision::Unchanged
+    );
+}
+
+#[test]
+fn cancelled_job_stores_no_output() {
+    let (mut topic, mut ledger) = (Topic::default(), Ledger::default());
+    apply_ops(&mut topic, &mut ledger, &[accept("job", 1)]);
+    apply_ops(&mut topic, &mut ledger, &[Op::Cancel("job".into())]);
+    let ops = [record_output(0, 0, 5, "a")];
+    assert_eq!(
+        apply_ops(&mut topic, &mut ledger, &ops),
+        [Decision::Unchanged]
+    );
+}
+
 #[test]
 fn deleted_job_leaves_no_records() {
     let (mut topic, mut ledger) = (Topic::default(), Ledger::default());
@@ -232,6 +350,7 @@
         &[
             record_result,
             Op::RecordFailures("job".into(), 1, 1),
+            record_output(1, 0, 5, "a"),
             Op::Cancel("job".into()),
         ],
     );
--- a/crates/state/tests/schedules.rs
+++ b/crates/state/tests/schedules.rs
@@ -6,7 +6,9 @@
 
 use std::collections::BTreeMap;
 
-use bitterncart_state::ledger::{Decision, Item, Ledger, Op, Outcome, Record, Submission};
+use bitterncart_state::ledger::{
+    Decision, Item, Ledger, Op, Outcome, OutputPart, Record, Submission,
+};
 use bitterncart_testing::cases;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -107,9 +109,19 @@
         let id = format!("job{}", random.random_range(0..JOBS));
         let item = random.random_range(0..ITEMS);
         let text = format!("t{}", random.random::<u8>());
-        let op = match random.random_range(0..4) {
+        let op = match random.random_range(0..6) {
             0 => Op::Accept(submission(&id), None),
             1 => Op::RecordFailures(id.as_str().into(), item, 1),
+            2 | 3 => {
+                let after = ledger.job(&id).map_or(0, |job| job.stored_events(item));
+                let part = OutputPart {
+                    item,
+                    after,
+                    last_event_id: after + random.random_range(1..4),
+                    text: text.as_str().into(),
+                };
+                Op::RecordOutput(id.as_str().into(), part)
+            }
             _ => Op::RecordResult(
                 id.as_str().into(),
                 item,
@@ -166,6 +178,21 @@
         }
     }
 
+    /// Output of an item that has no result, from the parts in the order of appends.
+    fn stored_output(&self, id: &str, item: u32) -> Option<String> {
+        let prefix = format!("p/{id}/{item:06}/");
+        let records = self.topic.iter().filter(|r| r.key.starts_with(&prefix));
+        let mut parts: Vec<OutputPart> = Vec::new();
+        for record in records {
+            match &record.value {
+                Some(value) => parts.push(postcard::from_bytes(value).expect("a part")),
+                None => parts.clear(),
+            }
+        }
+        let texts: Vec<&str> = parts.iter().map(|part| &*part.text).collect();
+        (!texts.is_empty()).then(|| texts.join("\n"))
+    }
+
     fn check(&mut self) {
         for delayed in std::mem::take(&mut self.delayed) {
             self.append(delayed.expected_end, &delayed.records);
@@ -188,6 +215,18 @@
             items.dedup();
             assert_eq!(items.len(), job.results.len(), "an item has two results");
         }
+        for (_, job) in ledger.jobs() {
+            let id = &job.submission.id;
+            for item in 0..ITEMS {
+                let stored = self.stored_output(id, item);
+                let progress = job.progress.get(&item);
+                assert_eq!(
+                    progress.map(|p| p.output.as_str()),
+                    stored.as_deref(),
+                    "an output was not joined in the order of its parts"
+                );
+            }
+        }
         let heads = self.topic.iter().filter(|r| r.key.starts_with("j/"));
         let mut keys: Vec<&str> = heads.map(|r| r.key.as_str()).collect();
         let count = keys.len();
