coordination, gateway: an outage of the store moves no shard and stops no item

Cause: daemons notice the beginning and the end of an outage up to a second apart. The first to lose the store were no candidates any more, so their shards were taken over by those that would lose it next; at the end the first to reach it took over the shards of all others and gave them back a second later. No item was started meanwhile, though items that were accepted before need no store to run.

Change: `ownership::CutOff` drops a daemon from the candidates once it has been unable to append for 1.5 s while half of the daemons can. In an outage for all that a daemon hears, if it hears most of the fleet, its shards' items go on and their results are recorded afterwards. A heartbeat of another process at the address of a dead peer counts whatever its start time, as a wall clock may be set back.

--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -21,7 +21,7 @@
 
 pub use backlog::{Backlog, Group, Queued};
 pub use manifest::{Batch, Kind, Limits, Manifest, Route};
-pub use ownership::{Candidate, View};
+pub use ownership::{Candidate, CutOff, Member, View};
 pub use peers::{Heartbeat, Peers};
 pub use pool::{Class, Pool};
 pub use replica::{Replica, Stage};
--- a/crates/coordination/src/fleet/ownership.rs
+++ b/crates/coordination/src/fleet/ownership.rs
@@ -8,6 +8,7 @@
 //! another daemon appended first. Correctness does not depend on the table, as
 //! every append is conditional on the position of the log's end.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,6 +20,11 @@
 /// that a rolling restart does not move each shard twice.
 pub const TAKEOVER_MIN_UPTIME: Duration = Duration::from_secs(15);
 
+/// Time for which a daemon that alone cannot append to the store keeps its
+/// shards. Daemons notice the beginning and the end of an outage of the store at
+/// different times, up to a call's timeout apart.
+pub const STORE_LOSS_GRACE: Duration = Duration::from_millis(1500);
+
 /// Minimum share of the fleet's capacity that the eligible owners have together.
 const OWNER_CAPACITY_SHARE: f64 = 0.5;
 
@@ -31,22 +37,66 @@
     pub capacity: u32,
 }
 
-impl Candidate {
-    /// Candidates among the live peers: those that are not shutting down and can
-    /// append to the store.
+/// Candidate, and whether it can append to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Daemon that is not shutting down.
+    pub candidate: Candidate,
+    /// Whether it can append to the store.
+    pub writes: bool,
+}
+
+impl Member {
+    /// Live peers that are not shutting down.
     #[must_use]
     pub fn from_peers(peers: &Peers, now: Duration) -> Vec<Self> {
         peers
             .live(now)
-            .filter(|heartbeat| heartbeat.writes && !heartbeat.leaving)
+            .filter(|heartbeat| !heartbeat.leaving)
             .map(|heartbeat| Self {
-                address: heartbeat.from,
-                capacity: heartbeat.capacity,
+                candidate: Candidate {
+                    address: heartbeat.from,
+                    capacity: heartbeat.capacity,
+                },
+                writes: heartbeat.writes,
             })
             .collect()
     }
 }
 
+/// Daemons that cannot append to the store while most others can.
+///
+/// In an outage of the store itself no daemon is better placed than another, and
+/// moving shards would only cost loads and interrupted items when it ends.
+#[derive(Debug, Default)]
+pub struct CutOff {
+    since: HashMap<SocketAddr, Duration>,
+}
+
+impl CutOff {
+    /// Candidates among the members: all but those that have been cut off from the
+    /// store for [`STORE_LOSS_GRACE`].
+    pub fn candidates(&mut self, now: Duration, members: &[Member]) -> Vec<Candidate> {
+        let writers = members.iter().filter(|member| member.writes).count();
+        let is_outage = writers * 2 < members.len();
+        let mut since = HashMap::new();
+        for member in members.iter().filter(|member| !member.writes && !is_outage) {
+            let address = member.candidate.address;
+            since.insert(address, self.since.get(&address).copied().unwrap_or(now));
+        }
+        self.since = since;
+        let is_cut_off = |candidate: &Candidate| {
+            self.since
+                .get(&candidate.address)
+                .is_some_and(|since| now.saturating_sub(*since) >= STORE_LOSS_GRACE)
+        };
+        let candidates = members.iter().map(|member| member.candidate);
+        candidates
+            .filter(|candidate| !is_cut_off(candidate))
+            .collect()
+    }
+}
+
 /// Ownership table: the preferred owner of each shard.
 #[derive(Debug, Default)]
 pub struct Table {
--- a/crates/coordination/src/fleet/peers.rs
+++ b/crates/coordination/src/fleet/peers.rs
@@ -31,6 +31,9 @@
 /// read several times within it.
 const STOPPED_RETENTION: Duration = Duration::from_secs(10);
 
+/// Time after its last heartbeat for which a peer counts as part of the fleet.
+const FLEET_MEMORY: Duration = Duration::from_secs(60);
+
 /// Heartbeat periods after which a peer's load no longer counts.
 const STALE_PERIODS: u32 = 4;
 
@@ -176,9 +179,15 @@
 
 impl Peers {
     /// Stores a heartbeat unless it is older than the latest one from the same
-    /// peer, or a duplicate of it.
+    /// peer, or a duplicate of it. Another process than that of a dead peer is
+    /// accepted whatever its start time: the wall clock of its instance may have
+    /// been set back.
     pub fn receive(&mut self, now: Duration, heartbeat: Heartbeat) {
-        let known = self.peers.get(&heartbeat.from).map(|p| &p.heartbeat);
+        let known = self.peers.get(&heartbeat.from).filter(|p| {
+            let is_live = now.saturating_sub(p.received_at) < FAILURE_TIMEOUT;
+            is_live || p.heartbeat.born_us == heartbeat.born_us
+        });
+        let known = known.map(|p| &p.heartbeat);
         match known {
             Some(old) if (old.born_us, old.seq) >= (heartbeat.born_us, heartbeat.seq) => {}
             _ => {
@@ -261,6 +270,17 @@
         Some(of_route.map_or(0, |(_, tokens)| *tokens))
     }
 
+    /// Whether the store is down for the whole fleet: no live peer can append to
+    /// it, and this daemon hears most of its peers, so it is not cut off with a
+    /// few others.
+    #[must_use]
+    pub fn is_store_outage(&self, now: Duration) -> bool {
+        let is_recent = |p: &&Peer| now.saturating_sub(p.received_at) < FLEET_MEMORY;
+        let fleet = self.peers.values().filter(is_recent).count();
+        let live = self.live(now).count();
+        live * 2 >= fleet && !self.live(now).any(|heartbeat| heartbeat.writes)
+    }
+
     /// Latest heartbeats of the live peers.
     pub fn live(&self, now: Duration) -> impl Iterator<Item = &Heartbeat> {
         self.peers
--- a/crates/coordination/tests/fleet/schedule.rs
+++ b/crates/coordination/tests/fleet/schedule.rs
@@ -8,6 +8,7 @@
 use bitterncart_coordination::fleet::{
     Eligibility, Estimator, Heartbeat, Peers, proportional_share,
 };
+use bitterncart_testing::cases;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -183,3 +184,55 @@
     }
     assert!(may_start(&peers, now));
 }
+
+/// Peer state after `live` peers sent heartbeats, of which `writing` reach the
+/// store, and `silent` others fell silent ten seconds ago.
+fn peers_in_outage(live: u16, writing: u16, silent: u16) -> Peers {
+    let mut peers = stable_peers();
+    for n in 0..silent {
+        peers.receive(STABLE_AT - Duration::from_secs(10), heartbeat(100 + n, 1));
+    }
+    for n in 0..live {
+        let heartbeat = Heartbeat {
+            writes: n < writing,
+            ..heartbeat(1 + n, 1)
+        };
+        peers.receive(STABLE_AT, heartbeat);
+    }
+    peers
+}
+
+cases! {
+    /// Items go on in an outage of the store, but not at daemons that are cut off.
+    fn items_in_an_outage(live: u16, writing: u16, silent: u16, expected: bool) {
+        assert_eq!(peers_in_outage(live, writing, silent).is_store_outage(STABLE_AT), expected);
+    }
+    store_is_down_for_all(10, 0, 0, true);
+    store_serves_some(10, 1, 0, false);
+    cut_off_with_a_few(3, 0, 8, false);
+    cut_off_alone(0, 0, 10, false);
+    few_are_lost_meanwhile(8, 0, 3, true);
+}
+
+/// The instance's wall clock was set back before its daemon restarted.
+#[test]
+fn restarted_peer_with_an_earlier_start_time_is_heard() {
+    let mut peers = stable_peers();
+    let born = |born_us, seq| Heartbeat {
+        born_us,
+        ..heartbeat(1, seq)
+    };
+    peers.receive(STABLE_AT, born(5_000_000, 40));
+    // A heartbeat from before a restart that is known.
+    peers.receive(STABLE_AT + TICK, born(3_000_000, 90));
+    assert_eq!(peers.live(STABLE_AT + TICK).next().map(|h| h.seq), Some(40));
+    let later = STABLE_AT + FAILURE_TIMEOUT + TICK;
+    peers.receive(later, born(5_000_000, 39));
+    assert_eq!(
+        peers.live(later).count(),
+        0,
+        "a late heartbeat of the ended process"
+    );
+    peers.receive(later, born(3_000_000, 1));
+    assert_eq!(peers.live(later).next().map(|h| h.seq), Some(1));
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::pool::Key as Replica;
-use bitterncart_coordination::fleet::{Manifest, Peers, Pool, admission_queue, ownership};
+use bitterncart_coordination::fleet::{CutOff, Manifest, Peers, Pool, admission_queue, ownership};
 use event_listener::Event;
 use smol::{Executor, Task};
 
@@ -49,6 +49,7 @@
     configured: Event,
     manifest: RwLock<Option<Arc<Manifest>>>,
     peers: Mutex<Peers>,
+    cut_off: Mutex<CutOff>,
     ownership_table: Mutex<ownership::Table>,
     pool: Mutex<Pool>,
     admission_queue: Mutex<admission_queue::Queue>,
@@ -104,6 +105,7 @@
             configured: Event::new(),
             manifest: RwLock::default(),
             peers: Mutex::default(),
+            cut_off: Mutex::default(),
             ownership_table: Mutex::default(),
             members: Mutex::default(),
             pool: Mutex::new(pool),
@@ -168,6 +170,10 @@
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn cut_off(&self) -> MutexGuard<'_, CutOff> {
+        self.cut_off.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn ownership_table(&self) -> MutexGuard<'_, ownership::Table> {
         self.ownership_table
             .lock()
@@ -291,6 +297,12 @@
         self.store_availability.is_unavailable(now)
     }
 
+    /// Time for which calls to the store have failed persistently; `None` if they
+    /// do not.
+    pub(crate) fn store_unavailable_for(&self, now: Duration) -> Option<Duration> {
+        self.store_availability.unavailable_for(now)
+    }
+
     /// Time at which the store last became available again.
     pub(crate) fn store_recovered_at(&self) -> Option<Duration> {
         self.store_availability.recovered_at()
--- a/crates/gateway/src/ownership.rs
+++ b/crates/gateway/src/ownership.rs
@@ -2,13 +2,13 @@
 //!
 //! Every daemon derives the preferred owner of each shard from the peers that are
 //! alive and from its own capacity, without messages about ownership. A daemon
-//! that is draining or cannot reach the store is not a candidate. Changes are
-//! applied to the shards, which then load or unload their state.
+//! that is draining, or that alone cannot reach the store, is not a candidate.
+//! Changes are applied to the shards, which then load or unload their state.
 
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::peers::short_hash;
-use bitterncart_coordination::fleet::{Candidate, Route, View};
+use bitterncart_coordination::fleet::{Candidate, Member, Route, View};
 
 use crate::core::Core;
 use crate::dialect::Dialect;
@@ -22,13 +22,17 @@
         return;
     }
     let peers = core.peers();
-    let mut candidates = Candidate::from_peers(&peers, now);
-    if !core.is_draining() && !core.is_store_unavailable(now) {
-        candidates.push(Candidate {
-            address: core.peer_address(),
-            capacity: core.current_settings().capacity_millicores(),
+    let mut members = Member::from_peers(&peers, now);
+    if !core.is_draining() {
+        members.push(Member {
+            candidate: Candidate {
+                address: core.peer_address(),
+                capacity: core.current_settings().capacity_millicores(),
+            },
+            writes: !core.is_store_unavailable(now),
         });
     }
+    let candidates = core.cut_off().candidates(now, &members);
     let count = candidates.len();
     let mut table = core.ownership_table();
     table.update(core.shards.len(), candidates);
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -208,12 +208,20 @@
             // Active items may finish; other daemons start the rest.
             continue;
         }
-        if poll.is_multiple_of(POLLS_PER_START) && !core.is_store_unavailable(clock::now()) {
+        if poll.is_multiple_of(POLLS_PER_START) && may_start_items(&core) {
             start_items(&core);
         }
     }
 }
 
+/// Whether items may start. Without the store, those of the loaded shards go on:
+/// their results are recorded when it is back. A daemon that is cut off starts
+/// none, as others have taken its shards over.
+fn may_start_items<S: Store, D: Dialect>(core: &Core<S, D>) -> bool {
+    let now = clock::now();
+    !core.is_store_unavailable(now) || core.peers().is_store_outage(now)
+}
+
 /// Stores the output that items have received since the last checkpoint.
 fn store_outputs<S: Store, D: Dialect>(core: &Core<S, D>) {
     if core.is_store_unavailable(clock::now()) {
