Revert the Retry-After that grows with an outage of the store

Cause: jobs refused in an outage come back after 0.08 to 0.35 s, too early for one of seconds. Tried: a Retry-After of a half to the whole of the outage's age, up to 3 s.

--- a/crates/coordination/src/fleet/retry.rs
+++ b/crates/coordination/src/fleet/retry.rs
@@ -6,32 +6,8 @@
 //! route allows it to run again. A refusal states that the request has not
 //! run, so it is given only if no attempt can have run.
 
-use std::time::Duration;
-
 use super::manifest::{Kind, Route};
 
-/// Bounds of the delay after which a refused client may retry, if nothing is known
-/// about the cause.
-const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(80), Duration::from_millis(350));
-
-/// Maximum delay after which a client may retry.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
-
-/// Delay after which a refused client may retry. An outage that has lasted for
-/// `outage` can be expected to last about as long again. `random` in `0..1`
-/// spreads the clients.
-#[must_use]
-pub fn retry_after(outage: Option<Duration>, random: f64) -> Duration {
-    let (min, max) = match outage {
-        Some(outage) => (
-            (outage / 2).clamp(RETRY_AFTER.0, MAX_RETRY_AFTER / 2),
-            outage.clamp(RETRY_AFTER.1, MAX_RETRY_AFTER),
-        ),
-        None => RETRY_AFTER,
-    };
-    min + (max - min).mul_f64(random)
-}
-
 /// Outcome of a failed attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/coordination/tests/fleet/retry.rs
+++ b/crates/coordination/tests/fleet/retry.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::manifest::Backend;
-use bitterncart_coordination::fleet::retry::retry_after;
 use bitterncart_coordination::fleet::{Attempts, Batch, Decision, Kind, Outcome, Route};
 use bitterncart_testing::cases;
 
@@ -71,16 +70,3 @@
         Kind::Resumable, 2, &[Outcome::Broken], true, Decision::Retry
     );
 }
-
-cases! {
-    /// Clients of an outage come back when it can be expected to be over, spread.
-    fn clients_come_back(outage_ms: Option<u64>, earliest_ms: u64, latest_ms: u64) {
-        let outage = outage_ms.map(Duration::from_millis);
-        assert_eq!(retry_after(outage, 0.0), Duration::from_millis(earliest_ms));
-        assert_eq!(retry_after(outage, 1.0), Duration::from_millis(latest_ms));
-    }
-    soon_without_an_outage(None, 80, 350);
-    soon_at_the_beginning_of_an_outage(Some(100), 80, 350);
-    later_in_an_outage_of_two_seconds(Some(2000), 1000, 2000);
-    within_seconds_in_a_long_outage(Some(60_000), 1500, 3000);
-}
--- a/crates/gateway/src/availability.rs
+++ b/crates/gateway/src/availability.rs
@@ -44,14 +44,8 @@
 
     /// Whether calls have failed for longer than [`UNAVAILABLE_AFTER`].
     pub(crate) fn is_unavailable(&self, now: Duration) -> bool {
-        self.unavailable_for(now).is_some()
-    }
-
-    /// Time for which calls have failed, if the service is unavailable.
-    pub(crate) fn unavailable_for(&self, now: Duration) -> Option<Duration> {
         let failing_since = Duration::from_millis(self.failing_since_ms.load(Ordering::Relaxed));
-        let failed_for = now.saturating_sub(failing_since);
-        (!failing_since.is_zero() && failed_for > UNAVAILABLE_AFTER).then_some(failed_for)
+        !failing_since.is_zero() && now.saturating_sub(failing_since) > UNAVAILABLE_AFTER
     }
 
     /// Time at which the service last became available again.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -297,12 +297,6 @@
         self.store_availability.is_unavailable(now)
     }
 
-    /// Time for which calls to the store have failed persistently; `None` if they
-    /// do not.
-    pub(crate) fn store_unavailable_for(&self, now: Duration) -> Option<Duration> {
-        self.store_availability.unavailable_for(now)
-    }
-
     /// Time at which the store last became available again.
     pub(crate) fn store_recovered_at(&self) -> Option<Duration> {
         self.store_availability.recovered_at()
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -14,7 +14,6 @@
 use bitterncart_coordination::fleet::admission_queue::Ticket;
 use bitterncart_coordination::fleet::manifest::Backend;
 use bitterncart_coordination::fleet::pool::{Class, Key};
-use bitterncart_coordination::fleet::retry::retry_after;
 use bitterncart_coordination::fleet::{Attempts, Decision, Kind, Outcome, Route};
 use bitterncart_protocol::Code;
 use bytes::Bytes;
@@ -65,6 +64,9 @@
 /// Maximum number of events buffered for a slow client.
 const EVENT_BUFFER_LEN: usize = 8;
 
+/// Bounds of the random delay after which a refused client may retry, in seconds.
+const RETRY_AFTER_RANGE_S: (f64, f64) = (0.08, 0.35);
+
 /// Result of trying to acquire a slot.
 enum Acquired<S: Store, D: Dialect> {
     /// A replica reserved a slot, or does not use reservations.
@@ -104,6 +106,11 @@
     }
 }
 
+/// Uniform random duration between two bounds, in seconds.
+fn random_duration((min, max): (f64, f64)) -> Duration {
+    Duration::from_secs_f64(min + (max - min) * rand::random::<f64>())
+}
+
 /// Online request of a client with the state of its attempts.
 pub(crate) struct Request<S: Store, D: Dialect> {
     core: Core<S, D>,
@@ -603,10 +610,9 @@
         status,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
     ) {
-        let outage = None;
         let delay = core
             .dialect
-            .retry_after(retry_after(outage, rand::random()));
+            .retry_after(random_duration(RETRY_AFTER_RANGE_S));
         if let Ok(delay) = HeaderValue::from_str(&delay) {
             headers.insert(http::header::RETRY_AFTER, delay);
         }
