gateway: take no reservation from a late answer to an earlier request

Cause: a replica may send a second copy of an answer when the next caller has the connection. Requests compare the id that answers echo; the call that reserves a slot has no id, so it took the copy for its own answer, sent the request with that text as the reservation and then read the reservation as the answer: 502.

Change: an answer that echoes an id is none to a reservation. The connection is closed, as after a reset, and the call repeated on a new one.

Before: the new test fails with 502. After: it passes, with the right reservation.

--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -203,6 +203,11 @@
         );
         let (head, body) = connection.send(request).await?.into_parts();
         check_departure(core, selection, &head);
+        let echo = head.headers.get(&core.dialect.header_names().attempt_id);
+        if echo.is_some_and(|id| !id.is_empty()) {
+            // The call has no id that its response could echo.
+            return Err(Error::Broken("late response to an earlier request".into()));
+        }
         let body = body.collect().await;
         let body = body.map_err(|e| Error::Broken(e.to_string()))?;
         core.connector.release(connection);
--- a/crates/gateway/tests/gateway/reservation.rs
+++ b/crates/gateway/tests/gateway/reservation.rs
@@ -143,3 +143,28 @@
         );
     });
 }
+
+/// The replica answers an earlier request a second time, when the next caller has
+/// the connection. Its reservation must not be taken from that answer.
+#[test]
+fn stale_response_is_not_taken_as_a_reservation() {
+    smol::block_on(async {
+        let stale = Action::Send(
+            "HTTP/1.1 200 OK\r\nattempt: id0\r\nsignature: s\r\ncontent-length: 2\r\n\r\np0".into(),
+        );
+        let scripts = vec![
+            vec![OK_RESPONSE],
+            vec![stale],
+            vec![RESERVED],
+            vec![OK_RESPONSE],
+        ];
+        let replica = ScriptedReplica::start("r", scripts).await;
+        let gateway = Gateway::start(&store(&[&replica])).await;
+        let first = request("POST", "/once/a", "id0", "body");
+        assert_eq!(status(&gateway.fetch(&first).await), 200);
+        let response = gateway.fetch(&sized("/once/a", "id1")).await;
+        assert_eq!(status(&response), 200, "{response}");
+        let work = work_requests(&replica);
+        assert_eq!(header(&work[1], "reservation").as_deref(), Some("p7"));
+    });
+}
