--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod harness;
 mod online;
 mod owner;
+mod pace;
 mod replica;
 mod reservation;
 mod store;
