coordination: batch yields by the shortage of slots, not by any queue

Cause: while any online request was queued in a data centre, no item started there. A request asks three replicas, so in a fleet of 79 daemons some are always queued although slots are free, and the rule for the return of all daemons slowed batch on ordinary seconds as well.

Change: items may take the slots beyond two for each queued request, and items are preempted only as far as fewer appear to be free. The return is as before: with about two unknown requests a replica and a long queue nothing starts.

--- a/crates/coordination/src/fleet/backlog.rs
+++ b/crates/coordination/src/fleet/backlog.rs
@@ -4,9 +4,11 @@
 //! on with the requests of a daemon that was lost, so it refuses reservations
 //! although it appears to have free slots, and nothing is preempted there. The
 //! number of queued online requests shows the shortage whatever its cause. Each
-//! daemon reports its queue by service, and as long as requests are queued in a
-//! data centre, no batch item starts at its replicas, and items that run there
-//! are preempted, one for each queued request and round.
+//! daemon reports its queue by service. Batch items start only at slots of a data
+//! centre beyond two for each request queued there, and as far as there are fewer
+//! slots than that, items are preempted, at most one for each queued request and
+//! round. In a large fleet some requests are always queued, as each asks a few
+//! replicas only; while enough slots appear to be free, batch takes no notice.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -20,6 +22,10 @@
 /// and a queued request reserves it.
 const ROUND: Duration = Duration::from_millis(200);
 
+/// Slots that have to appear free for each queued request: one that it gets, and
+/// one that may be taken by requests of lost daemons.
+const SLOTS_PER_REQUEST: u32 = 2;
+
 /// Replicas of one service in one data centre, as a short id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -42,6 +48,17 @@
     pub requests: u16,
 }
 
+/// Slots of a group, as far as this daemon knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Slots that appear to be free.
+    pub free: u32,
+    /// Batch items of this daemon.
+    pub own: u32,
+    /// Batch items of all daemons.
+    pub all: u32,
+}
+
 /// Queued online requests of all daemons.
 #[derive(Debug, Default)]
 pub struct Backlog {
@@ -65,18 +82,23 @@
         self.requests.get(&group).copied().unwrap_or(0)
     }
 
+    /// Slots of a group, of which `free` appear to be free, that batch items may
+    /// take.
+    #[must_use]
+    pub fn batch_slots(&self, group: Group, free: u32) -> u32 {
+        free.saturating_sub(self.requests(group).saturating_mul(SLOTS_PER_REQUEST))
+    }
+
     /// Starts a round of preemptions in a group if one is due, and returns the
     /// number of items that this daemon preempts: its share in proportion to the
-    /// items that it runs there, `own` of `all`. `random` in `0..1` rounds it.
-    pub fn start_round(
-        &mut self,
-        now: Duration,
-        group: Group,
-        own: u32,
-        all: u32,
-        random: f64,
-    ) -> u32 {
-        let requests = self.requests(group);
+    /// items that it runs there. `random` in `0..1` rounds it.
+    pub fn start_round(&mut self, now: Duration, group: Group, usage: Usage, random: f64) -> u32 {
+        let Usage { free, own, all } = usage;
+        let queued = self.requests(group);
+        let missing = queued
+            .saturating_mul(SLOTS_PER_REQUEST)
+            .saturating_sub(free);
+        let requests = queued.min(missing);
         let is_due = self
             .rounds
             .get(&group)
--- a/crates/coordination/src/fleet/pool.rs
+++ b/crates/coordination/src/fleet/pool.rs
@@ -22,7 +22,7 @@
 use compact_str::CompactString;
 use slotmap::{SlotMap, new_key_type};
 
-use super::backlog::{Backlog, Group, Queued};
+use super::backlog::{self, Backlog, Group, Queued};
 use super::peers::short_hash;
 use super::replica::{Process, Replica, Stage};
 use super::schedule::proportional_share;
@@ -408,10 +408,11 @@
         reserve: u32,
         random: f64,
     ) -> Option<Selection> {
+        let slots = self.batch_slots_by_group(now, service, reserve);
         let free: Vec<(Key, f64)> = self
             .entries
             .iter()
-            .filter(|(_, e)| e.replica.service == service)
+            .filter(|(_, e)| slots.get(&e.group).is_some_and(|slots| *slots > 0))
             .filter(|(_, e)| e.accepts_requests(now) && now >= e.backoff_until)
             .map(|(key, e)| (key, self.batch_weight(now, e, reserve)))
             .filter(|(_, weight)| *weight > 0.0)
@@ -434,17 +435,31 @@
         self.backlog.update(reports);
     }
 
-    /// Free slots for batch items: none while online requests are queued.
-    fn free_batch_slots_at(&self, now: Duration, entry: &Entry, reserve: u32) -> u32 {
-        match self.backlog.requests(entry.group) {
-            0 => entry.free_slots(now).saturating_sub(reserve),
-            _ => 0,
+    /// Slots of a service that batch items may take, by data centre, less
+    /// `reserve` at each replica.
+    fn batch_slots_by_group(
+        &self,
+        now: Duration,
+        service: &str,
+        reserve: u32,
+    ) -> HashMap<Group, u32> {
+        let mut slots: HashMap<Group, u32> = HashMap::new();
+        let of_service = self
+            .entries
+            .values()
+            .filter(|e| e.replica.service == service);
+        for e in of_service.filter(|e| e.accepts_requests(now) && now >= e.backoff_until) {
+            *slots.entry(e.group).or_default() += e.free_slots(now).saturating_sub(reserve);
         }
+        for (group, free) in &mut slots {
+            *free = self.backlog.batch_slots(*group, *free);
+        }
+        slots
     }
 
     /// Free slots for batch items; remote slots count [`REMOTE_SLOT_WEIGHT`] each.
     fn batch_weight(&self, now: Duration, entry: &Entry, reserve: u32) -> f64 {
-        let free = self.free_batch_slots_at(now, entry, reserve);
+        let free = entry.free_slots(now).saturating_sub(reserve);
         if entry.replica.data_centre == self.data_centre {
             f64::from(free)
         } else {
@@ -504,29 +519,23 @@
         now: Duration,
         mut random: impl FnMut() -> f64,
     ) -> Vec<(Vec<Key>, u32)> {
-        /// Batch items at the replicas of a group.
-        #[derive(Default)]
-        struct Items {
-            replicas: Vec<Key>,
-            own: u32,
-            all: u32,
-        }
-        let mut groups: HashMap<Group, Items> = HashMap::new();
+        let mut groups: HashMap<Group, (Vec<Key>, backlog::Usage)> = HashMap::new();
         for (key, e) in &self.entries {
-            let items = groups.entry(e.group).or_default();
-            items.own += e.own.batch;
-            items.all += e.own.batch + e.peers.batch;
+            let (replicas, usage) = groups.entry(e.group).or_default();
+            usage.own += e.own.batch;
+            usage.all += e.own.batch + e.peers.batch;
+            if e.accepts_requests(now) && now >= e.backoff_until {
+                usage.free += e.free_slots(now);
+            }
             if e.own.batch > 0 {
-                items.replicas.push(key);
+                replicas.push(key);
             }
         }
         groups
             .into_iter()
-            .map(|(group, items)| {
-                let count = self
-                    .backlog
-                    .start_round(now, group, items.own, items.all, random());
-                (items.replicas, count)
+            .map(|(group, (replicas, usage))| {
+                let count = self.backlog.start_round(now, group, usage, random());
+                (replicas, count)
             })
             .filter(|(_, count)| *count > 0)
             .collect()
@@ -548,11 +557,8 @@
     /// at each replica.
     #[must_use]
     pub fn free_batch_slots(&self, now: Duration, service: &str, reserve: u32) -> u32 {
-        self.entries
-            .values()
-            .filter(|e| e.replica.service == service)
-            .filter(|e| e.accepts_requests(now) && now >= e.backoff_until)
-            .map(|e| self.free_batch_slots_at(now, e, reserve))
+        self.batch_slots_by_group(now, service, reserve)
+            .into_values()
             .sum()
     }
 
