gateway, coordination: split the checkpoints off; cut-off daemons keep their table

And since `CutOff` takes members that cannot append as candidates in an outage, the daemons of a data centre that is cut off from the store and the others computed a table of themselves alone and took the shards of all others over, though none of them could load one.

Change: `checkpoint.rs` stores the outputs, and `Runs` keeps its fields to itself. If no member that a daemon hears can append, there is no candidate, and the table stays as it was, as before the change. The outages now check the owners rather than the candidates. The harness starts a daemon again if the port that the system chose for TCP is taken for UDP: one run of the gateway's tests failed so, and with half of the odd ports held by a script it fails each time.

Before: the new case of four cut-off daemons fails without the rule. After: it passes, and the tests with half of the odd ports held, too.

--- a/crates/coordination/src/fleet/ownership.rs
+++ b/crates/coordination/src/fleet/ownership.rs
@@ -75,9 +75,14 @@
 
 impl CutOff {
     /// Candidates among the members: all but those that have been cut off from the
-    /// store for [`STORE_LOSS_GRACE`].
+    /// store for [`STORE_LOSS_GRACE`]; none if no member can append, as in a data
+    /// centre that is cut off from the store and from all others.
     pub fn candidates(&mut self, now: Duration, members: &[Member]) -> Vec<Candidate> {
         let writers = members.iter().filter(|member| member.writes).count();
+        if writers == 0 {
+            self.since.clear();
+            return Vec::new();
+        }
         let is_outage = writers * 2 < members.len();
         let mut since = HashMap::new();
         for member in members.iter().filter(|member| !member.writes && !is_outage) {
--- a/crates/coordination/tests/fleet/ownership.rs
+++ b/crates/coordination/tests/fleet/ownership.rs
@@ -154,13 +154,16 @@
     /// Twelve daemons lose the store one after the other within 1 s, and reach it
     /// again likewise after an outage of 6 s. No shard may move.
     fn outage_of_the_store_moves_no_shard(lost_ms: [u64; 12], back_ms: [u64; 12]) {
-        let mut cut_off = CutOff::default();
+        let (mut cut_off, mut table) = (CutOff::default(), table(&[500; 12]));
+        let owners = |table: &Table| (0..SHARDS as u16).map(|n| table.preferred(n)).collect();
+        let before: Vec<Option<SocketAddr>> = owners(&table);
         for ms in (0..9000).step_by(50) {
             let writes = std::array::from_fn::<bool, 12, _>(|n| {
                 ms < lost_ms[n] || ms >= 6000 + back_ms[n]
             });
             let candidates = cut_off.candidates(Duration::from_millis(ms), &members(&writes));
-            assert_eq!(candidates.len(), 12, "at {ms} ms");
+            table.update(SHARDS, candidates);
+            assert_eq!(owners(&table), before, "at {ms} ms");
         }
     }
     noticed_by_all_at_once([0; 12], [0; 12]);
@@ -173,6 +176,17 @@
     );
 }
 
+/// Four daemons hear neither the others nor the store.
+#[test]
+fn daemons_of_a_data_centre_that_is_cut_off_take_no_shard_over() {
+    let (mut cut_off, mut table) = (CutOff::default(), table(&[500; 12]));
+    let before: Vec<_> = (0..SHARDS as u16).map(|n| table.preferred(n)).collect();
+    let candidates = cut_off.candidates(STABLE_AT, &members(&[false; 4]));
+    table.update(SHARDS, candidates);
+    let after: Vec<_> = (0..SHARDS as u16).map(|n| table.preferred(n)).collect();
+    assert_eq!(after, before);
+}
+
 /// The store turns a third of the daemons away for 9 s.
 #[test]
 fn daemons_that_are_turned_away_lose_their_shards_after_the_grace() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod availability;
 mod body;
+mod checkpoint;
 mod clock;
 pub mod connection;
 mod core;
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bitterncart_coordination::fleet::checkpoint::{self, Output};
+use bitterncart_coordination::fleet::checkpoint::{INTERVAL as CHECKPOINT_INTERVAL, Output};
 use bitterncart_coordination::fleet::manifest::Backend;
 use bitterncart_coordination::fleet::peers::short_hash;
 use bitterncart_coordination::fleet::pool::{Class, Key as Replica};
@@ -22,12 +22,13 @@
 use bitterncart_coordination::fleet::{
     Eligibility, Estimator, Manifest, Outcome, Route, proportional_share,
 };
-use bitterncart_state::ledger::{self, Decision, Job, Op, OutputPart, Submission};
+use bitterncart_state::ledger::{self, Job, Op, OutputPart, Progress, Submission};
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use smol::Task;
 
+use crate::checkpoint;
 use crate::clock::{self, with_timeout};
 use crate::core::Core;
 use crate::dialect::Dialect;
@@ -64,9 +65,6 @@
 /// submitted again.
 const LEDGER_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Timeout of storing a part of an output.
-const CHECKPOINT_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Interval between purges of ended jobs.
 const PURGE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -128,6 +126,36 @@
         self.active().next().is_some()
     }
 
+    /// Items whose output can be stored: those that run, and preempted ones of the
+    /// shards for which `is_owned` holds.
+    pub(crate) fn with_output(&self, is_owned: impl Fn(u16) -> bool) -> Vec<ItemId> {
+        let is_stored_here = |run: &Run| run.task.is_some() || is_owned(run.shard);
+        let unsaved = self
+            .runs
+            .iter()
+            .filter(|(_, run)| !run.finishing && !run.checkpointing && is_stored_here(run));
+        unsaved.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Part of an item's output behind the stored one, if there is one. The item
+    /// has no further checkpoint before [`Self::end_checkpoint`].
+    pub(crate) fn start_checkpoint(
+        &mut self,
+        id: &ItemId,
+        stored: Option<&Progress>,
+    ) -> Option<OutputPart> {
+        let run = self.runs.get_mut(id)?;
+        let part = run.output.part_behind(id.1, stored)?;
+        run.checkpointing = true;
+        Some(part)
+    }
+
+    pub(crate) fn end_checkpoint(&mut self, id: &ItemId) {
+        if let Some(run) = self.runs.get_mut(id) {
+            run.checkpointing = false;
+        }
+    }
+
     /// Runs with an attempt in progress or an end that is not recorded yet.
     fn active(&self) -> impl Iterator<Item = &Run> {
         self.runs
@@ -199,8 +227,8 @@
     for poll in 0_u32.. {
         smol::Timer::after(POLL_INTERVAL).await;
         if clock::now() >= next_checkpoint {
-            next_checkpoint = clock::now() + checkpoint::INTERVAL;
-            store_outputs(&core);
+            next_checkpoint = clock::now() + CHECKPOINT_INTERVAL;
+            checkpoint::store_outputs(&core);
         }
         preempt(&core);
         drop_unneeded(&core);
@@ -222,52 +250,6 @@
     !core.is_store_unavailable(now) || core.peers().is_store_outage(now)
 }
 
-/// Stores the output that items have received since the last checkpoint.
-fn store_outputs<S: Store, D: Dialect>(core: &Core<S, D>) {
-    if core.is_store_unavailable(clock::now()) {
-        return;
-    }
-    let is_stored_here =
-        |run: &Run| run.task.is_some() || core.shards[usize::from(run.shard)].is_owned();
-    let ids: Vec<ItemId> = {
-        let runs = core.runs();
-        let unsaved = runs
-            .runs
-            .iter()
-            .filter(|(_, run)| !run.finishing && !run.checkpointing && is_stored_here(run));
-        unsaved.map(|(id, _)| id.clone()).collect()
-    };
-    for id in ids {
-        let ledger = jobs::shard_of(core, &id.0).ledger();
-        let mut runs = core.runs();
-        let (Some(job), Some(run)) = (ledger.job(&id.0), runs.runs.get_mut(&id)) else {
-            continue;
-        };
-        let stored = job.progress.get(&id.1);
-        if let Some(part) = run.output.part_behind(id.1, stored) {
-            run.checkpointing = true;
-            core.spawn(store_output(core.clone(), id, part)).detach();
-        }
-    }
-}
-
-/// Stores a part of an output. If that fails, the next checkpoint stores a longer
-/// one; the writer of the shard logs why.
-async fn store_output<S: Store, D: Dialect>(core: Core<S, D>, id: ItemId, part: OutputPart) {
-    let op = Op::RecordOutput(id.0.clone(), part);
-    let shard = jobs::shard_of(&core, &id.0);
-    let stored = shard.submit(op, clock::now() + CHECKPOINT_TIMEOUT).await;
-    core.metrics.checkpoint(match stored {
-        Ok(Decision::Planned) => "stored",
-        Ok(_) => "superseded",
-        Err(Undecided::NotApplied) => "failed",
-        Err(Undecided::Unknown) => "unknown",
-    });
-    if let Some(run) = core.runs().runs.get_mut(&id) {
-        run.checkpointing = false;
-    }
-}
-
 /// Removes ended jobs from the ledger whose submission is older than the retention.
 async fn purge_ended_jobs<S: Store, D: Dialect>(core: Core<S, D>) {
     loop {
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -1,5 +1,6 @@
 //! Test harness: daemons, their clients and the wire format of the tests.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +22,10 @@
 /// Timeout of every wait in a test.
 pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Limit of attempts to find a port that is free for TCP and for UDP: a daemon uses
+/// one number for both, and the system chooses it for TCP alone.
+const MAX_PORT_CHANGES: usize = 64;
+
 /// Wire format of the tests: one item per line, results as `position id text`.
 #[derive(Clone, Debug)]
 pub(crate) struct LineDialect(Arc<HeaderNames>);
@@ -169,16 +174,25 @@
             };
             smol::block_on(executor_thread.run(stopped));
         });
-        let store = store.clone();
-        let start = Daemon::start(
-            settings,
-            store,
-            LineDialect::default(),
-            Arc::clone(&executor),
-            connector,
-        );
+        let start = async || {
+            Daemon::start(
+                settings.clone(),
+                store.clone(),
+                LineDialect::default(),
+                Arc::clone(&executor),
+                connector.clone(),
+            )
+            .await
+        };
+        let mut started = start().await;
+        for _ in 0..MAX_PORT_CHANGES {
+            match &started {
+                Err(e) if e.kind() == io::ErrorKind::AddrInUse => started = start().await,
+                _ => break,
+            }
+        }
         Self {
-            daemon: start.await.expect("daemon starts"),
+            daemon: started.expect("daemon starts"),
             _executor: executor,
             _stop: stop,
         }
