gateway: log which prompt parts were at a replica whose process ended

Change: the address of a replica with a broken answer is probed; if it refuses connections, one line names the process, how many answers broke and the shared prompt parts of those that had been written for less than a second. A failed attempt names its parts. The parts are decoded in the platform's dialect. Conclusion: a part that stands in each of these lines is the suspect.

--- a/crates/coordination/src/fleet/pool.rs
+++ b/crates/coordination/src/fleet/pool.rs
@@ -175,7 +175,9 @@
 }
 
 impl Selection {
-    fn process(&self) -> Process {
+    /// Process that was selected.
+    #[must_use]
+    pub fn process(&self) -> Process {
         Process {
             id: self.id.clone(),
             address: self.address,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -184,6 +184,18 @@
         })
     }
 
+    /// Whether an address refuses connections, so that no process listens there;
+    /// `None` if it neither accepts nor refuses one within `timeout`.
+    pub(crate) async fn is_refused(&self, address: SocketAddr, timeout: Duration) -> Option<bool> {
+        match with_timeout(timeout, TcpStream::connect(address)).await? {
+            Ok(_) => Some(false),
+            Err(e) => match e.kind() {
+                io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => Some(true),
+                _ => None,
+            },
+        }
+    }
+
     /// Keeps a connection for reuse; its last response must have been read
     /// completely.
     pub fn release(&self, mut connection: Connection) {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -20,6 +20,7 @@
 use crate::availability::Availability;
 use crate::clock;
 use crate::connection::Connector;
+use crate::crash;
 use crate::dialect::Dialect;
 use crate::log;
 use crate::metrics::Metrics;
@@ -38,6 +39,7 @@
     pub dialect: D,
     pub executor: Arc<Executor<'static>>,
     pub connector: Connector,
+    pub crashes: crash::Monitor,
     pub metrics: Metrics,
     pub shards: Vec<Shard>,
     /// Notified when client connections have to be closed.
@@ -95,6 +97,7 @@
             settings,
             store,
             dialect,
+            crashes: crash::Monitor::new(connector.clone(), Arc::clone(&executor)),
             executor,
             connector,
             metrics: Metrics::default(),
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use bitterncart_coordination::fleet::Part;
 use bitterncart_state::ledger::{Item, Job};
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -97,6 +98,12 @@
         None
     }
 
+    /// Parts of a request's prompt that other requests may share, at most
+    /// [`MAX_SHARED_PARTS`](bitterncart_coordination::fleet::prompt::MAX_SHARED_PARTS).
+    fn shared_parts(&self, _headers: &HeaderMap) -> Vec<Part> {
+        Vec::new()
+    }
+
     /// Value of the `Retry-After` header.
     fn retry_after(&self, after: Duration) -> String {
         format!("{:.3}", after.as_secs_f64())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod clock;
 pub mod connection;
 mod core;
+mod crash;
 mod daemon;
 mod forward;
 mod gossip;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::pool::Selection;
-use bitterncart_coordination::fleet::{Decision, Outcome, Route};
+use bitterncart_coordination::fleet::replica::Process;
+use bitterncart_coordination::fleet::{Decision, Outcome, Part, Route, prompt};
 use bitterncart_protocol::Code;
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::{Sink, StdStreamSink};
@@ -80,13 +81,30 @@
     outcome: Outcome,
     decision: Decision,
     remaining: Duration,
+    parts: &[Part],
 ) {
     if !rate_limit::try_acquire() {
         return;
     }
     let (outcome, left_ms) = (outcome.name(), remaining.as_millis() as u64);
+    let parts = prompt::join(parts);
     info!("attempt failed", kv: {
-        request = id, route = route.name.as_str(), replica, outcome, then:? = decision, left_ms
+        request = id, route = route.name.as_str(), replica, outcome, then:? = decision, left_ms,
+        parts = parts.as_str()
+    });
+}
+
+/// `parts` are those of the requests that had not been answered for long.
+pub(crate) fn replica_ended(
+    process: &Process,
+    requests: usize,
+    parts: &[Part],
+    broken_for: Duration,
+) {
+    let (replica, born_ms) = (process.id.as_str(), process.born_ms);
+    let (parts, broken_ms) = (prompt::join(parts), broken_for.as_millis() as u64);
+    warn!("process of a replica ended under requests", kv: {
+        replica, born_ms, requests, parts = parts.as_str(), broken_ms
     });
 }
 
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -434,6 +434,7 @@
             outcome,
             decision,
             self.remaining(),
+            &self.message.shared_parts,
         );
         decision
     }
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -488,6 +488,7 @@
     Some(Message {
         method: Method::POST,
         uri: item.path.parse().ok()?,
+        shared_parts: core.dialect.shared_parts(&headers).into(),
         headers,
         body: Bytes::copy_from_slice(&item.body),
     })
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -6,10 +6,11 @@
 //! echoes the id of the attempt and carries the signature of a replica, as the
 //! connection may deliver a stale response or reach another process.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use bitterncart_coordination::fleet::Outcome;
 use bitterncart_coordination::fleet::pool::{Class, Selection};
+use bitterncart_coordination::fleet::{Outcome, Part};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header, response};
 use http_body_util::{BodyExt, Full};
@@ -18,6 +19,7 @@
 use crate::clock::{self, with_timeout};
 use crate::connection::{Connection, Error};
 use crate::core::Core;
+use crate::crash::Watch;
 use crate::dialect::{Dialect, HeaderNames};
 use crate::log;
 use crate::sse::{Event, Splitter};
@@ -85,6 +87,8 @@
     /// End-to-end headers of the caller.
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// Parts of the prompt that other requests may share.
+    pub shared_parts: Arc<[Part]>,
 }
 
 impl Message {
@@ -150,6 +154,7 @@
     body: Incoming,
     connection: Connection,
     splitter: Splitter,
+    watch: Watch,
 }
 
 /// Parameters of one attempt.
@@ -193,6 +198,7 @@
         uri,
         headers: HeaderMap::new(),
         body,
+        shared_parts: Arc::default(),
     };
     let attempt = async |connection: Result<Connection, Error>| {
         let mut connection = connection?;
@@ -275,10 +281,18 @@
         .await
         .map_err(|e| error_outcome(&e))?;
     let request = message.request(header_names, &selection.id, options);
-    let response = with_timeout(timeout, connection.send(request))
-        .await
-        .ok_or(Outcome::Silent)?
-        .map_err(|e| error_outcome(&e))?;
+    let watch = core.crashes.watch(selection, &message.shared_parts);
+    let response = match with_timeout(timeout, connection.send(request)).await {
+        Some(Ok(response)) => response,
+        Some(Err(e)) => {
+            let outcome = error_outcome(&e);
+            if outcome == Outcome::Broken {
+                watch.record_broken();
+            }
+            return Err(outcome);
+        }
+        None => return Err(Outcome::Silent),
+    };
     let (head, body) = response.into_parts();
     check_departure(core, selection, &head);
     let attempt = message.headers.get(&header_names.attempt_id);
@@ -297,6 +311,7 @@
             body,
             connection,
             splitter: Splitter::default(),
+            watch,
         }),
     }
 }
@@ -345,8 +360,14 @@
     ) -> Option<(response::Parts, Bytes)> {
         let mut bytes = BytesMut::new();
         while let Some(frame) = self.body.frame().await {
-            if let Ok(data) = frame.ok()?.into_data() {
-                bytes.extend_from_slice(&data);
+            match frame.map(http_body::Frame::into_data) {
+                Ok(Ok(data)) => bytes.extend_from_slice(&data),
+                // Trailers are not forwarded.
+                Ok(Err(_)) => {}
+                Err(_) => {
+                    self.watch.record_broken();
+                    return None;
+                }
             }
             if bytes.len() > MAX_RESPONSE_BYTES {
                 return None;
@@ -363,12 +384,15 @@
     pub(crate) async fn next_event(&mut self) -> Received {
         loop {
             if let Some(event) = self.splitter.next() {
+                self.watch.record_event();
                 return Received::Event(event);
             }
             match self.body.frame().await {
-                None if self.splitter.has_partial_event() => return Received::Broken,
-                None => return Received::End,
-                Some(Err(_)) => return Received::Broken,
+                None if !self.splitter.has_partial_event() => return Received::End,
+                None | Some(Err(_)) => {
+                    self.watch.record_broken();
+                    return Received::Broken;
+                }
                 Some(Ok(frame)) => {
                     if let Some(data) = frame.data_ref() {
                         self.splitter.push(data);
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::manifest::Backend;
-use bitterncart_coordination::fleet::{Batch, Kind, Limits, Manifest, Route};
+use bitterncart_coordination::fleet::{Batch, Kind, Limits, Manifest, Part, Route};
 use bitterncart_gateway::dialect::{Call, Dialect, HeaderNames};
 use bitterncart_gateway::{Connector, Daemon, Settings};
 use bitterncart_state::ledger::{Item, Job, Outcome};
@@ -85,6 +85,15 @@
         HeaderValue::from_bytes(body).ok()
     }
 
+    /// Decimal numbers, separated by commas.
+    fn shared_parts(&self, headers: &HeaderMap) -> Vec<Part> {
+        let text = headers.get("prompt").and_then(|v| v.to_str().ok());
+        let numbers = text.into_iter().flat_map(|text| text.split(','));
+        numbers
+            .filter_map(|n| Some(Part(n.parse().ok()?)))
+            .collect()
+    }
+
     fn encode_results(&self, job: &Job, after: usize) -> Bytes {
         let results = job.results.iter().enumerate().skip(after);
         let line = |(n, result): (usize, &bitterncart_state::ledger::ItemResult)| {
