--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the gateway with scripted replicas and an in-memory store.
 
 mod batch;
+mod crash;
 mod departure;
 mod discovery;
 mod harness;
--- a/crates/gateway/tests/gateway/replica.rs
+++ b/crates/gateway/tests/gateway/replica.rs
@@ -4,8 +4,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use bitterncart_coordination::fleet::{Replica, Stage};
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use smol::net::{TcpListener, TcpStream};
 use socket2::SockRef;
 
@@ -24,6 +25,8 @@
     Reset,
     /// Waits until the peer disconnects, and counts it.
     AwaitDisconnect,
+    /// Ends the process: all connections close, and new ones are refused.
+    End,
 }
 
 /// Chooses the script of a request by its number and head.
@@ -46,6 +49,8 @@
     pub address: SocketAddr,
     id: String,
     observed: Arc<Mutex<Observed>>,
+    /// Closed when the process ends.
+    alive: Receiver<()>,
 }
 
 impl ScriptedReplica {
@@ -65,22 +70,33 @@
 
     async fn serve_scripts(id: &str, script: impl Script) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let (process, alive) = async_channel::bounded(1);
         let replica = Self {
             address: listener.local_addr().expect("an address"),
             id: id.to_owned(),
             observed: Arc::default(),
+            alive,
         };
         let observed = Arc::clone(&replica.observed);
+        let ended = replica.alive.clone();
         let accept = async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (observed, script) = (Arc::clone(&observed), script.clone());
-                smol::spawn(async move { serve(stream, &script, &observed).await }).detach();
+                let (process, ended) = (process.clone(), ended.clone());
+                let connection = async move { serve(stream, &script, &observed, &process).await };
+                smol::spawn(future::or(connection, end_of(ended))).detach();
             }
+            None
         };
-        smol::spawn(accept).detach();
+        smol::spawn(future::or(accept, end_of(replica.alive.clone()))).detach();
         replica
     }
 
+    /// Whether its process runs.
+    pub(crate) fn is_running(&self) -> bool {
+        !self.alive.is_closed()
+    }
+
     pub(crate) fn record(&self) -> Replica {
         Replica {
             id: self.id.as_str().into(),
@@ -111,10 +127,18 @@
     })
 }
 
+/// Waits until the process ends.
+async fn end_of(alive: Receiver<()>) -> Option<()> {
+    // Nothing is ever sent.
+    let _closed = alive.recv().await;
+    None
+}
+
 async fn serve(
     mut stream: TcpStream,
     script: &impl Script,
     observed: &Mutex<Observed>,
+    process: &Sender<()>,
 ) -> Option<()> {
     loop {
         let head = read_request(&mut stream).await?;
@@ -134,6 +158,10 @@
                 Action::Send(bytes) => stream.write_all(bytes.as_bytes()).await.ok()?,
                 Action::Wait(time) => drop(smol::Timer::after(*time).await),
                 Action::Close => return None,
+                Action::End => {
+                    process.close();
+                    return None;
+                }
                 Action::Reset => {
                     SockRef::from(&stream)
                         .set_linger(Some(Duration::ZERO))
