coordination, gateway: quarantine prompt parts that crash replicas

What callers saw: answers of cue-sheet ended in the middle, or 502, in 10 to 30 in 100 requests for half a minute, as one replica after the other ended. Cause: a request that crashes the replica which begins to answer it (a query of death) was taken for any broken answer. No daemon linked the crash to what the requests there had in common, and none knew of the crashes of the others, so each such request found another replica. Class of fault: failures counted against the server alone, never against the request. Change: each daemon keeps a dossier of the shared prompt parts under which processes ended (coordination::fleet::quarantine, no I/O) and the daemons exchange them in heartbeats. A completed answer voids the evidence, crashes at the same time count as one, a crash is explained by one part. A trial each ten minutes, by one daemon, ends a quarantine. Racks and single crashes convict nothing.

--- a/crates/coordination/src/fleet/peers.rs
+++ b/crates/coordination/src/fleet/peers.rs
@@ -19,6 +19,7 @@
 
 use super::backlog::Queued;
 use super::pool::Load;
+use super::quarantine;
 
 /// Time without a heartbeat after which a peer counts as dead.
 pub const FAILURE_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -121,6 +122,10 @@
     /// datagram, where daemons of earlier versions do not expect it.
     #[serde(skip)]
     pub queued: Vec<Queued>,
+    /// What it knows about prompt parts that may crash replicas. Follows the queue
+    /// in a datagram.
+    #[serde(skip)]
+    pub quarantine: Vec<quarantine::Report>,
 }
 
 impl Heartbeat {
@@ -130,18 +135,25 @@
     ///
     /// If a field cannot be serialized.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        postcard::to_extend(&self.queued, postcard::to_stdvec(self)?)
+        let datagram = postcard::to_extend(&self.queued, postcard::to_stdvec(self)?)?;
+        postcard::to_extend(&self.quarantine, datagram)
     }
 
-    /// Decodes a datagram. One of an earlier version ends before the queue.
+    /// Decodes a datagram. One of an earlier version ends before the queue or before
+    /// the reports that follow it.
     ///
     /// # Errors
     ///
     /// If the datagram is not a heartbeat.
     pub fn decode(datagram: &[u8]) -> Result<Self, postcard::Error> {
         let (mut heartbeat, rest): (Self, &[u8]) = postcard::take_from_bytes(datagram)?;
+        if rest.is_empty() {
+            return Ok(heartbeat);
+        }
+        let (queued, rest) = postcard::take_from_bytes(rest)?;
+        heartbeat.queued = queued;
         if !rest.is_empty() {
-            heartbeat.queued = postcard::from_bytes(rest)?;
+            heartbeat.quarantine = postcard::from_bytes(rest)?;
         }
         Ok(heartbeat)
     }
--- /dev/null
+++ b/crates/coordination/src/fleet/quarantine.rs
@@ -0,0 +1,464 @@
+//! Quarantine of prompt parts that crash replicas.
+//!
+//! A request can crash the replica that begins to answer it, again at each
+//! replica to which it or a similar request is sent (a query of death). What such
+//! requests have in common is a part of their prompts. A replica runs requests of
+//! several daemons when it ends, most of them innocent, so one crash tells little.
+//! Each daemon keeps a dossier of the parts under which processes have ended, and
+//! the daemons exchange their dossiers in heartbeats:
+//!
+//! - An answer that is completed after a crash shows that its parts are sound,
+//!   which voids the evidence against them. Popular parts are cleared within
+//!   milliseconds; those of a query of death never are.
+//! - Crashes at the same time count as one, as a rack or data centre fails as a
+//!   whole.
+//! - A crash is explained by one part. The part with the most evidence is
+//!   convicted first, and the crashes that it explains count against no other.
+//!
+//! A part with [`MIN_EPISODES`] unexplained crashes is quarantined: its requests
+//! are refused. Every daemon derives this from the same evidence, also one that
+//! has seen no crash. The cause may have been removed meanwhile, by new weights
+//! for example, so after [`TRIAL_INTERVAL`] without a crash one daemon admits one
+//! request: its answer ends the quarantine, another crash renews it.
+
+use std::cmp::Reverse;
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::prompt::Part;
+
+/// Crashes, apart from each other, after which a part is quarantined.
+pub const MIN_EPISODES: usize = 3;
+
+/// The same for a part whose requests were answered before: all replicas may be down
+/// for longer than an answer takes.
+pub const MIN_EPISODES_ONCE_SOUND: usize = 5;
+
+/// Time within which crashes count as one. Connections to processes that are
+/// killed together break within milliseconds.
+const EPISODE_GAP: Duration = Duration::from_millis(150);
+
+/// Time after the last crash of a quarantined part after which one request is
+/// admitted, and time between two such trials.
+pub const TRIAL_INTERVAL: Duration = Duration::from_secs(600);
+
+/// Time after which a crash no longer counts against a part that is not
+/// quarantined.
+const EVIDENCE_TTL: Duration = Duration::from_secs(600);
+
+/// Time for which a completed answer is remembered, as reports of crashes before
+/// it may arrive late.
+const SOUND_TTL: Duration = Duration::from_secs(5);
+
+/// Time after a crash for which daemons are told that the part is sound.
+const OBJECTION_TTL: Duration = Duration::from_secs(10);
+
+/// Maximum number of dossiers, as clients choose the parts of their prompts.
+const MAX_DOSSIERS: usize = 512;
+
+/// Maximum number of parts that are remembered as sound.
+const MAX_SOUND_PARTS: usize = 4096;
+
+/// Maximum number of crashes in a dossier.
+const MAX_CRASHES: usize = 16;
+
+/// Maximum number of dossiers in a heartbeat, and of objections.
+const MAX_REPORTS: usize = 12;
+
+/// Maximum number of crashes in a report.
+const MAX_REPORTED_CRASHES: usize = 8;
+
+/// Crash in a heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportedCrash {
+    /// Short id of the process that ended.
+    pub process: u32,
+    /// Time since then, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// What a daemon knows about a part, in a heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Part of prompts.
+    pub part: Part,
+    /// Processes that ended under requests with it.
+    pub crashes: Vec<ReportedCrash>,
+    /// Time since an answer to such a request was completed, in milliseconds.
+    pub sound_ms: Option<u32>,
+}
+
+impl Report {
+    /// The report without its ages, which change all the time.
+    #[must_use]
+    pub fn without_ages(&self) -> Self {
+        let ageless = |crash: &ReportedCrash| ReportedCrash {
+            age_ms: 0,
+            ..*crash
+        };
+        Self {
+            part: self.part,
+            crashes: self.crashes.iter().map(ageless).collect(),
+            sound_ms: self.sound_ms.map(|_| 0),
+        }
+    }
+}
+
+/// Why a part is quarantined.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// Part of prompts.
+    pub part: Part,
+    /// Processes that ended under requests with it.
+    pub crashes: usize,
+    /// Time since the last of them ended.
+    pub age: Duration,
+    /// Time until a request is admitted again; zero if a trial is due.
+    pub trial_in: Duration,
+}
+
+/// Parts whose quarantine began or ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Change {
+    /// Parts that are quarantined now.
+    pub begun: Vec<Verdict>,
+    /// Parts that are no longer quarantined.
+    pub ended: Vec<Part>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Crash {
+    process: u32,
+    at: Duration,
+}
+
+/// Start of the current episode while crashes are visited by time.
+#[derive(Debug, Default)]
+struct EpisodeGap {
+    begun: Option<Duration>,
+}
+
+impl EpisodeGap {
+    /// Whether a crash begins another episode.
+    fn begins(&mut self, crash: &Crash) -> bool {
+        let is_first = self
+            .begun
+            .is_none_or(|begun| crash.at >= begun + EPISODE_GAP);
+        if is_first {
+            self.begun = Some(crash.at);
+        }
+        is_first
+    }
+}
+
+#[derive(Debug, Default)]
+struct Dossier {
+    /// Crashes by time.
+    crashes: Vec<Crash>,
+    /// Completion of the latest answer.
+    sound_at: Option<Duration>,
+    /// Start of the latest trial.
+    trial_at: Option<Duration>,
+    /// Whether this daemon had a request at one of the processes.
+    is_first_hand: bool,
+    /// Whether it was ever quarantined, so that the peers have to learn of its end.
+    was_quarantined: bool,
+}
+
+impl Dossier {
+    /// Adds a crash; returns whether it is news.
+    fn add(&mut self, process: u32, at: Duration) -> bool {
+        let is_full = self.crashes.len() >= MAX_CRASHES;
+        let is_older = self.crashes.first().is_some_and(|oldest| at <= oldest.at);
+        let is_known = self.crashes.iter().any(|c| c.process == process);
+        if is_known || (is_full && is_older) {
+            return false;
+        }
+        if is_full {
+            self.crashes.remove(0);
+        }
+        let position = self.crashes.partition_point(|c| c.at <= at);
+        self.crashes.insert(position, Crash { process, at });
+        true
+    }
+
+    /// Records a completed answer; returns whether that is news.
+    fn clear(&mut self, at: Duration) -> bool {
+        let is_news = self.sound_at.is_none_or(|known| at > known);
+        if is_news {
+            self.sound_at = Some(at);
+        }
+        is_news
+    }
+
+    /// Crashes after the latest completed answer.
+    fn evidence(&self) -> impl Iterator<Item = &Crash> {
+        let is_valid = |crash: &&Crash| self.sound_at.is_none_or(|sound| crash.at > sound);
+        self.crashes.iter().filter(is_valid)
+    }
+
+    /// Number of episodes, without crashes of `explained` processes.
+    fn episodes(&self, explained: &HashSet<u32>) -> usize {
+        let mut gap = EpisodeGap::default();
+        self.evidence()
+            .filter(|crash| !explained.contains(&crash.process) && gap.begins(crash))
+            .count()
+    }
+
+    /// Episodes after which it is quarantined.
+    fn required_episodes(&self) -> usize {
+        match self.sound_at {
+            Some(_) => MIN_EPISODES_ONCE_SOUND,
+            None => MIN_EPISODES,
+        }
+    }
+
+    /// Crashes for a report: one of each episode, then the others.
+    fn reported_crashes(&self) -> impl Iterator<Item = &Crash> {
+        let mut gap = EpisodeGap::default();
+        let (first, others): (Vec<_>, Vec<_>) =
+            self.evidence().partition(|crash| gap.begins(crash));
+        first.into_iter().chain(others).take(MAX_REPORTED_CRASHES)
+    }
+
+    fn last_crash(&self) -> Duration {
+        self.crashes.last().map_or(Duration::ZERO, |c| c.at)
+    }
+
+    fn verdict(&self, now: Duration, part: Part) -> Verdict {
+        let last = self.last_crash();
+        let quiet_since = self.trial_at.map_or(last, |trial| trial.max(last));
+        Verdict {
+            part,
+            crashes: self.evidence().count(),
+            age: now.saturating_sub(last),
+            trial_in: (quiet_since + TRIAL_INTERVAL).saturating_sub(now),
+        }
+    }
+}
+
+/// Dossiers of all parts under which processes have ended.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    dossiers: HashMap<Part, Dossier>,
+    quarantined: HashSet<Part>,
+    /// Recently completed answers by part.
+    sound: HashMap<Part, Duration>,
+}
+
+impl Quarantine {
+    /// Records that a process ended at `at` under requests with these parts.
+    pub fn record_crash(
+        &mut self,
+        now: Duration,
+        process: u32,
+        at: Duration,
+        parts: &[Part],
+    ) -> Change {
+        for part in parts {
+            let dossier = self.dossier(*part);
+            dossier.add(process, at);
+            dossier.is_first_hand = true;
+        }
+        self.judge(now)
+    }
+
+    /// Records a completed answer to a request with these parts.
+    pub fn record_sound(&mut self, now: Duration, parts: &[Part]) -> Change {
+        for part in parts {
+            if self.sound.len() < MAX_SOUND_PARTS || self.sound.contains_key(part) {
+                self.sound.insert(*part, now);
+            }
+        }
+        let dossiers = &mut self.dossiers;
+        let cleared = parts.iter().filter(|part| {
+            dossiers
+                .get_mut(part)
+                .is_some_and(|dossier| dossier.clear(now))
+        });
+        if cleared.count() > 0 {
+            self.judge(now)
+        } else {
+            Change::default()
+        }
+    }
+
+    /// Adds what a peer reports.
+    pub fn merge(&mut self, now: Duration, reports: &[Report]) -> Change {
+        let time = |age_ms: u32| now.saturating_sub(Duration::from_millis(u64::from(age_ms)));
+        let mut is_news = false;
+        for report in reports {
+            let crashes = report.crashes.iter().take(MAX_REPORTED_CRASHES);
+            let dossier = match self.dossiers.get_mut(&report.part) {
+                Some(dossier) => dossier,
+                None if report.crashes.is_empty() => continue,
+                None => self.dossier(report.part),
+            };
+            for crash in crashes {
+                is_news |= dossier.add(crash.process, time(crash.age_ms));
+            }
+            if let Some(age_ms) = report.sound_ms {
+                is_news |= dossier.clear(time(age_ms));
+            }
+        }
+        if is_news {
+            self.judge(now)
+        } else {
+            Change::default()
+        }
+    }
+
+    /// Verdict on the first quarantined part of a request.
+    #[must_use]
+    pub fn verdict(&self, now: Duration, parts: &[Part]) -> Option<Verdict> {
+        if self.quarantined.is_empty() {
+            return None;
+        }
+        let part = parts.iter().find(|part| self.quarantined.contains(part))?;
+        Some(self.dossiers.get(part)?.verdict(now, *part))
+    }
+
+    /// Starts a trial of a quarantined part; `false` if none is due.
+    pub fn start_trial(&mut self, now: Duration, part: Part) -> bool {
+        let dossier = self.dossiers.get_mut(&part);
+        match dossier.filter(|dossier| dossier.verdict(now, part).trial_in.is_zero()) {
+            Some(dossier) => {
+                dossier.trial_at = Some(now);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// What the peers should know: the strongest evidence, and objections to
+    /// evidence against parts that are sound.
+    #[must_use]
+    pub fn reports(&self, now: Duration) -> Vec<Report> {
+        let age_ms =
+            |at: Duration| u32::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u32::MAX);
+        let explained = self.explained();
+        let mut ranked: Vec<_> = self
+            .dossiers
+            .iter()
+            .map(|(part, dossier)| {
+                let is_quarantined = self.quarantined.contains(part);
+                let episodes = dossier.episodes(&explained);
+                let rank = (is_quarantined, episodes, dossier.is_first_hand);
+                (rank, dossier.last_crash(), *part, dossier)
+            })
+            .filter(|((is_quarantined, episodes, _), ..)| *is_quarantined || *episodes > 0)
+            .collect();
+        ranked.sort_unstable_by_key(|(rank, last, part, _)| Reverse((*rank, *last, *part)));
+        let evidence = ranked.into_iter().map(|(_, _, part, dossier)| Report {
+            part,
+            crashes: dossier
+                .reported_crashes()
+                .map(|crash| ReportedCrash {
+                    process: crash.process,
+                    age_ms: age_ms(crash.at),
+                })
+                .collect(),
+            sound_ms: None,
+        });
+        let mut cleared: Vec<_> = self
+            .dossiers
+            .iter()
+            .filter(|(_, dossier)| {
+                dossier.was_quarantined || now.saturating_sub(dossier.last_crash()) < OBJECTION_TTL
+            })
+            .filter_map(|(part, dossier)| Some((dossier.last_crash(), *part, dossier.sound_at?)))
+            .collect();
+        cleared.sort_unstable_by_key(|(last, part, _)| Reverse((*last, *part)));
+        let objections = cleared.into_iter().map(|(_, part, sound_at)| Report {
+            part,
+            crashes: Vec::new(),
+            sound_ms: Some(age_ms(sound_at)),
+        });
+        evidence
+            .take(MAX_REPORTS)
+            .chain(objections.take(MAX_REPORTS))
+            .collect()
+    }
+
+    /// Forgets evidence that no longer counts.
+    pub fn expire(&mut self, now: Duration) -> Change {
+        self.sound
+            .retain(|_, at| now.saturating_sub(*at) < SOUND_TTL);
+        let quarantined = &self.quarantined;
+        let count = self.dossiers.len();
+        self.dossiers.retain(|part, dossier| {
+            quarantined.contains(part) || now.saturating_sub(dossier.last_crash()) < EVIDENCE_TTL
+        });
+        if self.dossiers.len() == count {
+            return Change::default();
+        }
+        self.judge(now)
+    }
+
+    /// Dossier of a part; a new one takes the place of the weakest one if there are
+    /// too many.
+    fn dossier(&mut self, part: Part) -> &mut Dossier {
+        if !self.dossiers.contains_key(&part) && self.dossiers.len() >= MAX_DOSSIERS {
+            let explained = HashSet::new();
+            let strength = |(part, dossier): &(&Part, &Dossier)| {
+                let is_quarantined = self.quarantined.contains(*part);
+                (
+                    is_quarantined,
+                    dossier.episodes(&explained),
+                    dossier.last_crash(),
+                )
+            };
+            let weakest = self.dossiers.iter().min_by_key(strength);
+            if let Some(weakest) = weakest.map(|(part, _)| *part) {
+                self.dossiers.remove(&weakest);
+            }
+        }
+        let sound = &self.sound;
+        self.dossiers.entry(part).or_insert_with(|| Dossier {
+            sound_at: sound.get(&part).copied(),
+            ..Dossier::default()
+        })
+    }
+
+    /// Processes whose end is explained by quarantined parts.
+    fn explained(&self) -> HashSet<u32> {
+        let quarantined = self.quarantined.iter();
+        let dossiers = quarantined.filter_map(|part| self.dossiers.get(part));
+        dossiers
+            .flat_map(Dossier::evidence)
+            .map(|crash| crash.process)
+            .collect()
+    }
+
+    /// Derives the quarantined parts from the evidence.
+    fn judge(&mut self, now: Duration) -> Change {
+        let before = std::mem::take(&mut self.quarantined);
+        let mut explained = HashSet::new();
+        while let Some((_, _, part, dossier)) = self
+            .dossiers
+            .iter()
+            .filter(|(part, _)| !self.quarantined.contains(part))
+            .map(|(part, d)| (d.episodes(&explained), d.evidence().count(), *part, d))
+            .filter(|(episodes, .., dossier)| *episodes >= dossier.required_episodes())
+            .max_by_key(|(episodes, count, part, dossier)| {
+                (dossier.sound_at.is_none(), *episodes, *count, *part)
+            })
+        {
+            explained.extend(dossier.evidence().map(|crash| crash.process));
+            self.quarantined.insert(part);
+        }
+        for part in &self.quarantined {
+            if let Some(dossier) = self.dossiers.get_mut(part) {
+                dossier.was_quarantined = true;
+            }
+        }
+        let begun = self.quarantined.difference(&before);
+        let begun = begun.filter_map(|part| Some(self.dossiers.get(part)?.verdict(now, *part)));
+        Change {
+            begun: begun.collect(),
+            ended: before.difference(&self.quarantined).copied().collect(),
+        }
+    }
+}
--- a/crates/coordination/src/fleet/replica.rs
+++ b/crates/coordination/src/fleet/replica.rs
@@ -9,6 +9,8 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use super::peers::short_hash;
+
 /// Lifecycle stage of a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Stage {
@@ -29,6 +31,19 @@
     pub born_ms: u64,
 }
 
+impl Process {
+    /// Short id in heartbeats.
+    #[must_use]
+    pub fn short_hash(&self) -> u32 {
+        let address = self.address.to_string();
+        short_hash(&[
+            self.id.as_bytes(),
+            address.as_bytes(),
+            &self.born_ms.to_be_bytes(),
+        ])
+    }
+}
+
 /// Listed replica of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Replica {
--- a/crates/coordination/src/fleet/retry.rs
+++ b/crates/coordination/src/fleet/retry.rs
@@ -15,6 +15,8 @@
     NotSent,
     /// The replica answered that it has not run the request.
     NotRun,
+    /// Not sent, as its prompt has a quarantined part.
+    Quarantined,
     /// Another process has the replica's address and has not run the request.
     Misdirected,
     /// The connection broke or the answer is invalid; the request may have run.
@@ -29,7 +31,10 @@
     /// Whether the request is known not to have run.
     #[must_use]
     pub fn has_not_run(self) -> bool {
-        matches!(self, Self::NotSent | Self::NotRun | Self::Misdirected)
+        matches!(
+            self,
+            Self::NotSent | Self::NotRun | Self::Quarantined | Self::Misdirected
+        )
     }
 
     /// Name in logs and metrics.
@@ -38,6 +43,7 @@
         match self {
             Self::NotSent => "not_sent",
             Self::NotRun => "not_run",
+            Self::Quarantined => "quarantined",
             Self::Misdirected => "misdirected",
             Self::Broken => "broken",
             Self::Silent => "silent",
@@ -93,7 +99,7 @@
     pub fn record(&mut self, route: &Route, outcome: Outcome, in_time: bool) -> Decision {
         match outcome {
             // No replica of the route has received the request.
-            Outcome::NotSent | Outcome::Misdirected => self.unsent += 1,
+            Outcome::NotSent | Outcome::Quarantined | Outcome::Misdirected => self.unsent += 1,
             _ => self.sent += 1,
         }
         self.may_have_run |= !outcome.has_not_run();
@@ -119,6 +125,9 @@
     }
 
     fn may_retry(&self, kind: Kind, outcome: Outcome) -> bool {
+        if outcome == Outcome::Quarantined {
+            return false;
+        }
         kind.is_repeatable() || (outcome.has_not_run() && !self.may_have_run)
     }
 }
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -8,5 +8,6 @@
 mod manifest;
 mod ownership;
 mod pool;
+mod quarantine;
 mod retry;
 mod schedule;
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -13,7 +13,11 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::pool::Key as Replica;
-use bitterncart_coordination::fleet::{CutOff, Manifest, Peers, Pool, admission_queue, ownership};
+use bitterncart_coordination::fleet::quarantine::Verdict;
+use bitterncart_coordination::fleet::{
+    CutOff, Manifest, Part, Peers, Pool, admission_queue, ownership,
+};
+use bitterncart_protocol::hash;
 use event_listener::Event;
 use smol::{Executor, Task};
 
@@ -206,6 +210,34 @@
         members.is_some()
     }
 
+    /// Whether a request with these prompt parts may be sent now. One that is sent
+    /// although a part is quarantined is a trial of that part.
+    pub(crate) fn admits(&self, parts: &[Part]) -> bool {
+        self.verdict(parts).is_none_or(|verdict| {
+            verdict.trial_in.is_zero() && self.crashes.start_trial(verdict.part)
+        })
+    }
+
+    /// Verdict on the first quarantined part of a request; `None` if this daemon
+    /// may admit the request.
+    pub(crate) fn verdict(&self, parts: &[Part]) -> Option<Verdict> {
+        let verdict = self.crashes.verdict(parts)?;
+        let is_trial = verdict.trial_in.is_zero() && self.makes_trials_of(verdict.part);
+        (!is_trial).then_some(verdict)
+    }
+
+    /// Whether this daemon, of all live ones, makes the trials of a part.
+    fn makes_trials_of(&self, part: Part) -> bool {
+        let part = part.0.to_be_bytes();
+        let score =
+            |address: SocketAddr| hash::rendezvous_score(&part, address.to_string().as_bytes());
+        let own_score = score(self.settings.peers);
+        let peers = self.peers();
+        peers
+            .live(clock::now())
+            .all(|peer| score(peer.from) < own_score)
+    }
+
     pub(crate) fn runs(&self) -> MutexGuard<'_, Runs> {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -1,4 +1,5 @@
-//! Detects processes of replicas that end while they answer.
+//! Detects processes of replicas that end while they answer, and keeps the prompt
+//! parts that crash them from other replicas.
 //!
 //! A broken answer alone does not show that the process is gone, as a replica may
 //! cut off one answer or close one connection. So its address is probed: if it
@@ -6,12 +7,14 @@
 //! broke were there at the time.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bitterncart_coordination::fleet::Part;
 use bitterncart_coordination::fleet::pool::Selection;
+use bitterncart_coordination::fleet::quarantine::{Change, Report, Verdict};
 use bitterncart_coordination::fleet::replica::Process;
+use bitterncart_coordination::fleet::{Part, Quarantine};
 use smol::Executor;
 
 use crate::clock;
@@ -21,6 +24,9 @@
 /// Timeout of the probe of an address.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Delay before an address that accepted a connection is probed again.
+const PROBE_DELAY: Duration = Duration::from_millis(50);
+
 /// Time for which an answer has been written after which its request is not
 /// suspected: a replica that cannot bear a request ends when it begins to answer.
 const MAX_SUSPECT_AGE: Duration = Duration::from_secs(1);
@@ -44,6 +50,7 @@
     connector: Connector,
     executor: Arc<Executor<'static>>,
     suspicions: Mutex<HashMap<Process, Suspicion>>,
+    quarantine: Mutex<Quarantine>,
 }
 
 impl Monitor {
@@ -52,6 +59,7 @@
             connector,
             executor,
             suspicions: Mutex::default(),
+            quarantine: Mutex::default(),
         }))
     }
 
@@ -90,18 +98,78 @@
     }
 
     async fn probe(self, process: Process) {
-        let connector = &self.0.connector;
-        let refused = connector.is_refused(process.address, PROBE_TIMEOUT).await;
+        let mut has_ended = self.is_refused(process.address).await;
+        if !has_ended {
+            // The listener of a process may close after its connections.
+            smol::Timer::after(PROBE_DELAY).await;
+            has_ended = self.is_refused(process.address).await;
+        }
         let suspicion = self.suspicions().remove(&process);
-        if let (Some(suspicion), Some(true)) = (suspicion, refused) {
-            log::replica_ended(
-                &process,
-                suspicion.requests,
-                &suspicion.parts,
-                clock::now().saturating_sub(suspicion.broken_at),
+        if let (Some(suspicion), true) = (suspicion, has_ended) {
+            let (now, parts) = (clock::now(), &suspicion.parts);
+            let broken_for = now.saturating_sub(suspicion.broken_at);
+            log::replica_ended(&process, suspicion.requests, parts, broken_for);
+            let change = self.quarantine().record_crash(
+                now,
+                process.short_hash(),
+                suspicion.broken_at,
+                parts,
             );
+            log_change(&change);
+        }
+    }
+
+    async fn is_refused(&self, address: SocketAddr) -> bool {
+        let connector = &self.0.connector;
+        connector.is_refused(address, PROBE_TIMEOUT).await == Some(true)
+    }
+
+    fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        let quarantine = &self.0.quarantine;
+        quarantine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Verdict on the first quarantined part of a request.
+    pub(crate) fn verdict(&self, parts: &[Part]) -> Option<Verdict> {
+        self.quarantine().verdict(clock::now(), parts)
+    }
+
+    /// Starts a trial of a quarantined part; `false` if none is due.
+    pub(crate) fn start_trial(&self, part: Part) -> bool {
+        let is_started = self.quarantine().start_trial(clock::now(), part);
+        if is_started {
+            log::quarantine_trial(part);
         }
+        is_started
     }
+
+    /// Adds what a peer reports.
+    pub(crate) fn merge(&self, now: Duration, reports: &[Report]) {
+        if !reports.is_empty() {
+            log_change(&self.quarantine().merge(now, reports));
+        }
+    }
+
+    /// What the peers should know.
+    pub(crate) fn reports(&self, now: Duration) -> Vec<Report> {
+        self.quarantine().reports(now)
+    }
+
+    /// Forgets evidence that no longer counts.
+    pub(crate) fn expire(&self) {
+        log_change(&self.quarantine().expire(clock::now()));
+    }
+
+    fn record_sound(&self, parts: &[Part]) {
+        if !parts.is_empty() {
+            log_change(&self.quarantine().record_sound(clock::now(), parts));
+        }
+    }
+}
+
+fn log_change(change: &Change) {
+    change.begun.iter().for_each(log::quarantine_begun);
+    change.ended.iter().copied().for_each(log::quarantine_ended);
 }
 
 /// Watch of one answer of a replica.
@@ -120,6 +188,11 @@
         self.written_since.get_or_insert_with(clock::now);
     }
 
+    /// Records that the answer is complete.
+    pub(crate) fn record_complete(&self) {
+        self.monitor.record_sound(&self.parts);
+    }
+
     /// Records that the answer broke.
     pub(crate) fn record_broken(&self) {
         let is_suspect = self
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::peers::{Ownership, Usage, heartbeat_period};
+use bitterncart_coordination::fleet::quarantine::Report;
 use bitterncart_coordination::fleet::{Group, Heartbeat, Kind, Queued, Route};
 use smol::net::UdpSocket;
 
@@ -42,7 +43,9 @@
         match socket.recv_from(&mut buffer).await {
             Ok((size, _)) => match Heartbeat::decode(&buffer[..size]) {
                 Ok(heartbeat) if heartbeat.from != core.peer_address() => {
-                    core.peers().receive(clock::now(), heartbeat);
+                    let now = clock::now();
+                    core.crashes.merge(now, &heartbeat.quarantine);
+                    core.peers().receive(now, heartbeat);
                 }
                 Ok(_) => {}
                 Err(e) => log::datagram_error(&e.to_string()),
@@ -60,7 +63,8 @@
 #[derive(Debug, Default)]
 struct PeerGroup {
     is_local: bool,
-    last_heartbeat: Option<Heartbeat>,
+    /// Last heartbeat without what differs in each.
+    last_content: Option<Heartbeat>,
     sent_at: Duration,
 }
 
@@ -80,19 +84,22 @@
             period_ms: period.max(KEEPALIVE_INTERVAL).as_millis() as u32,
             ..heartbeat.clone()
         };
-        let is_new = self.last_heartbeat.as_ref().is_none_or(|last| {
-            let seq = heartbeat.seq;
-            Heartbeat {
-                seq,
-                ..last.clone()
-            } != heartbeat
-        });
+        let content = Heartbeat {
+            seq: 0,
+            quarantine: heartbeat
+                .quarantine
+                .iter()
+                .map(Report::without_ages)
+                .collect(),
+            ..heartbeat.clone()
+        };
+        let is_new = self.last_content.as_ref() != Some(&content);
         // Tolerates a check that runs slightly early.
         let elapsed = since_sent + CHECK_INTERVAL / 4;
         if elapsed >= period.max(KEEPALIVE_INTERVAL) || (is_new && elapsed >= period) {
             send(socket, &heartbeat, peers).await;
             self.sent_at = now;
-            self.last_heartbeat = Some(heartbeat);
+            self.last_content = Some(content);
         }
     }
 }
@@ -162,6 +169,7 @@
         load: usage_by_replica(core),
         running,
         queued: queued_requests(core),
+        quarantine: core.crashes.reports(now),
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,7 @@
 //!
 //! The tasks of a daemon run on one executor and share its state. A task that
 //! needs several locks takes them in this order: manifest, ledger, runs, peers,
-//! cut-off daemons, ownership table, pool, admission queue.
+//! cut-off daemons, ownership table, pool, admission queue, quarantine.
 
 mod availability;
 mod body;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::pool::Selection;
+use bitterncart_coordination::fleet::quarantine::Verdict;
 use bitterncart_coordination::fleet::replica::Process;
 use bitterncart_coordination::fleet::{Decision, Outcome, Part, Route, prompt};
 use bitterncart_protocol::Code;
@@ -203,6 +204,36 @@
     info!("replica announced its departure; it gets no more requests", kv: { replica, born_ms });
 }
 
+pub(crate) fn quarantine_begun(verdict: &Verdict) {
+    let (part, crashes) = (verdict.part.to_string(), verdict.crashes);
+    let age_ms = verdict.age.as_millis() as u64;
+    warn!("prompt part quarantined; requests with it are refused", kv: {
+        part = part.as_str(), crashes, age_ms
+    });
+}
+
+pub(crate) fn quarantine_trial(part: Part) {
+    let part = part.to_string();
+    info!("trial of a quarantined prompt part", kv: { part = part.as_str() });
+}
+
+pub(crate) fn quarantine_ended(part: Part) {
+    let part = part.to_string();
+    info!("quarantine of a prompt part ended", kv: { part = part.as_str() });
+}
+
+/// See [`request_refused`].
+pub(crate) fn request_quarantined(id: &str, route: &str, verdict: &Verdict) {
+    if !rate_limit::try_acquire() {
+        return;
+    }
+    let (part, crashes) = (verdict.part.to_string(), verdict.crashes);
+    let age_ms = verdict.age.as_millis() as u64;
+    info!("request has a quarantined prompt part", kv: {
+        request = id, route, part = part.as_str(), crashes, age_ms
+    });
+}
+
 pub(crate) fn manifest_installed(version: u64) {
     info!("manifest in force", kv: { version });
 }
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -14,6 +14,7 @@
 use bitterncart_coordination::fleet::admission_queue::Ticket;
 use bitterncart_coordination::fleet::manifest::Backend;
 use bitterncart_coordination::fleet::pool::{Class, Key};
+use bitterncart_coordination::fleet::quarantine::Verdict;
 use bitterncart_coordination::fleet::{Attempts, Decision, Kind, Outcome, Route};
 use bitterncart_protocol::Code;
 use bytes::Bytes;
@@ -67,6 +68,10 @@
 /// Bounds of the random delay after which a refused client may retry, in seconds.
 const RETRY_AFTER_RANGE_S: (f64, f64) = (0.08, 0.35);
 
+/// Minimum delay after which a client may retry a request with a quarantined
+/// prompt part; the trial that is due is another request.
+const MIN_QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(10);
+
 /// Result of trying to acquire a slot.
 enum Acquired<S: Store, D: Dialect> {
     /// A replica reserved a slot, or does not use reservations.
@@ -121,6 +126,8 @@
     deadline: Duration,
     attempts: Attempts,
     tried_replicas: Vec<Key>,
+    /// Why it is not sent.
+    quarantined: Option<Verdict>,
     /// Id of the last event that was relayed, or that the client has already
     /// received.
     last_event_id: Option<u64>,
@@ -160,6 +167,7 @@
             deadline: arrived + allowed,
             attempts: Attempts::default(),
             tried_replicas: Vec::new(),
+            quarantined: None,
             last_event_id,
             arrived,
             slot_wait: Duration::ZERO,
@@ -238,6 +246,10 @@
     /// admitted.
     async fn acquire_slot(&mut self) -> Option<(Slot<S, D>, Option<HeaderValue>)> {
         let begun = clock::now();
+        self.quarantined = self.core.verdict(&self.message.shared_parts);
+        if self.quarantined.is_some() {
+            return None;
+        }
         let slot = self.find_slot().await;
         self.slot_wait += clock::now().saturating_sub(begun);
         slot
@@ -420,10 +432,13 @@
         let mut pool = self.core.pool();
         match outcome {
             Outcome::Misdirected => pool.record_misdirected(slot.selection.key),
-            Outcome::NotRun | Outcome::Failed => {}
+            Outcome::NotRun | Outcome::Failed | Outcome::Quarantined => {}
             _ => pool.record_failure(now, slot.selection.key),
         }
         drop(pool);
+        if outcome == Outcome::Quarantined {
+            self.quarantined = self.core.verdict(&self.message.shared_parts);
+        }
         let has_time = self.remaining() > MIN_ATTEMPT_TIME;
         let decision = self.attempts.record(&self.route, outcome, has_time);
         self.core.metrics.attempt_failed(outcome, decision);
@@ -467,14 +482,22 @@
     }
 
     fn reject(&self, decision: Decision) -> Response<Body> {
+        if let Some(verdict) = &self.quarantined {
+            log::request_quarantined(&self.id, &self.route.name, verdict);
+        }
         let code = match decision {
+            Decision::Refuse if self.quarantined.is_some() => Code::PromptQuarantined,
             Decision::Refuse => Code::NoReplica,
             Decision::TimeOut => Code::BackendTimeout,
             _ => Code::OutcomeUnknown,
         };
         self.core.metrics.request_refused(code);
         log::request_refused(&self.id, &self.route.name, code, self.remaining());
-        error_response(&self.core, code)
+        let retry_after = match &self.quarantined {
+            Some(verdict) => verdict.trial_in.max(MIN_QUARANTINE_RETRY_AFTER),
+            None => random_duration(RETRY_AFTER_RANGE_S),
+        };
+        error_response_after(&self.core, code, retry_after)
     }
 
     /// Builds a response that streams the events of a replica as they arrive.
@@ -593,6 +616,14 @@
 pub(crate) fn error_response<S: Store, D: Dialect>(
     core: &Core<S, D>,
     code: Code,
+) -> Response<Body> {
+    error_response_after(core, code, random_duration(RETRY_AFTER_RANGE_S))
+}
+
+fn error_response_after<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    code: Code,
+    retry_after: Duration,
 ) -> Response<Body> {
     let text = format!(
         "{{\"code\":{},\"name\":\"{}\"}}",
@@ -611,9 +642,7 @@
         status,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
     ) {
-        let delay = core
-            .dialect
-            .retry_after(random_duration(RETRY_AFTER_RANGE_S));
+        let delay = core.dialect.retry_after(retry_after);
         if let Ok(delay) = HeaderValue::from_str(&delay) {
             headers.insert(http::header::RETRY_AFTER, delay);
         }
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -57,6 +57,10 @@
 /// Delay before an item or a ledger write is retried after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Delay before it is checked again whether an item with a quarantined prompt part
+/// may start. It ends with its give-up time at the latest.
+const QUARANTINE_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// Tolerance for clock skew between daemons, added to the time after which an
 /// item is given up.
 const GIVE_UP_MARGIN: Duration = Duration::from_secs(3);
@@ -445,6 +449,12 @@
         run.retry_at = clock::now() + RETRY_DELAY;
         return true;
     };
+    if core.verdict(&message.shared_parts).is_some() {
+        run.retry_at = clock::now() + QUARANTINE_RETRY_DELAY;
+        run.replica = None;
+        core.metrics.item_run(Outcome::Quarantined.name());
+        return false;
+    }
     let attempt = Attempt {
         core: core.clone(),
         id: candidate.id.clone(),
@@ -681,7 +691,7 @@
         let mut pool = self.core.pool();
         match outcome {
             Outcome::Misdirected => pool.record_misdirected(self.slot.selection.key),
-            Outcome::NotRun => {}
+            Outcome::NotRun | Outcome::Quarantined => {}
             _ => pool.record_failure(clock::now(), self.slot.selection.key),
         }
         drop(pool);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -280,6 +280,10 @@
         .acquire(selection.address, CONNECT_TIMEOUT.min(timeout))
         .await
         .map_err(|e| error_outcome(&e))?;
+    if !core.admits(&message.shared_parts) {
+        core.connector.release(connection);
+        return Err(Outcome::Quarantined);
+    }
     let request = message.request(header_names, &selection.id, options);
     let watch = core.crashes.watch(selection, &message.shared_parts);
     let response = match with_timeout(timeout, connection.send(request)).await {
@@ -373,11 +377,11 @@
                 return None;
             }
         }
-        let Self {
-            head, connection, ..
-        } = self;
-        core.connector.release(connection);
-        Some((head, bytes.freeze()))
+        if self.head.status.is_success() {
+            self.watch.record_complete();
+        }
+        core.connector.release(self.connection);
+        Some((self.head, bytes.freeze()))
     }
 
     /// Waits for the next event.
@@ -388,7 +392,10 @@
                 return Received::Event(event);
             }
             match self.body.frame().await {
-                None if !self.splitter.has_partial_event() => return Received::End,
+                None if !self.splitter.has_partial_event() => {
+                    self.watch.record_complete();
+                    return Received::End;
+                }
                 None | Some(Err(_)) => {
                     self.watch.record_broken();
                     return Received::Broken;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -173,6 +173,7 @@
     loop {
         smol::Timer::after(EXPIRY_INTERVAL).await;
         core.pool().expire(clock::now());
+        core.crashes.expire();
         core.connector.close_expired();
     }
 }
--- a/crates/gateway/tests/gateway/crash.rs
+++ b/crates/gateway/tests/gateway/crash.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 
-use crate::harness::{Gateway, post, status, store, wait_until};
+use bitterncart_testing::cases;
+
+use crate::harness::{Gateway, post, request, status, store, wait_until};
 use crate::replica::{Action, ScriptedReplica, header};
 
 /// Part of the prompt that ends a replica.
@@ -13,6 +15,7 @@
 const SHARED: &str = "1";
 
 const OK_RESPONSE: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
+const RESERVED: Action = Action::Respond(200, "content-length: 2\r\n", "p7");
 const EVENTS: &str = "signature: s\r\ncontent-type: text/event-stream\r\nconnection: close\r\n";
 const COMPLETE: Action = Action::Respond(200, EVENTS, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 
@@ -22,6 +25,7 @@
 fn script(head: &str) -> Vec<Action> {
     let parts = header(head, "prompt").unwrap_or_default();
     match head {
+        _ if head.starts_with("POST /reserve ") => vec![RESERVED],
         _ if parts.split(',').any(|part| part == BAD) => vec![Action::End],
         _ if head.starts_with("POST /once/") => vec![OK_RESPONSE],
         _ => vec![COMPLETE, Action::Close],
@@ -69,3 +73,110 @@
         assert!(ended <= 5, "{ended} replicas ended");
     });
 }
+
+/// Daemon that has quarantined the bad part, with the replicas that still run.
+async fn after_conviction() -> (Gateway, Vec<ScriptedReplica>, crate::store::MemoryStore) {
+    let replicas = start_replicas(6).await;
+    let store = store(&replicas.iter().collect::<Vec<_>>());
+    let gateway = Gateway::start(&store).await;
+    for n in 0..3 {
+        gateway
+            .fetch(&bad(&post("/stream/a", &format!("bad{n}"))))
+            .await;
+        smol::Timer::after(CRASH_GAP).await;
+    }
+    assert_eq!(ended(&replicas), 3);
+    (gateway, replicas, store)
+}
+
+fn bad(request: &str) -> String {
+    with_prompt(request, &format!("{SHARED},{BAD}"))
+}
+
+fn sized(path: &str) -> String {
+    post(path, "id").replacen("\r\n", "\r\nsize: 1\r\n", 1)
+}
+
+cases! {
+    /// No replica ends, nothing is reserved, and the answer says so.
+    fn is_refused_with_its_own_code(request: String) {
+        smol::block_on(async {
+            let (gateway, replicas, _) = after_conviction().await;
+            let requests = |replicas: &[ScriptedReplica]| -> usize {
+                replicas.iter().map(|r| r.requests().len()).sum()
+            };
+            let before = requests(&replicas);
+            let response = gateway.fetch(&bad(&request)).await;
+            assert_eq!(status(&response), 503, "{response}");
+            assert!(response.contains("prompt_quarantined"), "{response}");
+            assert!(response.contains("retry-after: "), "{response}");
+            assert_eq!(requests(&replicas), before);
+        });
+    }
+    call_is_refused(post("/once/a", "id"));
+    repeatable_call_is_refused(post("/idempotent/a", "id"));
+    stream_is_refused(post("/stream/a", "id"));
+    resumable_stream_is_refused(post("/resumable/a", "id"));
+    continued_stream_is_refused(post("/resumable/a", "id").replacen("\r\n", "\r\nlast-event: 3\r\n", 1));
+    call_with_reservation_is_refused(sized("/once/a"));
+    stream_with_reservation_is_refused(sized("/resumable/a"));
+}
+
+/// Requests with the other parts of the bad ones are not affected.
+#[test]
+fn sound_requests_with_the_same_first_part_are_served() {
+    smol::block_on(async {
+        let (gateway, _replicas, _) = after_conviction().await;
+        for n in 0..6 {
+            let sound = with_prompt(&post("/stream/a", &format!("sound{n}")), SHARED);
+            let response = gateway.fetch(&sound).await;
+            assert_eq!(status(&response), 200, "{response}");
+        }
+    });
+}
+
+/// A daemon that restarts learns of the quarantine before it can end a replica.
+#[test]
+fn restarted_daemon_learns_of_the_quarantine() {
+    smol::block_on(async {
+        let (_gateway, replicas, store) = after_conviction().await;
+        let restarted = Gateway::start(&store).await;
+        smol::Timer::after(Duration::from_millis(1500)).await;
+        let response = restarted.fetch(&bad(&post("/once/a", "id"))).await;
+        assert_eq!(status(&response), 503, "{response}");
+        assert_eq!(ended(&replicas), 3);
+    });
+}
+
+/// A broken answer of a replica that still accepts connections is no crash.
+#[test]
+fn broken_answers_quarantine_nothing() {
+    smol::block_on(async {
+        let breaks = |_: &str| vec![Action::Reset];
+        let replica = ScriptedReplica::start_with("r0", breaks).await;
+        let gateway = Gateway::start(&store(&[&replica])).await;
+        for n in 0..5 {
+            let id = format!("id{n}");
+            let response = gateway.fetch(&bad(&post("/once/a", &id))).await;
+            assert_eq!(status(&response), 502, "{response}");
+            smol::Timer::after(CRASH_GAP).await;
+        }
+    });
+}
+
+/// Items wait, and the other items of the job are not held up.
+#[test]
+fn item_with_a_quarantined_part_is_not_started() {
+    smol::block_on(async {
+        let (gateway, replicas, _) = after_conviction().await;
+        let job = request("POST", "/items/", "job", "bad-item\nsound\n");
+        assert_eq!(status(&gateway.fetch(&job).await), 202);
+        wait_until("the other item", || {
+            let is_item = |head: &String| head.starts_with("POST /items/run");
+            replicas.iter().any(|r| r.requests().iter().any(is_item))
+        })
+        .await;
+        smol::Timer::after(Duration::from_millis(1500)).await;
+        assert_eq!(ended(&replicas), 3);
+    });
+}
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -61,14 +61,15 @@
 
     fn parse_items(&self, body: &[u8]) -> Result<Vec<Item>, String> {
         let text = std::str::from_utf8(body).map_err(|e| e.to_string())?;
+        let headers = |id: &str| match id {
+            _ if id.starts_with("sized") => vec![("size".into(), "1".into())],
+            _ if id.starts_with("bad") => vec![("prompt".into(), "1,7".into())],
+            _ => Vec::new(),
+        };
         let item = |id: &str| Item {
             id: id.into(),
             path: "/items/run".into(),
-            headers: id
-                .starts_with("sized")
-                .then(|| ("size".into(), "1".into()))
-                .into_iter()
-                .collect(),
+            headers: headers(id),
             body: id.as_bytes().into(),
             tokens: 10,
         };
--- a/crates/gateway/tests/gateway/owner.rs
+++ b/crates/gateway/tests/gateway/owner.rs
@@ -39,6 +39,7 @@
                 load: Vec::new(),
                 running: Vec::new(),
                 queued: Vec::new(),
+                quarantine: Vec::new(),
             };
             let bytes = postcard::to_stdvec(&heartbeat).expect("a heartbeat");
             // A lost heartbeat is followed by others.
