--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod online;
 mod owner;
 mod pace;
+mod rate_limit;
 mod replica;
 mod reservation;
 mod store;
