coordination, gateway: keep the rate limits that replicas name

What callers and operators saw: a back end in need got far more requests than it had said it takes. Cause: the header is new and nothing read it; a daemon knew of a replica's slots, never of its rate. Class of fault: a limit of the fleet as a whole that each daemon, by itself, cannot keep. One live daemon, by rendezvous hashing, has the token bucket of a replica; the others ask it by datagram before each request (fleet::rate_limit, no I/O). So the limit is divided by need, also below one a second. The single way to a replica, upstream::admit, takes a token in place of a reservation. Online requests use tokens when other replicas are full, items prefer limited replicas and are not preempted there for queued requests, as a token buys an item more of a slot. Conclusion: why this works: no daemon sends without a token, and the grants of one bucket stay under the limit in each window.

--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 pub mod pool;
 pub mod prompt;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod replica;
 pub mod retry;
 pub mod schedule;
--- a/crates/coordination/src/fleet/peers.rs
+++ b/crates/coordination/src/fleet/peers.rs
@@ -19,7 +19,7 @@
 
 use super::backlog::Queued;
 use super::pool::Load;
-use super::quarantine;
+use super::{quarantine, rate_limit};
 
 /// Time without a heartbeat after which a peer counts as dead.
 pub const FAILURE_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -126,6 +126,9 @@
     /// in a datagram.
     #[serde(skip)]
     pub quarantine: Vec<quarantine::Report>,
+    /// Rate limits that replicas have named. Follow the quarantine in a datagram.
+    #[serde(skip)]
+    pub limits: Vec<rate_limit::Report>,
 }
 
 impl Heartbeat {
@@ -136,11 +139,12 @@
     /// If a field cannot be serialized.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let datagram = postcard::to_extend(&self.queued, postcard::to_stdvec(self)?)?;
-        postcard::to_extend(&self.quarantine, datagram)
+        let datagram = postcard::to_extend(&self.quarantine, datagram)?;
+        postcard::to_extend(&self.limits, datagram)
     }
 
-    /// Decodes a datagram. One of an earlier version ends before the queue or before
-    /// the reports that follow it.
+    /// Decodes a datagram. One of an earlier version ends before the queue or one of
+    /// the fields that follow it.
     ///
     /// # Errors
     ///
@@ -152,8 +156,13 @@
         }
         let (queued, rest) = postcard::take_from_bytes(rest)?;
         heartbeat.queued = queued;
+        if rest.is_empty() {
+            return Ok(heartbeat);
+        }
+        let (quarantine, rest) = postcard::take_from_bytes(rest)?;
+        heartbeat.quarantine = quarantine;
         if !rest.is_empty() {
-            heartbeat.quarantine = postcard::from_bytes(rest)?;
+            heartbeat.limits = postcard::from_bytes(rest)?;
         }
         Ok(heartbeat)
     }
--- a/crates/coordination/src/fleet/pool.rs
+++ b/crates/coordination/src/fleet/pool.rs
@@ -11,10 +11,14 @@
 //! them, chosen by rendezvous hashing. Fewer daemons then share a replica, so
 //! connections are reused and the known load is less often out of date.
 //!
+//! A replica that names a rate limit takes a request only with a token of the daemon
+//! that has its bucket; see [`rate_limit`](super::rate_limit). While there is none, the
+//! replica is not selected.
+//!
 //! A replica that says in an answer that it is leaving gets no more requests,
 //! whatever the listing says, until another process takes its place.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -24,6 +28,7 @@
 
 use super::backlog::{self, Backlog, Group, Queued};
 use super::peers::short_hash;
+use super::rate_limit::{self, Limits};
 use super::replica::{Process, Replica, Stage};
 use super::schedule::proportional_share;
 
@@ -58,6 +63,15 @@
 /// Cost of a hop to another data centre, as a share of a replica's slots.
 const HOP_COST_SHARE: f64 = 0.25;
 
+/// Cost of a token of a limited replica, as a share of its slots. Where the rate is
+/// limited, slots are plentiful and tokens are not: a token buys a batch item several
+/// times as much of a slot as an online request, and an item elsewhere takes the slots
+/// of several online requests.
+const TOKEN_COST_SHARE: f64 = 0.9;
+
+/// Weight of a free slot of a limited replica for batch items, for the same reason.
+const LIMITED_SLOT_WEIGHT: f64 = 4.0;
+
 /// Replicas of this data centre that are compared for one online request. The
 /// known load is out of date, so with many candidates all daemons would send
 /// to the one replica that appears idle.
@@ -116,6 +130,14 @@
     replica: Replica,
     /// Short id in heartbeats.
     short_hash: u32,
+    /// Short id of its process in heartbeats.
+    process_hash: u32,
+    /// Rate limit that it named, in requests a second.
+    limit: Option<f64>,
+    /// Time before which it has no token for an online request.
+    token_at: Duration,
+    /// Time before which it has no token for a batch item.
+    batch_token_at: Duration,
     group: Group,
     /// Whether it is in this daemon's preferred subset.
     preferred: bool,
@@ -147,7 +169,23 @@
         self.replica.slots.saturating_sub(self.total())
     }
 
+    /// Free slots for batch items. A limited replica takes one at a time, as each
+    /// needs a token.
+    fn free_batch_slots(&self, now: Duration, reserve: u32) -> u32 {
+        let free = self.free_slots(now).saturating_sub(reserve);
+        match self.limit {
+            Some(_) if now < self.batch_token_at => 0,
+            Some(_) => free.min(1),
+            None => free,
+        }
+    }
+
     fn accepts_requests(&self, now: Duration) -> bool {
+        let lacks_token = self.limit.is_some() && now < self.token_at;
+        !lacks_token && self.is_in_service(now)
+    }
+
+    fn is_in_service(&self, now: Duration) -> bool {
         self.replica.stage == Stage::Ready
             && !self.misdirected
             && !self.departing
@@ -156,7 +194,7 @@
 }
 
 /// Replica selected for a request, with a slot assigned.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Selection {
     /// Key in the pool.
     pub key: Key,
@@ -172,6 +210,10 @@
     pub own: u32,
     /// Requests in flight there from all peers, by their latest heartbeats.
     pub peers: u32,
+    /// Short id of its process.
+    pub process_hash: u32,
+    /// Rate limit that it named, in requests a second; a request needs a token.
+    pub limit: Option<f64>,
 }
 
 impl Selection {
@@ -197,6 +239,7 @@
     /// last in the pool.
     departing: HashMap<Process, Duration>,
     backlog: Backlog,
+    limits: Limits,
 }
 
 impl Pool {
@@ -210,6 +253,7 @@
             by_id: HashMap::new(),
             departing: HashMap::new(),
             backlog: Backlog::default(),
+            limits: Limits::default(),
         }
     }
 
@@ -226,8 +270,13 @@
                 self.remove(&replica.id.clone());
                 let id = replica.id.clone();
                 let departing = self.departing.contains_key(&replica.process());
+                let process_hash = replica.process().short_hash();
                 let key = self.entries.insert(Entry {
                     short_hash: short_hash(&[id.as_bytes()]),
+                    process_hash,
+                    limit: self.limits.get(process_hash),
+                    token_at: Duration::ZERO,
+                    batch_token_at: Duration::ZERO,
                     group: Group::new(&replica.service, &replica.data_centre),
                     replica,
                     departing,
@@ -289,6 +338,9 @@
         for id in expired {
             self.remove(&id);
         }
+        let processes: HashSet<u32> = self.entries.values().map(|e| e.process_hash).collect();
+        self.limits
+            .expire(now, |process| processes.contains(&process));
     }
 
     fn remove(&mut self, id: &str) {
@@ -396,7 +448,12 @@
         } else {
             HOP_COST_SHARE
         };
-        (used + MAX_JITTER_REQUESTS * random) / slots + hop
+        let token = if entry.limit.is_some() {
+            TOKEN_COST_SHARE
+        } else {
+            0.0
+        };
+        (used + MAX_JITTER_REQUESTS * random) / slots + hop + token
     }
 
     /// Selects a replica of a service with more than `reserve` free slots for
@@ -451,7 +508,7 @@
             .values()
             .filter(|e| e.replica.service == service);
         for e in of_service.filter(|e| e.accepts_requests(now) && now >= e.backoff_until) {
-            *slots.entry(e.group).or_default() += e.free_slots(now).saturating_sub(reserve);
+            *slots.entry(e.group).or_default() += e.free_batch_slots(now, reserve);
         }
         for (group, free) in &mut slots {
             *free = self.backlog.batch_slots(*group, *free);
@@ -461,11 +518,12 @@
 
     /// Free slots for batch items; remote slots count [`REMOTE_SLOT_WEIGHT`] each.
     fn batch_weight(&self, now: Duration, entry: &Entry, reserve: u32) -> f64 {
-        let free = entry.free_slots(now).saturating_sub(reserve);
-        if entry.replica.data_centre == self.data_centre {
-            f64::from(free)
-        } else {
-            f64::from(free) * REMOTE_SLOT_WEIGHT
+        let free = f64::from(entry.free_batch_slots(now, reserve));
+        let is_local = entry.replica.data_centre == self.data_centre;
+        let distance = if is_local { 1.0 } else { REMOTE_SLOT_WEIGHT };
+        match entry.limit {
+            Some(_) => free * distance * LIMITED_SLOT_WEIGHT,
+            None => free * distance,
         }
     }
 
@@ -477,6 +535,8 @@
             own,
             peers,
             key,
+            process_hash: entry.process_hash,
+            limit: entry.limit,
             id: entry.replica.id.clone(),
             service: entry.replica.service.clone(),
             address: entry.replica.address,
@@ -522,7 +582,8 @@
         mut random: impl FnMut() -> f64,
     ) -> Vec<(Vec<Key>, u32)> {
         let mut groups: HashMap<Group, (Vec<Key>, backlog::Usage)> = HashMap::new();
-        for (key, e) in &self.entries {
+        // An item at a limited replica has spent its token; its end would free none.
+        for (key, e) in self.entries.iter().filter(|(_, e)| e.limit.is_none()) {
             let (replicas, usage) = groups.entry(e.group).or_default();
             usage.own += e.own.batch;
             usage.all += e.own.batch + e.peers.batch;
@@ -584,8 +645,62 @@
     /// Records that a replica reported no free slot.
     pub fn record_full(&mut self, now: Duration, key: Key) {
         if let Some(entry) = self.entries.get_mut(key) {
-            entry.full_until = now + FULL_COOLDOWN;
+            entry.full_until = entry.full_until.max(now + FULL_COOLDOWN);
+        }
+    }
+
+    /// Records that a limited replica has no token for a class of requests before
+    /// `retry` has passed.
+    pub fn record_no_token(&mut self, now: Duration, key: Key, class: Class, retry: Duration) {
+        match (self.entries.get_mut(key), class) {
+            (Some(entry), Class::Online) => entry.token_at = now + retry,
+            (Some(entry), Class::Batch) => entry.batch_token_at = now + retry,
+            (None, _) => {}
+        }
+    }
+
+    /// Records the rate limit that a selected replica named in an answer, or that it
+    /// named none; returns whether that is news.
+    pub fn record_limit(
+        &mut self,
+        now: Duration,
+        selection: &Selection,
+        per_s: Option<f64>,
+    ) -> bool {
+        let is_news = self.limits.record(now, selection.process_hash, per_s);
+        if is_news {
+            self.update_limits();
         }
+        is_news
+    }
+
+    /// Adds the rate limits that a peer reports.
+    pub fn merge_limits(&mut self, now: Duration, reports: &[rate_limit::Report]) {
+        if !reports.is_empty() {
+            self.limits.merge(now, reports);
+            self.update_limits();
+        }
+    }
+
+    /// Rate limits for the peers.
+    #[must_use]
+    pub fn limit_reports(&self, now: Duration) -> Vec<rate_limit::Report> {
+        self.limits.reports(now)
+    }
+
+    fn update_limits(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.limit = self.limits.get(entry.process_hash);
+        }
+    }
+
+    /// Replicas of a service that are in service and have named a rate limit.
+    #[must_use]
+    pub fn limited(&self, now: Duration, service: &str) -> Vec<Key> {
+        let entries = self.entries.iter().filter(|(_, e)| {
+            e.limit.is_some() && e.replica.service == service && e.is_in_service(now)
+        });
+        entries.map(|(key, _)| key).collect()
     }
 
     /// Records that another process answers at a replica's address, which
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -9,5 +9,6 @@
 mod ownership;
 mod pool;
 mod quarantine;
+mod rate_limit;
 mod retry;
 mod schedule;
--- a/crates/coordination/tests/fleet/ownership.rs
+++ b/crates/coordination/tests/fleet/ownership.rs
@@ -34,6 +34,7 @@
         running: Vec::new(),
         queued: Vec::new(),
         quarantine: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- a/crates/coordination/tests/fleet/quarantine.rs
+++ b/crates/coordination/tests/fleet/quarantine.rs
@@ -196,6 +196,7 @@
         running: Vec::new(),
         queued: Vec::new(),
         quarantine: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
@@ -210,12 +211,17 @@
     assert_eq!(decoded.expect("decodes"), sent);
 }
 
-/// A datagram of a version that ends behind the queue.
-#[test]
-fn datagram_without_reports_is_decoded() {
-    let bytes = heartbeat().encode().expect("encodes");
-    let earlier = &bytes[..bytes.len() - 1];
-    assert_eq!(Heartbeat::decode(earlier).expect("decodes"), heartbeat());
+cases! {
+    /// Earlier versions end before some of the fields behind the queue, which are
+    /// empty here and take a byte each.
+    fn datagram_of_an_earlier_version_is_decoded(missing_fields: usize) {
+        let bytes = heartbeat().encode().expect("encodes");
+        let earlier = &bytes[..bytes.len() - missing_fields];
+        assert_eq!(Heartbeat::decode(earlier).expect("decodes"), heartbeat());
+    }
+    datagram_without_limits_is_decoded(1);
+    datagram_without_reports_is_decoded(2);
+    datagram_without_queue_is_decoded(3);
 }
 
 /// Only the ages differ from one heartbeat to the next.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -32,6 +32,7 @@
 use crate::settings::Settings;
 use crate::shard::Shard;
 use crate::store::{Failure, Store};
+use crate::tokens::Tokens;
 
 /// Shared state of one daemon.
 pub(crate) struct State<S: Store, D: Dialect> {
@@ -44,6 +45,7 @@
     pub executor: Arc<Executor<'static>>,
     pub connector: Connector,
     pub crashes: crash::Monitor,
+    pub tokens: Tokens,
     pub metrics: Metrics,
     pub shards: Vec<Shard>,
     /// Notified when client connections have to be closed.
@@ -101,6 +103,7 @@
             settings,
             store,
             dialect,
+            tokens: Tokens::default(),
             crashes: crash::Monitor::new(connector.clone(), Arc::clone(&executor)),
             executor,
             connector,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -101,6 +101,7 @@
         if let Some(metrics) = metrics {
             listen(metrics, Endpoint::Metrics, ConnectionCount::default());
         }
+        core.tokens.set_socket(gossip_socket.clone());
         core.spawn(gossip::receive(core.clone(), gossip_socket.clone()))
             .detach();
         core.spawn(gossip::send_heartbeats(core.clone(), gossip_socket))
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -25,6 +25,8 @@
     pub not_run: HeaderName,
     /// States that the replica that answers is leaving.
     pub leaving: HeaderName,
+    /// Requests a second that the replica that answers takes from all daemons.
+    pub rate_limit: HeaderName,
     /// Signature that proves that a response comes from a replica.
     pub signature: HeaderName,
     /// Id of the last event received.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -13,6 +13,7 @@
 
 use bitterncart_coordination::fleet::peers::{Ownership, Usage, heartbeat_period};
 use bitterncart_coordination::fleet::quarantine::Report;
+use bitterncart_coordination::fleet::rate_limit::{self, Message};
 use bitterncart_coordination::fleet::{Group, Heartbeat, Kind, Queued, Route};
 use smol::net::UdpSocket;
 
@@ -41,10 +42,14 @@
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
+            Ok((size, from)) if let Some(message) = Message::decode(&buffer[..size]) => {
+                core.tokens.handle(message, from).await;
+            }
             Ok((size, _)) => match Heartbeat::decode(&buffer[..size]) {
                 Ok(heartbeat) if heartbeat.from != core.peer_address() => {
                     let now = clock::now();
                     core.crashes.merge(now, &heartbeat.quarantine);
+                    core.pool().merge_limits(now, &heartbeat.limits);
                     core.peers().receive(now, heartbeat);
                 }
                 Ok(_) => {}
@@ -91,6 +96,14 @@
                 .iter()
                 .map(Report::without_ages)
                 .collect(),
+            limits: heartbeat
+                .limits
+                .iter()
+                .map(|report| rate_limit::Report {
+                    age_ms: 0,
+                    ..*report
+                })
+                .collect(),
             ..heartbeat.clone()
         };
         let is_new = self.last_content.as_ref() != Some(&content);
@@ -170,6 +183,7 @@
         running,
         queued: queued_requests(core),
         quarantine: core.crashes.reports(now),
+        limits: core.pool().limit_reports(now),
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,8 @@
 //!
 //! The tasks of a daemon run on one executor and share its state. A task that
 //! needs several locks takes them in this order: manifest, ledger, runs, peers,
-//! cut-off daemons, ownership table, pool, admission queue, quarantine.
+//! cut-off daemons, ownership table, pool, admission queue, quarantine, buckets,
+//! asks.
 
 mod availability;
 mod body;
@@ -28,6 +29,7 @@
 mod server;
 mod shard;
 mod sse;
+mod tokens;
 mod upstream;
 mod watch;
 
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -234,6 +234,13 @@
     });
 }
 
+pub(crate) fn replica_limit_changed(replica: &str, born_ms: u64, per_s: Option<f64>) {
+    match per_s {
+        Some(per_s) => info!("replica limits its rate", kv: { replica, born_ms, per_s }),
+        None => info!("replica no longer limits its rate", kv: { replica, born_ms }),
+    }
+}
+
 pub(crate) fn manifest_installed(version: u64) {
     info!("manifest in force", kv: { version });
 }
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -28,8 +28,7 @@
 use crate::sse::Event;
 use crate::store::Store;
 use crate::upstream::{
-    self, Message, Received, ReserveReply, SendOptions, Slot, reserve, send,
-    strip_hop_by_hop_headers,
+    self, Message, Received, ReserveReply, SendOptions, Slot, admit, send, strip_hop_by_hop_headers,
 };
 
 /// Minimum time before the deadline at which an attempt is still made.
@@ -257,14 +256,23 @@
 
     async fn find_slot(&self) -> Option<(Slot<S, D>, Option<HeaderValue>)> {
         let backend = self.route.backend(rand::random())?;
-        if !backend.reserves.is_zero() {
-            match self.reserve_any(backend).await {
-                Acquired::Slot(slot, reservation) => return Some((slot, reservation)),
-                Acquired::Full => return self.wait_in_queue(backend).await,
-                Acquired::NoReplica => {}
-            }
+        match self.reserve_any(backend).await {
+            Acquired::Slot(slot, reservation) => Some((slot, reservation)),
+            Acquired::Full => self.wait_in_queue(backend).await,
+            Acquired::NoReplica => None,
         }
-        Some((self.select_slot(&backend.service, &[])?.admitted(), None))
+    }
+
+    /// Selects a replica that takes requests without a token.
+    fn select_unlimited(&self, service: &str) -> Option<Slot<S, D>> {
+        let limited = self.core.pool().limited(clock::now(), service);
+        self.select_slot(service, &limited)
+    }
+
+    /// Whether a replica of a service would take the request if there were a token.
+    fn may_get_token(&self, service: &str) -> bool {
+        let limited = self.core.pool().limited(clock::now(), service);
+        limited.iter().any(|key| !self.tried_replicas.contains(key))
     }
 
     /// Asks up to [`MAX_REPLICAS_PER_ROUND`] replicas for a reservation.
@@ -280,7 +288,7 @@
                 acquired => return acquired,
             }
         }
-        if full.is_empty() {
+        if full.is_empty() && !self.may_get_token(&backend.service) {
             Acquired::NoReplica
         } else {
             Acquired::Full
@@ -290,7 +298,14 @@
     /// Asks one replica for a reservation; an unreachable replica counts as full.
     async fn reserve_at(&self, backend: &Backend, slot: Slot<S, D>) -> Acquired<S, D> {
         let key = slot.selection.key;
-        let reply = reserve(&self.core, &slot.selection, &self.message, backend.reserves).await;
+        let reply = admit(
+            &self.core,
+            &slot.selection,
+            &self.message,
+            Class::Online,
+            backend.reserves,
+        )
+        .await;
         let now = clock::now();
         match reply {
             ReserveReply::Granted(name) => {
@@ -298,6 +313,7 @@
                 Acquired::Slot(slot.admitted(), Some(name))
             }
             ReserveReply::Unsupported => Acquired::Slot(slot.admitted(), None),
+            ReserveReply::NoToken => Acquired::Full,
             ReserveReply::Full => {
                 self.core.metrics.reservation("full");
                 self.core.pool().record_full(now, key);
@@ -349,7 +365,11 @@
                     if with_timeout(interval, slot_offered).await.is_some() {
                         continue;
                     }
-                    self.select_slot(&backend.service, &[])?
+                    match self.select_slot(&backend.service, &[]) {
+                        Some(slot) => slot,
+                        None if self.may_get_token(&backend.service) => continue,
+                        None => return None,
+                    }
                 }
             };
             if let Acquired::Slot(slot, reservation) = self.reserve_at(backend, slot).await {
@@ -357,7 +377,7 @@
             }
         }
         drop(queued);
-        Some((self.select_slot(&backend.service, &[])?.admitted(), None))
+        Some((self.select_unlimited(&backend.service)?.admitted(), None))
     }
 
     async fn send_attempt(
@@ -481,12 +501,21 @@
         Ok(response)
     }
 
+    /// Whether replicas of the route would take the request if there were tokens.
+    fn is_limited(&self) -> bool {
+        let backends = self.route.backends.iter();
+        backends
+            .map(|backend| &backend.service)
+            .any(|service| self.may_get_token(service))
+    }
+
     fn reject(&self, decision: Decision) -> Response<Body> {
         if let Some(verdict) = &self.quarantined {
             log::request_quarantined(&self.id, &self.route.name, verdict);
         }
         let code = match decision {
             Decision::Refuse if self.quarantined.is_some() => Code::PromptQuarantined,
+            Decision::Refuse if self.is_limited() => Code::ReplicasLimited,
             Decision::Refuse => Code::NoReplica,
             Decision::TimeOut => Code::BackendTimeout,
             _ => Code::OutcomeUnknown,
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -36,7 +36,7 @@
 use crate::log;
 use crate::shard::Undecided;
 use crate::store::Store;
-use crate::upstream::{self, Message, Received, ReserveReply, SendOptions, Slot, reserve, send};
+use crate::upstream::{self, Message, Received, ReserveReply, SendOptions, Slot, admit, send};
 
 /// Interval between checks for items to preempt or drop.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -589,14 +589,19 @@
     /// Reserves the slot, so that an item never waits in the queue of a replica
     /// ahead of online requests.
     async fn reserve_slot(&self) -> Result<Option<HeaderValue>, Outcome> {
-        if self.reserves.is_zero() {
-            return Ok(None);
-        }
         let selection = &self.slot.selection;
-        match reserve(&self.core, selection, &self.message, self.reserves).await {
+        let reply = admit(
+            &self.core,
+            selection,
+            &self.message,
+            Class::Batch,
+            self.reserves,
+        );
+        match reply.await {
             ReserveReply::Granted(name) => Ok(Some(name)),
             ReserveReply::Unsupported => Ok(None),
             ReserveReply::Unreachable(outcome) => Err(outcome),
+            ReserveReply::NoToken => Err(Outcome::NotRun),
             ReserveReply::Full => {
                 self.core.pool().record_full(clock::now(), selection.key);
                 Err(Outcome::NotRun)
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -24,6 +24,7 @@
 use crate::log;
 use crate::sse::{Event, Splitter};
 use crate::store::Store;
+use crate::tokens;
 
 /// Timeout of a new connection to a replica.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -173,15 +174,44 @@
     Granted(HeaderValue),
     /// The replica has no free slot.
     Full,
+    /// The replica limits its rate, and there is no token.
+    NoToken,
     /// The call failed.
     Unreachable(Outcome),
     /// The replica or the request does not use reservations.
     Unsupported,
 }
 
+/// Admits a message to a replica: with a token if the replica limits its rate, else
+/// with a reservation of at most `max_reservation`, if that is not zero.
+pub(crate) async fn admit<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    selection: &Selection,
+    message: &Message,
+    class: Class,
+    max_reservation: Duration,
+) -> ReserveReply {
+    match selection.limit {
+        Some(per_s) => match tokens::acquire(core, selection, per_s, class).await {
+            Ok(()) => {
+                core.metrics.reservation("token");
+                ReserveReply::Unsupported
+            }
+            Err(retry) => {
+                core.metrics.reservation("limited");
+                let mut pool = core.pool();
+                pool.record_no_token(clock::now(), selection.key, class, retry);
+                ReserveReply::NoToken
+            }
+        },
+        None if max_reservation.is_zero() => ReserveReply::Unsupported,
+        None => reserve(core, selection, message, max_reservation).await,
+    }
+}
+
 /// Reserves a slot at a replica for a message, for at most `max_reservation`.
 /// Repeats the call once on a new connection if an idle one broke.
-pub(crate) async fn reserve<S: Store, D: Dialect>(
+async fn reserve<S: Store, D: Dialect>(
     core: &Core<S, D>,
     selection: &Selection,
     message: &Message,
@@ -214,6 +244,10 @@
             // The call has no id that its response could echo.
             return Err(Error::Broken("late response to an earlier request".into()));
         }
+        // Only answers to requests show that there is no limit.
+        if let Some(per_s) = named_limit(core, &head) {
+            record_limit(core, selection, Some(per_s));
+        }
         let body = body.collect().await;
         let body = body.map_err(|e| Error::Broken(e.to_string()))?;
         core.connector.release(connection);
@@ -303,6 +337,9 @@
     let echo = head.headers.get(&header_names.attempt_id);
     let signed = head.headers.contains_key(&header_names.signature);
     let mismatched = echo.is_some() && echo != attempt;
+    if echo == attempt && head.status != StatusCode::MISDIRECTED_REQUEST {
+        record_limit(core, selection, named_limit(core, &head));
+    }
     match head.status {
         _ if mismatched => Err(Outcome::Broken),
         StatusCode::MISDIRECTED_REQUEST => Err(Outcome::Misdirected),
@@ -336,6 +373,23 @@
     }
 }
 
+/// Rate limit that a response names, in requests a second.
+fn named_limit<S: Store, D: Dialect>(core: &Core<S, D>, head: &response::Parts) -> Option<f64> {
+    let text = head.headers.get(&core.dialect.header_names().rate_limit)?;
+    let per_s: f64 = text.to_str().ok()?.trim().parse().ok()?;
+    (per_s.is_finite() && per_s >= 0.0).then_some(per_s)
+}
+
+fn record_limit<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    selection: &Selection,
+    per_s: Option<f64>,
+) {
+    if core.pool().record_limit(clock::now(), selection, per_s) {
+        log::replica_limit_changed(&selection.id, selection.born_ms, per_s);
+    }
+}
+
 fn error_outcome(error: &Error) -> Outcome {
     match error {
         Error::NotSent(_) => Outcome::NotSent,
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -174,6 +174,7 @@
         smol::Timer::after(EXPIRY_INTERVAL).await;
         core.pool().expire(clock::now());
         core.crashes.expire();
+        core.tokens.expire();
         core.connector.close_expired();
     }
 }
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -38,6 +38,7 @@
             expected_replica: HeaderName::from_static("expect-replica"),
             not_run: HeaderName::from_static("not-run"),
             leaving: HeaderName::from_static("leaving"),
+            rate_limit: HeaderName::from_static("limit"),
             signature: HeaderName::from_static("signature"),
             last_event_id: HeaderName::from_static("last-event"),
             long_poll: HeaderName::from_static("wait"),
--- a/crates/gateway/tests/gateway/owner.rs
+++ b/crates/gateway/tests/gateway/owner.rs
@@ -40,6 +40,7 @@
                 running: Vec::new(),
                 queued: Vec::new(),
                 quarantine: Vec::new(),
+                limits: Vec::new(),
             };
             let bytes = postcard::to_stdvec(&heartbeat).expect("a heartbeat");
             // A lost heartbeat is followed by others.
--- a/crates/protocol/src/code.rs
+++ b/crates/protocol/src/code.rs
@@ -115,6 +115,7 @@
     QueueExpired = 1306, "queue_expired", 503, NotRun, true, "Come back after the Retry-After seconds.";
     NoConfiguration = 1307, "no_configuration", 503, NotRun, true, "Come back later; no configuration has been read yet.";
     PromptQuarantined = 1308, "prompt_quarantined", 503, NotRun, true, "Come back after the Retry-After seconds, or leave out the part of the prompt that crashes replicas.";
+    ReplicasLimited = 1309, "replicas_limited", 503, NotRun, true, "Come back after the Retry-After seconds; all replicas limit their requests.";
     KeyConflict = 1401, "key_conflict", 422, NotRun, false, "Use a new Idempotency-Key for another request.";
     VersionConflict = 1402, "version_conflict", 409, NotRun, false, "Read the current version, compare, and publish again on top of it.";
     JobTerminal = 1403, "job_terminal", 409, NotRun, false, "The job has ended; read its results.";
