gateway: the test of a limited replica has a shortage

Change: six clients a daemon keep more requests open than the other replica has slots. Both bounds are as before. Conclusion: the case that the lower bound is for, a shortage, is what the test plays now.

--- a/crates/gateway/tests/gateway/rate_limit.rs
+++ b/crates/gateway/tests/gateway/rate_limit.rs
@@ -12,8 +12,12 @@
 /// Time for which clients send requests.
 const LOAD_TIME: Duration = Duration::from_secs(4);
 
-/// Time between two requests of one client.
-const REQUEST_GAP: Duration = Duration::from_millis(60);
+/// Clients of one daemon, each with one request at a time. All of them together have
+/// more requests than the other replica has slots.
+const CLIENTS: usize = 6;
+
+/// Time that the other replica takes for a request.
+const RUN_TIME: Duration = Duration::from_millis(300);
 
 const LIMITED: Action = Action::Respond(
     200,
@@ -22,25 +26,33 @@
 );
 const UNLIMITED: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
 
+/// Waits for all futures.
+async fn join_all(futures: impl Iterator<Item = impl Future<Output = ()>>) {
+    let executor = smol::LocalExecutor::new();
+    let tasks: Vec<_> = futures.map(|future| executor.spawn(future)).collect();
+    let all = async {
+        for task in tasks {
+            task.await;
+        }
+    };
+    executor.run(all).await;
+}
+
 /// Most requests that a replica may get in `LOAD_TIME`.
 fn allowed() -> usize {
     LIMIT_PER_S * LOAD_TIME.as_secs() as usize * 3 / 2 + 5
 }
 
-/// Sends requests to a daemon for [`LOAD_TIME`]; returns how many were answered.
-async fn send_load(gateway: &Gateway, name: &str) -> usize {
+/// Sends requests to a daemon for [`LOAD_TIME`].
+async fn send_load(gateway: &Gateway, client: usize) {
     let started = Instant::now();
-    let mut answered = 0;
-    for n in 0.. {
-        if started.elapsed() >= LOAD_TIME {
-            break;
-        }
-        let response = gateway.fetch(&post("/once/a", &format!("{name}{n}"))).await;
+    let mut sent = 0;
+    while started.elapsed() < LOAD_TIME {
+        let id = format!("{client}-{sent}");
+        let response = gateway.fetch(&post("/once/a", &id)).await;
         assert_eq!(status(&response), 200, "{response}");
-        answered += 1;
-        smol::Timer::after(REQUEST_GAP).await;
+        sent += 1;
     }
-    answered
 }
 
 /// Two daemons; the second replica takes what the first one does not.
@@ -48,11 +60,14 @@
 fn limited_replica_gets_no_more_than_it_takes_from_all_daemons() {
     smol::block_on(async {
         let limited = ScriptedReplica::start_with("limited", |_| vec![LIMITED]).await;
-        let other = ScriptedReplica::start_with("other", |_| vec![UNLIMITED]).await;
+        let other =
+            ScriptedReplica::start_with("other", |_| vec![Action::Wait(RUN_TIME), UNLIMITED]).await;
         let store = store(&[&limited, &other]);
         let (a, b) = (Gateway::start(&store).await, Gateway::start(&store).await);
         wait_until("both daemons", || store.registered_daemons().len() == 2).await;
-        futures_lite::future::zip(send_load(&a, "a"), send_load(&b, "b")).await;
+        smol::Timer::after(Duration::from_millis(500)).await;
+        let clients = (0..2 * CLIENTS).map(|n| send_load(if n % 2 == 0 { &a } else { &b }, n));
+        join_all(clients).await;
         let got = limited.requests().len();
         assert!(got <= allowed(), "{got} of {} allowed", allowed());
         assert!(got >= LIMIT_PER_S * 2, "{got}: the limit is not used");
