gateway: an owner that returns reads on before it answers

Change: an owner serves a shard from the first read after it became the owner, which starts at once; a read that needs the end of the ledger and cannot get it is answered with 503 instead of with what is known.

--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -272,11 +272,16 @@
     };
     let shard = shard_of(core, id);
     let (mut count, is_open) = counts;
-    let is_stale = !shard.is_owned() && shard.staleness() > MAX_STALENESS;
+    let is_stale = !shard.is_serving() && shard.staleness() > MAX_STALENESS;
     if after > count || (after == count && is_open && is_stale) {
-        // Another daemon may have recorded more results.
-        if let Some(Err(e)) = with_timeout(CATCH_UP_TIMEOUT, shard.catch_up(core)).await {
-            core.record_store_failure("look", &e);
+        // Another daemon may have recorded more results, which the client may know.
+        match with_timeout(CATCH_UP_TIMEOUT, shard.catch_up(core)).await {
+            Some(Ok(())) => {}
+            Some(Err(e)) => {
+                core.record_store_failure("look", &e);
+                return reject(core, id, Code::LogUnavailable);
+            }
+            None => return reject(core, id, Code::LogUnavailable),
         }
         count = shard.ledger().job(id).map_or(0, |job| job.results.len());
     }
--- a/crates/gateway/src/shard.rs
+++ b/crates/gateway/src/shard.rs
@@ -100,6 +100,8 @@
     ledger: Mutex<Ledger>,
     loaded: AtomicBool,
     owned: AtomicBool,
+    /// Time from which this daemon owns the shard, in milliseconds of the boot clock.
+    owned_since_ms: AtomicU64,
     /// Time of the last call about the shard at this daemon, in milliseconds of
     /// the boot clock; 0 for none.
     last_used_ms: AtomicU64,
@@ -122,6 +124,7 @@
             ledger: Mutex::default(),
             loaded: AtomicBool::new(false),
             owned: AtomicBool::new(false),
+            owned_since_ms: AtomicU64::new(0),
             last_used_ms: AtomicU64::new(0),
             load_requested: Event::new(),
             append_availability: Availability::default(),
@@ -149,13 +152,20 @@
         self.owned.load(Ordering::Relaxed)
     }
 
-    /// Whether this daemon owns the shard and has loaded it.
+    /// Whether this daemon owns the shard and has read it since it became the owner.
+    /// The shard may have been loaded before, and another daemon may have appended to
+    /// it meanwhile.
     pub(crate) fn is_serving(&self) -> bool {
-        self.is_owned() && self.is_loaded()
+        let owned_since = self.owned_since_ms.load(Ordering::Relaxed);
+        let is_current = self.read_at_ms.load(Ordering::Relaxed) >= owned_since;
+        self.is_owned() && self.is_loaded() && is_current
     }
 
-    /// Sets whether this daemon owns the shard; an owner starts to load it.
+    /// Sets whether this daemon owns the shard; an owner starts to load it, or to read
+    /// on.
     pub(crate) fn set_owned(&self, owned: bool) {
+        let now = clock::now().as_millis() as u64;
+        self.owned_since_ms.store(now, Ordering::Relaxed);
         self.owned.store(owned, Ordering::Relaxed);
         self.load_requested.notify(usize::MAX);
     }
@@ -328,6 +338,8 @@
         }
         ledger.set_next(start_offset.unwrap_or(0));
         *self.ledger() = ledger;
+        let now = clock::now().as_millis() as u64;
+        self.read_at_ms.store(now, Ordering::Relaxed);
         self.loaded.store(true, Ordering::Release);
         self.changed.notify(usize::MAX);
         log::shard_loaded(self.number, start_offset.unwrap_or(0));
@@ -339,7 +351,7 @@
 pub(crate) async fn maintain<S: Store, D: Dialect>(core: Core<S, D>, number: usize) {
     let shard = &core.shards[number];
     loop {
-        let load_requested = shard.load_requested.listen();
+        let mut load_requested = shard.load_requested.listen();
         match (shard.is_needed(&core), shard.is_loaded()) {
             (true, false) => {
                 core.wait_until_configured().await;
@@ -360,7 +372,19 @@
                 continue;
             }
         }
-        smol::Timer::after(POLL_INTERVAL).await;
+        let poll = async {
+            smol::Timer::after(POLL_INTERVAL).await;
+        };
+        let became_owner = async {
+            loop {
+                load_requested.await;
+                if shard.is_owned() && !shard.is_serving() {
+                    return;
+                }
+                load_requested = shard.load_requested.listen();
+            }
+        };
+        futures_lite::future::or(poll, became_owner).await;
     }
 }
 
--- a/crates/gateway/tests/gateway/owner.rs
+++ b/crates/gateway/tests/gateway/owner.rs
@@ -5,7 +5,10 @@
 
 use bitterncart_coordination::fleet::Heartbeat;
 use bitterncart_coordination::fleet::peers::Ownership;
+use bitterncart_gateway::store::Topic;
+use bitterncart_state::ledger::{Ledger, Op, Outcome};
 use bitterncart_testing::cases;
+use smol::Task;
 use smol::net::UdpSocket;
 
 use crate::harness::{Gateway, request, status, store, wait_until};
@@ -17,7 +20,8 @@
 const SILENT: Action = Action::Wait(Duration::from_millis(1500));
 
 /// Sends gossip to a daemon that names `owner` as the owner of its only shard.
-async fn send_heartbeats_as_owner(store: &MemoryStore, owner: SocketAddr) {
+/// The owner is lost when the task is dropped.
+async fn send_heartbeats_as_owner(store: &MemoryStore, owner: SocketAddr) -> Task<()> {
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
     let daemon = store.registered_daemons()[0];
     let heartbeats = async move {
@@ -48,7 +52,7 @@
             smol::Timer::after(Duration::from_millis(100)).await;
         }
     };
-    smol::spawn(heartbeats).detach();
+    smol::spawn(heartbeats)
 }
 
 cases! {
@@ -63,7 +67,7 @@
             let gateway = Gateway::start_without_waiting(&store).await;
             wait_until("the daemon to be registered", || !store.registered_daemons().is_empty()).await;
             wait_until("the manifest", || gateway.daemon.manifest_version().is_some()).await;
-            send_heartbeats_as_owner(&store, owner.address).await;
+            let _heartbeats = send_heartbeats_as_owner(&store, owner.address).await;
             smol::Timer::after(Duration::from_millis(200)).await;
             let response = gateway.fetch(&request("POST", "/items/", "job", "one\n")).await;
             assert_eq!(status(&response), expected, "{response}");
@@ -77,3 +81,49 @@
     timeout_then_full_is_reported_as_unknown(vec![vec![SILENT, Action::Close], vec![FULL]], 504);
     reset_then_refusal_is_reported_as_unknown(vec![vec![Action::Reset], vec![REFUSED]], 504);
 }
+
+/// Appends the result of the first item of a job, as another daemon does.
+fn record_result(store: &MemoryStore, job: &str) {
+    let mut ledger = Ledger::default();
+    for (offset, record) in (0..).zip(&store.records(Topic::Ledger(0))) {
+        ledger.apply(offset, record);
+    }
+    let op = Op::RecordResult(job.into(), 0, Outcome::Completed("a".into()));
+    let plan = ledger.plan([&op].into_iter());
+    assert!(!plan.records.is_empty(), "nothing to append");
+    for record in plan.records {
+        let value = String::from_utf8(record.value.expect("a value")).expect("text");
+        store.put(Topic::Ledger(0), &record.key, &value);
+    }
+}
+
+/// The daemon kept the shard loaded while another one owned it, but could not read
+/// what that one recorded. It owns the shard again before it has read on.
+#[test]
+fn owner_that_returns_answers_from_no_outdated_state() {
+    smol::block_on(async {
+        let store = store(&[]);
+        let gateway = Gateway::start(&store).await;
+        wait_until("the shard", || gateway.daemon.is_serving(0)).await;
+        let submit = request("POST", "/items/", "job", "one\ntwo\n");
+        assert_eq!(status(&gateway.fetch(&submit).await), 202);
+        let absent = ScriptedReplica::start("absent", vec![vec![Action::Close]]).await;
+        let heartbeats = send_heartbeats_as_owner(&store, absent.address).await;
+        wait_until("the other owner", || !gateway.daemon.is_serving(0)).await;
+        let read = request("GET", "/jobs/job", "r", "");
+        gateway.fetch(&read).await;
+        store.set_fault(Fault::SlowReads(Duration::from_secs(20)));
+        // A read that has begun is not slowed.
+        smol::Timer::after(Duration::from_millis(900)).await;
+        record_result(&store, "job");
+        gateway.fetch(&read).await;
+        heartbeats.cancel().await;
+        let started = std::time::Instant::now();
+        while started.elapsed() < Duration::from_secs(3) {
+            let response = gateway.fetch(&read).await;
+            let is_outdated = status(&response) == 200 && !response.contains("0 one a");
+            assert!(!is_outdated, "{response}");
+            smol::Timer::after(Duration::from_millis(50)).await;
+        }
+    });
+}
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -75,7 +75,7 @@
         records.iter().filter(|r| r.key.starts_with(prefix)).count()
     }
 
-    fn records(&self, topic: Topic) -> Vec<Record> {
+    pub(crate) fn records(&self, topic: Topic) -> Vec<Record> {
         let topics = self.0.topics.lock().expect("lock");
         topics
             .get(&format!("{topic:?}"))
