--- a/crates/gateway/tests/gateway/owner.rs
+++ b/crates/gateway/tests/gateway/owner.rs
@@ -89,7 +89,7 @@
         ledger.apply(offset, record);
     }
     let op = Op::RecordResult(job.into(), 0, Outcome::Completed("a".into()));
-    let plan = ledger.plan([&op].into_iter());
+    let plan = ledger.plan([&op]);
     assert!(!plan.records.is_empty(), "nothing to append");
     for record in plan.records {
         let value = String::from_utf8(record.value.expect("a value")).expect("text");
