gateway: bound the answer to a reservation

Answers to requests were bounded already. Change: at most 16 KB; the connection is closed and the replica counts as unreachable. Tests of endless heads and bodies for calls, streams and reservations, and of answers that end with their connection.

--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -13,7 +13,7 @@
 use bitterncart_coordination::fleet::{Outcome, Part};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header, response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
 use crate::clock::{self, with_timeout};
@@ -32,6 +32,9 @@
 /// Maximum size of a response body that is read to its end.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
+/// Maximum size of the response to a reservation call.
+const MAX_RESERVATION_BYTES: usize = 16 << 10;
+
 /// Timeout of a reservation call.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -248,7 +251,7 @@
         if let Some(per_s) = named_limit(core, &head) {
             record_limit(core, selection, Some(per_s));
         }
-        let body = body.collect().await;
+        let body = Limited::new(body, MAX_RESERVATION_BYTES).collect().await;
         let body = body.map_err(|e| Error::Broken(e.to_string()))?;
         core.connector.release(connection);
         Ok((head.status, body.to_bytes()))
--- /dev/null
+++ b/crates/gateway/tests/gateway/answers.rs
@@ -0,0 +1,135 @@
+//! Answers whose end is not stated, and bytes that never end.
+
+use std::time::{Duration, Instant};
+
+use bitterncart_testing::cases;
+
+use crate::harness::{Gateway, post, status, store, wait_until};
+use crate::replica::{Action, ScriptedReplica};
+
+/// Head of an answer that ends with its connection.
+const UNFRAMED: Action = Action::Respond(200, "signature: s\r\n", "");
+const RESERVED: Action = Action::Respond(200, "content-length: 2\r\n", "p7");
+
+/// Most bytes of one endless answer that are taken, with those in socket buffers.
+const MAX_TAKEN_BYTES: usize = 24 << 20;
+
+fn sized(path: &str) -> String {
+    post(path, "id").replacen("\r\n", "\r\nsize: 1\r\n", 1)
+}
+
+/// Whether an answer to the client looks complete.
+fn looks_complete(response: &str) -> bool {
+    let is_chunked = response.contains("transfer-encoding: chunked");
+    status(response) == 200 && (!is_chunked || response.ends_with("0\r\n\r\n"))
+}
+
+cases! {
+    /// The end of the connection is the end of the answer, if it is not inside an
+    /// event and no reset.
+    fn unframed_answer(path: &str, rest: &[Action], expected_complete: bool) {
+        smol::block_on(async {
+            let script = [&[UNFRAMED], rest].concat();
+            let replica = ScriptedReplica::start("r", vec![script]).await;
+            let gateway = Gateway::start(&store(&[&replica])).await;
+            let response = gateway.fetch(&post(path, "id")).await;
+            assert_eq!(looks_complete(&response), expected_complete, "{response}");
+        });
+    }
+    unframed_call_is_whole("/once/a", &[Action::Send("ok".into()), Action::Close], true);
+    unframed_call_that_is_reset_is_not(
+        "/once/a",
+        &[Action::Send("ok".into()), Action::Wait(Duration::from_millis(50)), Action::Reset],
+        false
+    );
+    unframed_stream_is_whole(
+        "/stream/a",
+        &[Action::Send("id: 1\ndata: a\n\n".into()), Action::Close],
+        true
+    );
+    unframed_stream_that_ends_inside_an_event_is_not(
+        "/stream/a",
+        &[Action::Send("id: 1\ndata: a\n\nid: 2\nda".into()), Action::Close],
+        false
+    );
+    unframed_stream_that_is_reset_is_not(
+        "/stream/a",
+        &[
+            Action::Send("id: 1\ndata: a\n\n".into()),
+            Action::Wait(Duration::from_millis(50)),
+            Action::Reset
+        ],
+        false
+    );
+}
+
+const ENDLESS_HEAD: [Action; 2] = [
+    Action::Respond(200, "signature: s\r\nx: ", ""),
+    Action::SendForever("aaaaaaaa"),
+];
+
+fn endless_body(head: Action) -> Vec<Action> {
+    vec![head, Action::SendForever("aaaaaaaa")]
+}
+
+fn after_reservation(head: &str, answer: Vec<Action>) -> Vec<Action> {
+    if head.starts_with("POST /reserve ") {
+        vec![RESERVED]
+    } else {
+        answer
+    }
+}
+
+cases! {
+    /// The connection is closed within the time of the request, after bounded bytes,
+    /// and the caller learns that there is no answer.
+    fn endless_answer_ends(request: String, script: fn(&str) -> Vec<Action>) {
+        smol::block_on(async {
+            let replica = ScriptedReplica::start_with("r", script).await;
+            let gateway = Gateway::start(&store(&[&replica])).await;
+            let started = Instant::now();
+            let response = gateway.fetch(&request).await;
+            assert!(!looks_complete(&response), "{response}");
+            assert!(started.elapsed() < Duration::from_millis(4500));
+            wait_until("the end of the connection", || replica.disconnects() > 0).await;
+            let taken = replica.endless_bytes();
+            assert!(taken <= MAX_TAKEN_BYTES, "{taken} bytes");
+        });
+    }
+    endless_head_of_a_call(post("/once/a", "id"), |_| ENDLESS_HEAD.to_vec());
+    endless_head_of_a_stream(post("/stream/a", "id"), |_| ENDLESS_HEAD.to_vec());
+    endless_lines_of_a_head(post("/once/a", "id"), |_| vec![
+        Action::Respond(200, "signature: s\r\n", ""),
+        Action::SendForever("x: y\r\n")
+    ]);
+    endless_body_of_a_call(post("/once/a", "id"), |_| endless_body(UNFRAMED));
+    endless_body_of_a_stream(post("/stream/a", "id"), |_| endless_body(UNFRAMED));
+    endless_head_after_a_reservation(
+        sized("/once/a"),
+        |head| after_reservation(head, ENDLESS_HEAD.to_vec())
+    );
+    endless_body_after_a_reservation(
+        sized("/once/a"),
+        |head| after_reservation(head, endless_body(UNFRAMED))
+    );
+}
+
+cases! {
+    /// A reservation that never ends counts as unreachable; the bytes are bounded.
+    fn endless_reservation_ends(script: fn(&str) -> Vec<Action>) {
+        smol::block_on(async {
+            let replica = ScriptedReplica::start_with("r", script).await;
+            let gateway = Gateway::start(&store(&[&replica])).await;
+            gateway.fetch(&sized("/once/a")).await;
+            let ended = replica.disconnects();
+            assert!(ended > 0, "the connection stays open");
+            let taken = replica.endless_bytes() / ended;
+            assert!(taken <= MAX_RESERVATION_BYTES, "{taken} bytes");
+        });
+    }
+    endless_head_of_a_reservation(|_| ENDLESS_HEAD.to_vec());
+    endless_body_of_a_reservation(|_| endless_body(Action::Respond(200, "", "")));
+}
+
+/// Most bytes of one endless answer to a reservation, with those in socket buffers.
+const MAX_RESERVATION_BYTES: usize = 8 << 20;
--- a/crates/gateway/tests/gateway/replica.rs
+++ b/crates/gateway/tests/gateway/replica.rs
@@ -10,6 +10,9 @@
 use smol::net::{TcpListener, TcpStream};
 use socket2::SockRef;
 
+/// Size of one write of an endless answer.
+const ENDLESS_CHUNK_BYTES: usize = 16 << 10;
+
 /// Action of a script.
 #[derive(Clone, Debug)]
 pub(crate) enum Action {
@@ -17,6 +20,8 @@
     Respond(u16, &'static str, &'static str),
     /// Sends raw bytes.
     Send(String),
+    /// Sends bytes again and again until the peer disconnects, which it counts.
+    SendForever(&'static str),
     /// Waits.
     Wait(Duration),
     /// Closes the connection.
@@ -41,6 +46,8 @@
     pub requests: Vec<String>,
     /// Number of disconnects during [`Action::AwaitDisconnect`].
     pub disconnects: usize,
+    /// Bytes written in [`Action::SendForever`].
+    pub endless_bytes: usize,
 }
 
 /// Replica with scripted responses.
@@ -113,6 +120,10 @@
         self.observed.lock().expect("lock").requests.clone()
     }
 
+    pub(crate) fn endless_bytes(&self) -> usize {
+        self.observed.lock().expect("lock").endless_bytes
+    }
+
     pub(crate) fn disconnects(&self) -> usize {
         self.observed.lock().expect("lock").disconnects
     }
@@ -156,6 +167,14 @@
                     stream.write_all(body.as_bytes()).await.ok()?;
                 }
                 Action::Send(bytes) => stream.write_all(bytes.as_bytes()).await.ok()?,
+                Action::SendForever(text) => {
+                    let bytes = text.repeat(ENDLESS_CHUNK_BYTES / text.len());
+                    while stream.write_all(bytes.as_bytes()).await.is_ok() {
+                        observed.lock().expect("lock").endless_bytes += bytes.len();
+                    }
+                    observed.lock().expect("lock").disconnects += 1;
+                    return None;
+                }
                 Action::Wait(time) => drop(smol::Timer::after(*time).await),
                 Action::Close => return None,
                 Action::End => {
