gateway: a stream that ends with its connection and without an event broke

Cause: an answer with neither a length nor chunks ends with its connection, and so does that of a replica that ends before its first event: a client got an empty stream that looked complete. Change: such a stream is broken unless it had an event or was resumed, where the last event may have been the one before. Framed streams may be empty as before.

--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -188,6 +188,11 @@
         self.written_since.get_or_insert_with(clock::now);
     }
 
+    /// Whether the answer has had an event.
+    pub(crate) fn has_events(&self) -> bool {
+        self.written_since.is_some()
+    }
+
     /// Records that the answer is complete.
     pub(crate) fn record_complete(&self) {
         self.monitor.record_sound(&self.parts);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -159,6 +159,9 @@
     connection: Connection,
     splitter: Splitter,
     watch: Watch,
+    /// Whether the stream may be complete without an event. One that ends with its
+    /// connection may be that of a replica that ended.
+    may_be_empty: bool,
 }
 
 /// Parameters of one attempt.
@@ -351,6 +354,8 @@
         status if status.is_success() && !(signed && echo.is_some()) => Err(Outcome::Broken),
         status if !signed && !status.is_server_error() => Err(Outcome::Broken),
         _ => Ok(Response {
+            may_be_empty: is_framed(&head)
+                || message.headers.contains_key(&header_names.last_event_id),
             head,
             body,
             connection,
@@ -376,6 +381,12 @@
     }
 }
 
+/// Whether the end of a response is stated by a length or by chunks.
+fn is_framed(head: &response::Parts) -> bool {
+    head.headers.contains_key(header::CONTENT_LENGTH)
+        || head.headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Rate limit that a response names, in requests a second.
 fn named_limit<S: Store, D: Dialect>(core: &Core<S, D>, head: &response::Parts) -> Option<f64> {
     let text = head.headers.get(&core.dialect.header_names().rate_limit)?;
@@ -407,8 +418,8 @@
     Event(Event),
     /// The stream ended after a complete event.
     End,
-    /// The connection broke, or the stream ended inside an event or exceeded
-    /// the size limit of one.
+    /// The connection broke, or the stream ended inside an event or without one, or
+    /// exceeded the size limit of one.
     Broken,
 }
 
@@ -449,7 +460,7 @@
                 return Received::Event(event);
             }
             match self.body.frame().await {
-                None if !self.splitter.has_partial_event() => {
+                None if !self.splitter.has_partial_event() && !self.lacks_events() => {
                     self.watch.record_complete();
                     return Received::End;
                 }
@@ -469,6 +480,10 @@
         }
     }
 
+    fn lacks_events(&self) -> bool {
+        !self.may_be_empty && !self.watch.has_events()
+    }
+
     /// Returns the connection to the idle ones; the body must have been read to
     /// its end.
     pub(crate) fn release_connection<S: Store, D: Dialect>(self, core: &Core<S, D>) {
--- a/crates/gateway/tests/gateway/answers.rs
+++ b/crates/gateway/tests/gateway/answers.rs
@@ -9,6 +9,7 @@
 
 /// Head of an answer that ends with its connection.
 const UNFRAMED: Action = Action::Respond(200, "signature: s\r\n", "");
+const CHUNKED: Action = Action::Respond(200, "signature: s\r\ntransfer-encoding: chunked\r\n", "");
 const RESERVED: Action = Action::Respond(200, "content-length: 2\r\n", "p7");
 
 /// Most bytes of one endless answer that are taken, with those in socket buffers.
@@ -29,10 +30,12 @@
     /// event and no reset.
     fn unframed_answer(path: &str, rest: &[Action], expected_complete: bool) {
         smol::block_on(async {
-            let script = [&[UNFRAMED], rest].concat();
+            let head = if path == "/chunked/a" { CHUNKED } else { UNFRAMED };
+            let script = [&[head], rest].concat();
             let replica = ScriptedReplica::start("r", vec![script]).await;
             let gateway = Gateway::start(&store(&[&replica])).await;
-            let response = gateway.fetch(&post(path, "id")).await;
+            let path = path.replace("chunked", "stream");
+            let response = gateway.fetch(&post(&path, "id")).await;
             assert_eq!(looks_complete(&response), expected_complete, "{response}");
         });
     }
@@ -61,6 +64,12 @@
         ],
         false
     );
+    unframed_stream_without_an_event_is_not("/stream/a", &[Action::Close], false);
+    framed_stream_without_an_event_is_whole(
+        "/chunked/a",
+        &[Action::Send("0\r\n\r\n".into()), Action::Close],
+        true
+    );
 }
 
 const ENDLESS_HEAD: [Action; 2] = [
