transport: bound the head and refuse the excess of a body

Cause: the parser of heads buffers a line until it ends, for up to 10 s, and a body over the limit was cut off and returned as the whole. Change: a connection fails reads beyond 64 KB until the head has been received; a body over the limit is an error.

--- a/crates/transport/src/http/client.rs
+++ b/crates/transport/src/http/client.rs
@@ -15,6 +15,7 @@
 use serde::de::DeserializeOwned;
 use smol::net::TcpStream;
 
+use super::head_limit::HeadLimit;
 use crate::partition::Connection;
 use crate::runtime::timeout;
 use crate::{Blocklist, Error};
@@ -104,10 +105,11 @@
             })?;
         stream.set_nodelay(true).map_err(Error::connect)?;
         let stream = Connection::new(stream, self.blocklist.clone(), address.ip());
+        let (stream, head_limit) = HeadLimit::new(stream);
         let exchange = async {
-            async_h1::connect(stream, request)
-                .await
-                .map_err(Error::broken)
+            let response = async_h1::connect(stream, request).await;
+            head_limit.lift();
+            response.map_err(Error::broken)
         };
         timeout(self.head_timeout, exchange).await
     }
@@ -116,21 +118,23 @@
     ///
     /// # Errors
     ///
-    /// If the body is shorter than its `Content-Length`, which includes a body
-    /// that exceeds the size limit, or takes longer than the time limit. A body
-    /// without `Content-Length` is truncated at the size limit without an error.
+    /// If the body is shorter than its `Content-Length`, exceeds the size limit, or
+    /// takes longer than the time limit.
     pub async fn read_body(&self, response: &mut Response) -> Result<Vec<u8>, Error> {
         let length = response.len();
         let mut bytes = Vec::new();
         let read = async {
             let body = response.take_body();
-            body.take(self.max_body_bytes)
+            body.take(self.max_body_bytes + 1)
                 .read_to_end(&mut bytes)
                 .await
                 .map_err(Error::broken)
         };
         timeout(self.body_timeout, read).await?;
         match length {
+            _ if bytes.len() as u64 > self.max_body_bytes => {
+                Err(Error::broken("the body is too large"))
+            }
             Some(length) if bytes.len() < length => Err(Error::broken("the body is cut off")),
             _ => Ok(bytes),
         }
--- a/crates/transport/src/http/mod.rs
+++ b/crates/transport/src/http/mod.rs
@@ -3,6 +3,7 @@
 pub mod chunks;
 pub mod client;
 mod deadline;
+mod head_limit;
 pub mod server;
 pub mod sse;
 
