transport: refuse an answer with neither a length nor chunks

Cause: async-h1 reads the body of such an answer as empty, so the product's daemon would have passed on an empty success. Change: the client reports a broken answer; it does not read on to the end of the connection, as the library gives the connection away. Figures: body_without_a_length_is_an_error fails before, passes after. Conclusion: no wrong answer any more; to serve such answers is open.

--- a/crates/transport/src/http/client.rs
+++ b/crates/transport/src/http/client.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use futures_lite::AsyncReadExt;
-use http_types::headers::CONTENT_TYPE;
-use http_types::{Method, Request, Response, Url};
+use http_types::headers::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http_types::{Method, Request, Response, StatusCode, Url};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use smol::net::TcpStream;
@@ -109,7 +109,7 @@
         let exchange = async {
             let response = async_h1::connect(stream, request).await;
             head_limit.lift();
-            response.map_err(Error::broken)
+            require_framed(response.map_err(Error::broken)?)
         };
         timeout(self.head_timeout, exchange).await
     }
@@ -191,3 +191,19 @@
         Ok((response.status().into(), bytes))
     }
 }
+
+/// Rejects a response with neither a length nor chunks, whose body `async-h1` would
+/// report as empty.
+fn require_framed(response: Response) -> Result<Response, Error> {
+    let has_no_body = matches!(
+        response.status(),
+        StatusCode::NoContent | StatusCode::NotModified
+    );
+    let is_framed =
+        response.header(CONTENT_LENGTH).is_some() || response.header(TRANSFER_ENCODING).is_some();
+    if is_framed || has_no_body {
+        Ok(response)
+    } else {
+        Err(Error::broken("the answer has neither a length nor chunks"))
+    }
+}
--- a/crates/transport/tests/http_client.rs
+++ b/crates/transport/tests/http_client.rs
@@ -64,3 +64,10 @@
     let (address, _) = start_endless(head, "8\r\naaaaaaaa\r\n");
     assert!(fetch(address).is_err());
 }
+
+/// The library reads such a body as an empty one.
+#[test]
+fn body_without_a_length_is_an_error() {
+    let (address, _) = start_endless("HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaa");
+    assert!(fetch(address).is_err());
+}
