coordination, gateway: refuse late requests that the queue cannot start

What callers saw: in a deep shortage (nine in ten replicas limit their rate, and a burst) up to 8 in 100 streams failed: two seconds in the admission queue, then the queue of a replica, and the client leaves before the first event. Cause: the wait was never foreseen; a request was held for all of it. Change: the pool knows the queues of the data centre, the slots and limits of its replicas and the average time for which a request holds a slot.

--- a/crates/coordination/src/fleet/pool.rs
+++ b/crates/coordination/src/fleet/pool.rs
@@ -101,6 +101,15 @@
 /// holds its slot for 0.7 s.
 const HEADROOM_SHARE: f64 = 0.2;
 
+/// Weight of the latest request in the average run time.
+const RUN_TIME_WEIGHT: f64 = 0.05;
+
+/// Lower bound of the average run time for the expected wait, in seconds.
+const MIN_RUN_TIME_S: f64 = 0.001;
+
+/// Lower bound of the rate at which queued requests are expected to start, a second.
+const MIN_DRAIN_PER_S: f64 = 0.01;
+
 /// Requests in flight at one replica.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -240,6 +249,8 @@
     departing: HashMap<Process, Duration>,
     backlog: Backlog,
     limits: Limits,
+    /// Average time for which an online request of a service holds a slot.
+    run_times: HashMap<CompactString, Duration>,
 }
 
 impl Pool {
@@ -254,6 +265,7 @@
             departing: HashMap::new(),
             backlog: Backlog::default(),
             limits: Limits::default(),
+            run_times: HashMap::new(),
         }
     }
 
@@ -494,6 +506,36 @@
         self.backlog.update(reports);
     }
 
+    /// Records for how long an online request held a slot.
+    pub fn record_run_time(&mut self, service: &str, time: Duration) {
+        match self.run_times.get_mut(service) {
+            Some(average) => {
+                *average = average.mul_f64(1.0 - RUN_TIME_WEIGHT) + time.mul_f64(RUN_TIME_WEIGHT);
+            }
+            None => drop(self.run_times.insert(service.into(), time)),
+        }
+    }
+
+    /// Time in which the replicas of this data centre take as many online requests of
+    /// a service as its daemons have queued. Batch items give way; limited replicas
+    /// take requests at their rate. `None` if no request has been answered yet.
+    #[must_use]
+    pub fn expected_queue_wait(&self, now: Duration, service: &str) -> Option<Duration> {
+        let run_time_s = self.run_times.get(service)?.as_secs_f64();
+        let group = Group::new(service, &self.data_centre);
+        let queued = self.backlog.requests(group);
+        let local = self.entries.values().filter(|e| e.group == group);
+        let usable = local.filter(|e| e.is_in_service(now) && now >= e.backoff_until);
+        let per_s: f64 = usable
+            .map(|e| {
+                let by_slots = f64::from(e.replica.slots) / run_time_s.max(MIN_RUN_TIME_S);
+                e.limit.map_or(by_slots, |limit| limit.min(by_slots))
+            })
+            .sum();
+        let wait_s = f64::from(queued) / per_s.max(MIN_DRAIN_PER_S);
+        Some(Duration::from_secs_f64(wait_s))
+    }
+
     /// Slots of a service that batch items may take, by data centre, less
     /// `reserve` at each replica.
     fn batch_slots_by_group(
--- a/crates/coordination/tests/fleet/rate_limit.rs
+++ b/crates/coordination/tests/fleet/rate_limit.rs
@@ -322,3 +322,49 @@
         "{preempted:?}"
     );
 }
+
+/// Pool with replicas 0 and 2 of 4 slots each in this data centre, whose requests take 500 ms, and so many
+/// queued requests; replica 0 limits its rate if `limit` says so.
+fn pool_with_queue(queued: u16, limit: Option<f64>) -> Pool {
+    let (mut pool, limited) = limited_pool();
+    pool.record_limit(ms(1), &limited, limit);
+    pool.upsert(replica(2, 4));
+    for _ in 0..200 {
+        pool.record_run_time(SERVICE, ms(500));
+    }
+    pool.set_backlog([Queued {
+        group: Group::new(SERVICE, "here"),
+        requests: queued,
+    }]);
+    pool
+}
+
+cases! {
+    /// Replicas without a limit start 8 requests a second each.
+    fn queue_wait_is_foreseen(queued: u16, limit: Option<f64>, expected_ms: u64) {
+        let pool = pool_with_queue(queued, limit);
+        let wait = pool.expected_queue_wait(ms(100), SERVICE).expect("a wait");
+        assert!(wait.abs_diff(ms(expected_ms)) < ms(5), "{wait:?}");
+    }
+    queue_of_a_short_peak(4, None, 250);
+    queue_of_a_long_peak(48, None, 3000);
+    queue_while_a_replica_limits_its_rate(40, Some(2.0), 4000);
+    queue_is_empty(0, Some(2.0), 0);
+}
+
+#[test]
+fn queue_wait_is_unknown_before_the_first_answer() {
+    let (pool, _) = limited_pool();
+    assert_eq!(pool.expected_queue_wait(ms(100), SERVICE), None);
+}
+
+/// Nothing starts, so the wait is longer than any client's.
+#[test]
+fn queue_wait_without_a_usable_replica_is_long() {
+    let mut pool = pool_with_queue(3, Some(2.0));
+    for id in ["i-0", "i-2"] {
+        pool.delist(ms(100), id, None);
+    }
+    let wait = pool.expected_queue_wait(ms(100), SERVICE).expect("a wait");
+    assert!(wait > Duration::from_secs(60), "{wait:?}");
+}
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -81,6 +81,15 @@
     NoReplica,
 }
 
+/// Why there is no slot for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Shortage {
+    /// No replica is left, or none without a rate limit.
+    NoReplica,
+    /// More requests are queued than start in time; it is expected to take so long.
+    Overload(Duration),
+}
+
 /// Guard of a request in the admission queue, which is removed from it on drop. A slot
 /// that was offered to it and not used is offered to the next request.
 struct QueueGuard<S: Store, D: Dialect> {
@@ -127,6 +136,8 @@
     tried_replicas: Vec<Key>,
     /// Why it is not sent.
     quarantined: Option<Verdict>,
+    /// Why the latest attempt got no slot.
+    shortage: Option<Shortage>,
     /// Id of the last event that was relayed, or that the client has already
     /// received.
     last_event_id: Option<u64>,
@@ -167,6 +178,7 @@
             attempts: Attempts::default(),
             tried_replicas: Vec::new(),
             quarantined: None,
+            shortage: None,
             last_event_id,
             arrived,
             slot_wait: Duration::ZERO,
@@ -176,6 +188,10 @@
 
     fn record_answer(&self, slot: &Slot<S, D>) {
         let total = clock::now().saturating_sub(self.arrived);
+        let selection = &slot.selection;
+        self.core
+            .pool()
+            .record_run_time(&selection.service, total.saturating_sub(self.slot_wait));
         self.core
             .metrics
             .request_answered(&self.route, self.attempts.sent(), self.time_to_first);
@@ -251,15 +267,17 @@
         }
         let slot = self.find_slot().await;
         self.slot_wait += clock::now().saturating_sub(begun);
-        slot
+        self.shortage = slot.as_ref().err().copied();
+        slot.ok()
     }
 
-    async fn find_slot(&self) -> Option<(Slot<S, D>, Option<HeaderValue>)> {
-        let backend = self.route.backend(rand::random())?;
+    async fn find_slot(&self) -> Result<(Slot<S, D>, Option<HeaderValue>), Shortage> {
+        let backend = self.route.backend(rand::random());
+        let backend = backend.ok_or(Shortage::NoReplica)?;
         match self.reserve_any(backend).await {
-            Acquired::Slot(slot, reservation) => Some((slot, reservation)),
+            Acquired::Slot(slot, reservation) => Ok((slot, reservation)),
             Acquired::Full => self.wait_in_queue(backend).await,
-            Acquired::NoReplica => None,
+            Acquired::NoReplica => Err(Shortage::NoReplica),
         }
     }
 
@@ -333,9 +351,12 @@
 
     /// Waits in the admission queue for a slot. After [`MAX_QUEUE_WAIT`], or half
     /// of the remaining time, selects a replica without a reservation, where the
-    /// request may be queued. `None` if the admission queue is full or no replica
-    /// is left.
-    async fn wait_in_queue(&self, backend: &Backend) -> Option<(Slot<S, D>, Option<HeaderValue>)> {
+    /// request may be queued. A request that is late is refused if it cannot be
+    /// expected to start within that limit.
+    async fn wait_in_queue(
+        &self,
+        backend: &Backend,
+    ) -> Result<(Slot<S, D>, Option<HeaderValue>), Shortage> {
         let is_resumed = !self.time_to_first.is_zero();
         let since = if is_resumed {
             clock::now()
@@ -344,7 +365,8 @@
         };
         let objective_deadline = since + self.route.objective.mul_f64(QUEUE_OBJECTIVE_SHARE);
         let until = clock::now() + MAX_QUEUE_WAIT.min(self.remaining() / 2);
-        let queued = QueueGuard::enqueue(&self.core, &backend.service, objective_deadline)?;
+        let queued = QueueGuard::enqueue(&self.core, &backend.service, objective_deadline)
+            .ok_or(Shortage::NoReplica)?;
         while clock::now() < until {
             let slot_offered = self.core.slot_offered.listen();
             let offer = self.core.admission_queue().take_offer(queued.ticket);
@@ -365,19 +387,29 @@
                     if with_timeout(interval, slot_offered).await.is_some() {
                         continue;
                     }
+                    let now = clock::now();
+                    let wait = self.core.pool().expected_queue_wait(now, &backend.service);
+                    if let Some(wait) = wait
+                        && now >= objective_deadline
+                        && !is_resumed
+                        && wait > until.saturating_sub(now)
+                    {
+                        return Err(Shortage::Overload(wait));
+                    }
                     match self.select_slot(&backend.service, &[]) {
                         Some(slot) => slot,
                         None if self.may_get_token(&backend.service) => continue,
-                        None => return None,
+                        None => return Err(Shortage::NoReplica),
                     }
                 }
             };
             if let Acquired::Slot(slot, reservation) = self.reserve_at(backend, slot).await {
-                return Some((slot, reservation));
+                return Ok((slot, reservation));
             }
         }
         drop(queued);
-        Some((self.select_unlimited(&backend.service)?.admitted(), None))
+        let slot = self.select_unlimited(&backend.service);
+        Ok((slot.ok_or(Shortage::NoReplica)?.admitted(), None))
     }
 
     async fn send_attempt(
@@ -515,6 +547,9 @@
         }
         let code = match decision {
             Decision::Refuse if self.quarantined.is_some() => Code::PromptQuarantined,
+            Decision::Refuse if matches!(self.shortage, Some(Shortage::Overload(_))) => {
+                Code::QueueExpired
+            }
             Decision::Refuse if self.is_limited() => Code::ReplicasLimited,
             Decision::Refuse => Code::NoReplica,
             Decision::TimeOut => Code::BackendTimeout,
@@ -522,9 +557,11 @@
         };
         self.core.metrics.request_refused(code);
         log::request_refused(&self.id, &self.route.name, code, self.remaining());
-        let retry_after = match &self.quarantined {
-            Some(verdict) => verdict.trial_in.max(MIN_QUARANTINE_RETRY_AFTER),
-            None => random_duration(RETRY_AFTER_RANGE_S),
+        let retry_after = match (&self.quarantined, self.shortage) {
+            (Some(verdict), _) => verdict.trial_in.max(MIN_QUARANTINE_RETRY_AFTER),
+            // Spread, so that the requests of one peak do not all come back together.
+            (None, Some(Shortage::Overload(wait))) => wait.mul_f64(0.5 + rand::random::<f64>()),
+            (None, _) => random_duration(RETRY_AFTER_RANGE_S),
         };
         error_response_after(&self.core, code, retry_after)
     }
--- a/crates/gateway/tests/gateway/rate_limit.rs
+++ b/crates/gateway/tests/gateway/rate_limit.rs
@@ -73,3 +73,34 @@
         assert!(got >= LIMIT_PER_S * 2, "{got}: the limit is not used");
     });
 }
+
+/// The only replica takes a request each two seconds. Requests that cannot start within
+/// the time that they would be queued are refused when they are late, not at its end.
+#[test]
+fn requests_of_a_deep_shortage_are_refused_early() {
+    smol::block_on(async {
+        let limited = ScriptedReplica::start_with("limited", |_| {
+            vec![Action::Respond(
+                200,
+                "signature: s\r\nlimit: 0.5\r\ncontent-length: 2\r\n",
+                "ok",
+            )]
+        })
+        .await;
+        let gateway = Gateway::start(&store(&[&limited])).await;
+        let first = gateway.fetch(&post("/once/a", "first")).await;
+        assert_eq!(status(&first), 200, "{first}");
+        let refused_early = std::cell::Cell::new(0);
+        let client = async |n: usize| {
+            let started = Instant::now();
+            let response = gateway.fetch(&post("/once/a", &format!("{n}"))).await;
+            let is_early = started.elapsed() < Duration::from_millis(1000);
+            if status(&response) == 503 && response.contains("queue_expired") && is_early {
+                assert!(response.contains("retry-after: "), "{response}");
+                refused_early.set(refused_early.get() + 1);
+            }
+        };
+        join_all((0..24).map(client)).await;
+        assert!(refused_early.get() >= 16, "{}", refused_early.get());
+    });
+}
