gateway, coordination: split slot acquisition and shortages off

Change: acquiring a slot moves to online/admission.rs, limits and the expected wait to pool/shortage.rs; EpisodeGap is named for what it does, EpisodeCounter. Nothing else changes. Conclusion: a move.

--- a/crates/coordination/src/fleet/quarantine.rs
+++ b/crates/coordination/src/fleet/quarantine.rs
@@ -136,11 +136,11 @@
 
 /// Start of the current episode while crashes are visited by time.
 #[derive(Debug, Default)]
-struct EpisodeGap {
+struct EpisodeCounter {
     begun: Option<Duration>,
 }
 
-impl EpisodeGap {
+impl EpisodeCounter {
     /// Whether a crash begins another episode.
     fn begins(&mut self, crash: &Crash) -> bool {
         let is_first = self
@@ -201,9 +201,9 @@
 
     /// Number of episodes, without crashes of `explained` processes.
     fn episodes(&self, explained: &HashSet<u32>) -> usize {
-        let mut gap = EpisodeGap::default();
+        let mut counter = EpisodeCounter::default();
         self.evidence()
-            .filter(|crash| !explained.contains(&crash.process) && gap.begins(crash))
+            .filter(|crash| !explained.contains(&crash.process) && counter.begins(crash))
             .count()
     }
 
@@ -217,9 +217,9 @@
 
     /// Crashes for a report: one of each episode, then the others.
     fn reported_crashes(&self) -> impl Iterator<Item = &Crash> {
-        let mut gap = EpisodeGap::default();
+        let mut counter = EpisodeCounter::default();
         let (first, others): (Vec<_>, Vec<_>) =
-            self.evidence().partition(|crash| gap.begins(crash));
+            self.evidence().partition(|crash| counter.begins(crash));
         first.into_iter().chain(others).take(MAX_REPORTED_CRASHES)
     }
 
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -1,25 +1,24 @@
 //! Serves an online request: sends it to a replica and returns the response.
 //!
-//! On routes whose replicas support reservations, a slot is reserved before the
-//! request is sent. If all replicas that were asked are full, it waits in the
-//! admission queue of this daemon, and after a limit it is sent without a
-//! reservation. A failed attempt is retried at another replica if the kind of
-//! the route, the attempt limit and the deadline of the client allow it. Event
-//! streams are relayed as they arrive; a resumable stream that breaks continues
-//! at another replica after the last event that was relayed.
+//! A slot is acquired before the request is sent; see [`admission`]. A failed attempt
+//! is retried at another replica if the kind of the route, the attempt limit and the
+//! deadline of the client allow it. Event streams are relayed as they arrive; a
+//! resumable stream that breaks continues at another replica after the last event that
+//! was relayed.
+
+mod admission;
 
 use std::time::Duration;
 
 use async_channel::Sender;
-use bitterncart_coordination::fleet::admission_queue::Ticket;
-use bitterncart_coordination::fleet::manifest::Backend;
-use bitterncart_coordination::fleet::pool::{Class, Key};
+use bitterncart_coordination::fleet::pool::Key;
 use bitterncart_coordination::fleet::quarantine::Verdict;
 use bitterncart_coordination::fleet::{Attempts, Decision, Kind, Outcome, Route};
 use bitterncart_protocol::Code;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Response, StatusCode, response};
 
+use self::admission::Shortage;
 use crate::body::{Body, Truncated};
 use crate::clock::{self, with_timeout};
 use crate::core::Core;
@@ -27,9 +26,7 @@
 use crate::log;
 use crate::sse::Event;
 use crate::store::Store;
-use crate::upstream::{
-    self, Message, Received, ReserveReply, SendOptions, Slot, admit, send, strip_hop_by_hop_headers,
-};
+use crate::upstream::{self, Message, Received, SendOptions, Slot, send, strip_hop_by_hop_headers};
 
 /// Minimum time before the deadline at which an attempt is still made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
@@ -41,26 +38,6 @@
 /// Idle time after which a resumable stream is continued at another replica.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Maximum number of replicas asked for a reservation before the request is
-/// queued.
-const MAX_REPLICAS_PER_ROUND: usize = 3;
-
-/// Share of the latency objective that a request may spend in the queue and
-/// still be expected to meet it; the rest is for producing the first event.
-const QUEUE_OBJECTIVE_SHARE: f64 = 0.8;
-
-/// Interval at which a queued request that can still meet its objective asks a
-/// replica for a slot. Slots freed by this daemon's own requests are offered to
-/// the queue immediately.
-const POLL_INTERVAL: Duration = Duration::from_millis(40);
-
-/// Poll interval of a queued request that will miss its objective; longer, so
-/// that requests which can still meet theirs are served first.
-const LATE_POLL_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Maximum time in the admission queue.
-const MAX_QUEUE_WAIT: Duration = Duration::from_secs(2);
-
 /// Maximum number of events buffered for a slow client.
 const EVENT_BUFFER_LEN: usize = 8;
 
@@ -71,54 +48,6 @@
 /// prompt part; the trial that is due is another request.
 const MIN_QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(10);
 
-/// Result of trying to acquire a slot.
-enum Acquired<S: Store, D: Dialect> {
-    /// A replica reserved a slot, or does not use reservations.
-    Slot(Slot<S, D>, Option<HeaderValue>),
-    /// No replica that was asked has a free slot.
-    Full,
-    /// No replica is available.
-    NoReplica,
-}
-
-/// Why there is no slot for a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Shortage {
-    /// No replica is left, or none without a rate limit.
-    NoReplica,
-    /// More requests are queued than start in time; it is expected to take so long.
-    Overload(Duration),
-}
-
-/// Guard of a request in the admission queue, which is removed from it on drop. A slot
-/// that was offered to it and not used is offered to the next request.
-struct QueueGuard<S: Store, D: Dialect> {
-    core: Core<S, D>,
-    ticket: Ticket,
-}
-
-impl<S: Store, D: Dialect> QueueGuard<S, D> {
-    fn enqueue(core: &Core<S, D>, service: &str, objective_deadline: Duration) -> Option<Self> {
-        let ticket = core
-            .admission_queue()
-            .enqueue(service, objective_deadline)?;
-        core.metrics.reservation("wait");
-        Some(Self {
-            core: core.clone(),
-            ticket,
-        })
-    }
-}
-
-impl<S: Store, D: Dialect> Drop for QueueGuard<S, D> {
-    fn drop(&mut self) {
-        let unused = self.core.admission_queue().remove(self.ticket);
-        if let Some((service, key)) = unused {
-            self.core.offer_slot(&service, key);
-        }
-    }
-}
-
 /// Uniform random duration between two bounds, in seconds.
 fn random_duration((min, max): (f64, f64)) -> Duration {
     Duration::from_secs_f64(min + (max - min) * rand::random::<f64>())
@@ -242,176 +171,6 @@
         }
     }
 
-    /// Selects a replica that was not tried before and is not in `full`.
-    fn select_slot(&self, service: &str, full: &[Key]) -> Option<Slot<S, D>> {
-        let mut pool = self.core.pool();
-        let selection = pool.select(
-            clock::now(),
-            service,
-            &self.tried_replicas,
-            full,
-            rand::random,
-        )?;
-        drop(pool);
-        Some(Slot::new(&self.core, selection, Class::Online))
-    }
-
-    /// Acquires a slot, with the reservation if the replica made one, and adds
-    /// the time that it took to `slot_wait`. `None` if the request cannot be
-    /// admitted.
-    async fn acquire_slot(&mut self) -> Option<(Slot<S, D>, Option<HeaderValue>)> {
-        let begun = clock::now();
-        self.quarantined = self.core.verdict(&self.message.shared_parts);
-        if self.quarantined.is_some() {
-            return None;
-        }
-        let slot = self.find_slot().await;
-        self.slot_wait += clock::now().saturating_sub(begun);
-        self.shortage = slot.as_ref().err().copied();
-        slot.ok()
-    }
-
-    async fn find_slot(&self) -> Result<(Slot<S, D>, Option<HeaderValue>), Shortage> {
-        let backend = self.route.backend(rand::random());
-        let backend = backend.ok_or(Shortage::NoReplica)?;
-        match self.reserve_any(backend).await {
-            Acquired::Slot(slot, reservation) => Ok((slot, reservation)),
-            Acquired::Full => self.wait_in_queue(backend).await,
-            Acquired::NoReplica => Err(Shortage::NoReplica),
-        }
-    }
-
-    /// Selects a replica that takes requests without a token.
-    fn select_unlimited(&self, service: &str) -> Option<Slot<S, D>> {
-        let limited = self.core.pool().limited(clock::now(), service);
-        self.select_slot(service, &limited)
-    }
-
-    /// Whether a replica of a service would take the request if there were a token.
-    fn may_get_token(&self, service: &str) -> bool {
-        let limited = self.core.pool().limited(clock::now(), service);
-        limited.iter().any(|key| !self.tried_replicas.contains(key))
-    }
-
-    /// Asks up to [`MAX_REPLICAS_PER_ROUND`] replicas for a reservation.
-    async fn reserve_any(&self, backend: &Backend) -> Acquired<S, D> {
-        let mut full: Vec<Key> = Vec::new();
-        while full.len() < MAX_REPLICAS_PER_ROUND {
-            let Some(slot) = self.select_slot(&backend.service, &full) else {
-                break;
-            };
-            let key = slot.selection.key;
-            match self.reserve_at(backend, slot).await {
-                Acquired::Full => full.push(key),
-                acquired => return acquired,
-            }
-        }
-        if full.is_empty() && !self.may_get_token(&backend.service) {
-            Acquired::NoReplica
-        } else {
-            Acquired::Full
-        }
-    }
-
-    /// Asks one replica for a reservation; an unreachable replica counts as full.
-    async fn reserve_at(&self, backend: &Backend, slot: Slot<S, D>) -> Acquired<S, D> {
-        let key = slot.selection.key;
-        let reply = admit(
-            &self.core,
-            &slot.selection,
-            &self.message,
-            Class::Online,
-            backend.reserves,
-        )
-        .await;
-        let now = clock::now();
-        match reply {
-            ReserveReply::Granted(name) => {
-                self.core.metrics.reservation("place");
-                Acquired::Slot(slot.admitted(), Some(name))
-            }
-            ReserveReply::Unsupported => Acquired::Slot(slot.admitted(), None),
-            ReserveReply::NoToken => Acquired::Full,
-            ReserveReply::Full => {
-                self.core.metrics.reservation("full");
-                self.core.pool().record_full(now, key);
-                Acquired::Full
-            }
-            ReserveReply::Unreachable(outcome) => {
-                self.core.metrics.reservation("unreachable");
-                let mut pool = self.core.pool();
-                match outcome {
-                    Outcome::Misdirected => pool.record_misdirected(key),
-                    _ => pool.record_failure(now, key),
-                }
-                Acquired::Full
-            }
-        }
-    }
-
-    /// Waits in the admission queue for a slot. After [`MAX_QUEUE_WAIT`], or half
-    /// of the remaining time, selects a replica without a reservation, where the
-    /// request may be queued. A request that is late is refused if it cannot be
-    /// expected to start within that limit.
-    async fn wait_in_queue(
-        &self,
-        backend: &Backend,
-    ) -> Result<(Slot<S, D>, Option<HeaderValue>), Shortage> {
-        let is_resumed = !self.time_to_first.is_zero();
-        let since = if is_resumed {
-            clock::now()
-        } else {
-            self.arrived
-        };
-        let objective_deadline = since + self.route.objective.mul_f64(QUEUE_OBJECTIVE_SHARE);
-        let until = clock::now() + MAX_QUEUE_WAIT.min(self.remaining() / 2);
-        let queued = QueueGuard::enqueue(&self.core, &backend.service, objective_deadline)
-            .ok_or(Shortage::NoReplica)?;
-        while clock::now() < until {
-            let slot_offered = self.core.slot_offered.listen();
-            let offer = self.core.admission_queue().take_offer(queued.ticket);
-            let slot = match offer {
-                Some(key) => {
-                    let selection = self.core.pool().select_at(clock::now(), key);
-                    let Some(selection) = selection else {
-                        continue;
-                    };
-                    Slot::new(&self.core, selection, Class::Online)
-                }
-                None => {
-                    let interval = if clock::now() < objective_deadline {
-                        POLL_INTERVAL
-                    } else {
-                        LATE_POLL_INTERVAL
-                    };
-                    if with_timeout(interval, slot_offered).await.is_some() {
-                        continue;
-                    }
-                    let now = clock::now();
-                    let wait = self.core.pool().expected_queue_wait(now, &backend.service);
-                    if let Some(wait) = wait
-                        && now >= objective_deadline
-                        && !is_resumed
-                        && wait > until.saturating_sub(now)
-                    {
-                        return Err(Shortage::Overload(wait));
-                    }
-                    match self.select_slot(&backend.service, &[]) {
-                        Some(slot) => slot,
-                        None if self.may_get_token(&backend.service) => continue,
-                        None => return Err(Shortage::NoReplica),
-                    }
-                }
-            };
-            if let Acquired::Slot(slot, reservation) = self.reserve_at(backend, slot).await {
-                return Ok((slot, reservation));
-            }
-        }
-        drop(queued);
-        let slot = self.select_unlimited(&backend.service);
-        Ok((slot.ok_or(Shortage::NoReplica)?.admitted(), None))
-    }
-
     async fn send_attempt(
         &mut self,
         slot: &Slot<S, D>,
@@ -533,14 +292,6 @@
         Ok(response)
     }
 
-    /// Whether replicas of the route would take the request if there were tokens.
-    fn is_limited(&self) -> bool {
-        let backends = self.route.backends.iter();
-        backends
-            .map(|backend| &backend.service)
-            .any(|service| self.may_get_token(service))
-    }
-
     fn reject(&self, decision: Decision) -> Response<Body> {
         if let Some(verdict) = &self.quarantined {
             log::request_quarantined(&self.id, &self.route.name, verdict);
