coordination: split the quarantine into dossiers, reports and suspects

Cause: quarantine.rs held four main types in 650 lines. Change: dossier.rs, report.rs and suspect.rs move out of it; nothing else. Conclusion: a move.

--- a/crates/coordination/src/fleet/quarantine.rs
+++ b/crates/coordination/src/fleet/quarantine.rs
@@ -23,35 +23,20 @@
 //! daemon admits one request: its answer ends the quarantine, another crash renews it
 //! for twice the time.
 
+mod dossier;
+mod report;
+mod suspect;
+
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
+use self::dossier::{Crash, Dossier, MAX_CRASHES};
 use super::prompt::Part;
 
-/// Crashes, apart from each other, after which a part is quarantined.
-pub const MIN_EPISODES: usize = 4;
-
-/// The same for a part with which prompts begin, or whose requests were answered
-/// before: all replicas may be down for longer than an answer takes.
-pub const MIN_EPISODES_OF_POPULAR: usize = 5;
-
-/// Time within which crashes count as one. Connections to processes that are
-/// killed together break within milliseconds.
-const EPISODE_GAP: Duration = Duration::from_millis(50);
-
-/// Time after the last crash of a quarantined part after which one request is
-/// admitted. It doubles with each trial that fails.
-pub const FIRST_TRIAL: Duration = Duration::from_secs(15);
-
-/// Maximum time between two trials.
-const MAX_TRIAL_INTERVAL: Duration = Duration::from_secs(600);
-
-/// Number of other processes, ending together with one that ran a request, from which
-/// on the cause is taken to be another one.
-const MIN_WAVE: usize = 2;
+pub use self::dossier::{FIRST_TRIAL, MIN_EPISODES, MIN_EPISODES_OF_POPULAR};
+pub use self::report::{Digest, Report, ReportedCrash};
+pub use self::suspect::{Suspect, Writing};
 
 /// Maximum number of ended processes that are remembered.
 const MAX_ENDS: usize = 256;
@@ -79,138 +64,12 @@
 /// Maximum number of parts that are remembered as sound.
 const MAX_SOUND_PARTS: usize = 8192;
 
-/// Maximum number of crashes in a dossier.
-const MAX_CRASHES: usize = 16;
-
 /// Maximum number of dossiers in a heartbeat, and of objections.
 const MAX_REPORTS: usize = 12;
 
 /// Maximum number of crashes in all reports of a heartbeat.
 const MAX_REPORTED_CRASHES: usize = 64;
 
-/// Time for which an answer has been written after which its request is not
-/// suspected: a replica that cannot bear a request ends when it begins to answer.
-const SURVIVAL_TIME: Duration = Duration::from_secs(1);
-
-/// Part of the prompt of a request that was at a replica when its process ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Suspect {
-    /// Part of the prompt.
-    pub part: Part,
-    /// Whether the prompt begins with it, as those of most requests of a kind do.
-    pub is_first: bool,
-}
-
-impl Suspect {
-    /// Suspects among the shared parts of a prompt.
-    pub fn of_prompt(shared_parts: &[Part]) -> impl Iterator<Item = Self> {
-        shared_parts.iter().enumerate().map(|(n, part)| Self {
-            part: *part,
-            is_first: n == 0,
-        })
-    }
-}
-
-/// Progress of one answer.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Writing {
-    /// Time of the first event.
-    since: Option<Duration>,
-    has_survived: bool,
-}
-
-impl Writing {
-    /// Records an event; returns once whether the replica has survived the request.
-    pub fn record_event(&mut self, now: Duration) -> bool {
-        let since = *self.since.get_or_insert(now);
-        let is_news = !self.has_survived && now.saturating_sub(since) >= SURVIVAL_TIME;
-        self.has_survived |= is_news;
-        is_news
-    }
-
-    /// Whether the answer has had an event.
-    #[must_use]
-    pub fn has_begun(&self) -> bool {
-        self.since.is_some()
-    }
-
-    /// Whether the end of the replica may be due to the request.
-    #[must_use]
-    pub fn is_suspect(&self, now: Duration) -> bool {
-        self.since
-            .is_none_or(|since| now.saturating_sub(since) < SURVIVAL_TIME)
-    }
-}
-
-/// Evidence in a heartbeat.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Digest {
-    /// Processes that have ended lately.
-    pub ends: Vec<ReportedCrash>,
-    /// What the daemon knows about parts.
-    pub reports: Vec<Report>,
-}
-
-impl Digest {
-    /// Whether there is nothing to tell.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.ends.is_empty() && self.reports.is_empty()
-    }
-
-    /// The digest without its ages, which change all the time.
-    #[must_use]
-    pub fn without_ages(&self) -> Self {
-        Self {
-            ends: self.ends.iter().map(ReportedCrash::without_age).collect(),
-            reports: self.reports.iter().map(Report::without_ages).collect(),
-        }
-    }
-}
-
-/// Crash in a heartbeat.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ReportedCrash {
-    /// Short id of the process that ended.
-    pub process: u32,
-    /// Time since then, in milliseconds.
-    pub age_ms: u32,
-}
-
-/// What a daemon knows about a part, in a heartbeat.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Report {
-    /// Part of prompts.
-    pub part: Part,
-    /// Whether prompts begin with it.
-    pub is_first: bool,
-    /// Processes that ended under requests with it.
-    pub crashes: Vec<ReportedCrash>,
-    /// Time since an answer to such a request was completed, in milliseconds.
-    pub sound_ms: Option<u32>,
-}
-
-impl ReportedCrash {
-    fn without_age(&self) -> Self {
-        Self { age_ms: 0, ..*self }
-    }
-}
-
-impl Report {
-    fn without_ages(&self) -> Self {
-        Self {
-            part: self.part,
-            is_first: self.is_first,
-            crashes: self
-                .crashes
-                .iter()
-                .map(ReportedCrash::without_age)
-                .collect(),
-            sound_ms: self.sound_ms.map(|_| 0),
-        }
-    }
-}
-
 /// Why a part is quarantined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Verdict {
@@ -235,143 +94,6 @@
     pub ended: Vec<Part>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Crash {
-    process: u32,
-    at: Duration,
-}
-
-/// Start of the current episode while crashes are visited by time.
-#[derive(Debug, Default)]
-struct EpisodeCounter {
-    begun: Option<Duration>,
-}
-
-impl EpisodeCounter {
-    /// Whether a crash begins another episode.
-    fn begins(&mut self, crash: &Crash) -> bool {
-        let is_first = self
-            .begun
-            .is_none_or(|begun| crash.at >= begun + EPISODE_GAP);
-        if is_first {
-            self.begun = Some(crash.at);
-        }
-        is_first
-    }
-}
-
-#[derive(Debug, Default)]
-struct Dossier {
-    /// Crashes by time.
-    crashes: Vec<Crash>,
-    /// Completion of the latest answer.
-    sound_at: Option<Duration>,
-    /// Start of the latest trial.
-    trial_at: Option<Duration>,
-    /// Whether this daemon had a request at one of the processes.
-    is_first_hand: bool,
-    /// Whether prompts begin with it.
-    is_first_part: bool,
-    /// Whether it was ever quarantined, so that the peers have to learn of its end.
-    was_quarantined: bool,
-}
-
-impl Dossier {
-    /// Adds a crash; returns whether it is news.
-    fn add(&mut self, process: u32, at: Duration) -> bool {
-        let is_full = self.crashes.len() >= MAX_CRASHES;
-        let is_older = self.crashes.first().is_some_and(|oldest| at <= oldest.at);
-        let is_known = self.crashes.iter().any(|c| c.process == process);
-        if is_known || (is_full && is_older) {
-            return false;
-        }
-        if is_full {
-            self.crashes.remove(0);
-        }
-        let position = self.crashes.partition_point(|c| c.at <= at);
-        self.crashes.insert(position, Crash { process, at });
-        true
-    }
-
-    /// Records a completed answer; returns whether that is news.
-    fn clear(&mut self, at: Duration) -> bool {
-        let is_news = self.sound_at.is_none_or(|known| at > known);
-        if is_news {
-            self.sound_at = Some(at);
-        }
-        is_news
-    }
-
-    /// Crashes after the latest completed answer.
-    fn evidence(&self) -> impl Iterator<Item = &Crash> {
-        let is_valid = |crash: &&Crash| self.sound_at.is_none_or(|sound| crash.at > sound);
-        self.crashes.iter().filter(is_valid)
-    }
-
-    /// Number of episodes, without crashes of `explained` processes and those that are
-    /// part of a wave among the `ends` of all processes.
-    fn episodes(&self, explained: &HashSet<u32>, ends: &[Crash]) -> usize {
-        let mut counter = EpisodeCounter::default();
-        self.evidence()
-            .filter(|crash| !explained.contains(&crash.process))
-            .filter(|crash| !self.is_in_wave(crash, ends))
-            .filter(|crash| counter.begins(crash))
-            .count()
-    }
-
-    /// Whether several processes without a request of the part ended at the same time.
-    fn is_in_wave(&self, crash: &Crash, ends: &[Crash]) -> bool {
-        let is_of_part = |end: &Crash| self.crashes.iter().any(|c| c.process == end.process);
-        let others = ends
-            .iter()
-            .filter(|end| end.at.abs_diff(crash.at) < EPISODE_GAP && !is_of_part(end));
-        others.count() >= MIN_WAVE
-    }
-
-    /// Episodes after which it is quarantined.
-    fn required_episodes(&self) -> usize {
-        if self.sound_at.is_some() || self.is_first_part {
-            MIN_EPISODES_OF_POPULAR
-        } else {
-            MIN_EPISODES
-        }
-    }
-
-    /// Crashes for a report: one of each episode, then the others.
-    fn reported_crashes(&self) -> impl Iterator<Item = &Crash> {
-        let mut counter = EpisodeCounter::default();
-        let (first, others): (Vec<_>, Vec<_>) =
-            self.evidence().partition(|crash| counter.begins(crash));
-        first.into_iter().chain(others)
-    }
-
-    fn last_crash(&self) -> Duration {
-        self.crashes.last().map_or(Duration::ZERO, |c| c.at)
-    }
-
-    /// Time from the last crash to the next trial. Crashes of failed trials follow the
-    /// ones before them after a long time.
-    fn trial_interval(&self) -> Duration {
-        let crashes = self.crashes.iter().zip(self.crashes.iter().skip(1));
-        let failed = crashes.filter(|(before, after)| after.at >= before.at + FIRST_TRIAL);
-        MAX_TRIAL_INTERVAL.min(FIRST_TRIAL * (1 << failed.count()))
-    }
-
-    fn verdict(&self, now: Duration, part: Part) -> Verdict {
-        let last = self.last_crash();
-        let quiet_since = self.trial_at.map_or(last, |trial| trial.max(last));
-        let crashes = self.evidence().count();
-        let trial_at = quiet_since + self.trial_interval();
-        Verdict {
-            part,
-            crashes,
-            age: now.saturating_sub(last),
-            trial_in: trial_at.saturating_sub(now),
-            trial_due_for: now.saturating_sub(trial_at),
-        }
-    }
-}
-
 /// Dossiers of all parts under which processes have ended.
 #[derive(Debug, Default)]
 pub struct Quarantine {
--- /dev/null
+++ b/crates/coordination/src/fleet/quarantine/report.rs
@@ -0,0 +1,74 @@
+//! What daemons tell each other about prompt parts that crash replicas.
+
+use serde::{Deserialize, Serialize};
+
+use crate::fleet::prompt::Part;
+
+/// Evidence in a heartbeat.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Processes that have ended lately.
+    pub ends: Vec<ReportedCrash>,
+    /// What the daemon knows about parts.
+    pub reports: Vec<Report>,
+}
+
+impl Digest {
+    /// Whether there is nothing to tell.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.ends.is_empty() && self.reports.is_empty()
+    }
+
+    /// The digest without its ages, which change all the time.
+    #[must_use]
+    pub fn without_ages(&self) -> Self {
+        Self {
+            ends: self.ends.iter().map(ReportedCrash::without_age).collect(),
+            reports: self.reports.iter().map(Report::without_ages).collect(),
+        }
+    }
+}
+
+/// Crash in a heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportedCrash {
+    /// Short id of the process that ended.
+    pub process: u32,
+    /// Time since then, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// What a daemon knows about a part, in a heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Part of prompts.
+    pub part: Part,
+    /// Whether prompts begin with it.
+    pub is_first: bool,
+    /// Processes that ended under requests with it.
+    pub crashes: Vec<ReportedCrash>,
+    /// Time since an answer to such a request was completed, in milliseconds.
+    pub sound_ms: Option<u32>,
+}
+
+impl ReportedCrash {
+    fn without_age(&self) -> Self {
+        Self { age_ms: 0, ..*self }
+    }
+}
+
+impl Report {
+    fn without_ages(&self) -> Self {
+        Self {
+            part: self.part,
+            is_first: self.is_first,
+            crashes: self
+                .crashes
+                .iter()
+                .map(ReportedCrash::without_age)
+                .collect(),
+            sound_ms: self.sound_ms.map(|_| 0),
+        }
+    }
+}
