gateway: one request is the trial of a quarantined part

What was wrong: when a trial was due, all requests with the part passed at the daemon whose turn it was until news of the next crash: 3 replicas ended under 3 requests that came together, where one try may cost one. Cause, found by reading the change: verdict() gives None where a trial may be made, and admits() took None for not quarantined, so the trial was never started; where it was another daemon's turn, admits() started one. Change: both ask may_make_trial(); only admits() starts the trial.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -220,8 +220,8 @@
     /// Whether a request with these prompt parts may be sent now. One that is sent
     /// although a part is quarantined is a trial of that part.
     pub(crate) fn admits(&self, parts: &[Part]) -> bool {
-        self.verdict(parts).is_none_or(|verdict| {
-            verdict.trial_in.is_zero() && self.crashes.start_trial(verdict.part)
+        self.crashes.verdict(parts).is_none_or(|verdict| {
+            self.may_make_trial(&verdict) && self.crashes.start_trial(verdict.part)
         })
     }
 
@@ -229,9 +229,13 @@
     /// may admit the request.
     pub(crate) fn verdict(&self, parts: &[Part]) -> Option<Verdict> {
         let verdict = self.crashes.verdict(parts)?;
-        let is_trial = verdict.trial_in.is_zero()
-            && verdict.trial_due_for >= TRIAL_SPACING * self.trial_rank(verdict.part);
-        (!is_trial).then_some(verdict)
+        (!self.may_make_trial(&verdict)).then_some(verdict)
+    }
+
+    /// Whether a trial is due and it is this daemon's turn.
+    fn may_make_trial(&self, verdict: &Verdict) -> bool {
+        verdict.trial_in.is_zero()
+            && verdict.trial_due_for >= TRIAL_SPACING * self.trial_rank(verdict.part)
     }
 
     /// Number of live daemons that make a trial of a part before this one.
--- a/crates/gateway/tests/gateway/crash.rs
+++ b/crates/gateway/tests/gateway/crash.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 
+use bitterncart_coordination::fleet::quarantine::FIRST_TRIAL;
 use bitterncart_testing::cases;
+use futures_lite::future;
 
 use crate::harness::{Gateway, post, request, status, store, wait_until};
 use crate::replica::{Action, ScriptedReplica, header};
@@ -180,3 +182,18 @@
         assert_eq!(ended(&replicas), 4);
     });
 }
+
+/// The requests come together when a trial is due; only one of them is the trial.
+#[test]
+fn trial_of_a_quarantined_part_is_one_request() {
+    smol::block_on(async {
+        let (gateway, replicas, _) = after_conviction().await;
+        smol::Timer::after(FIRST_TRIAL).await;
+        let requests: Vec<String> = (0..3)
+            .map(|n| bad(&post("/once/a", &format!("trial{n}"))))
+            .collect();
+        let [first, second, third] = [0, 1, 2].map(|n| gateway.fetch(&requests[n]));
+        future::zip(first, future::zip(second, third)).await;
+        assert_eq!(ended(&replicas), 5);
+    });
+}
