coordination: judge parts again only when evidence changes

Cause: for ten minutes after a crash each later answer with a popular part, and each objection in a heartbeat, counted as news and derived all verdicts again. Change: an answer is news if it is the first one or voids evidence; otherwise the verdicts depend on nothing that changed. Conclusion: same verdicts, less work on each answer.

--- a/crates/coordination/src/fleet/quarantine/dossier.rs
+++ b/crates/coordination/src/fleet/quarantine/dossier.rs
@@ -89,12 +89,14 @@
         true
     }
 
-    /// Records a completed answer; returns whether that is news.
+    /// Records a completed answer; returns whether that changes what speaks against
+    /// the part.
     pub(super) fn clear(&mut self, at: Duration) -> bool {
-        let is_news = self.sound_at.is_none_or(|known| at > known);
-        if is_news {
-            self.sound_at = Some(at);
+        if self.sound_at.is_some_and(|known| at <= known) {
+            return false;
         }
+        let is_news = self.sound_at.is_none() || self.evidence().any(|crash| crash.at <= at);
+        self.sound_at = Some(at);
         is_news
     }
 
