gateway: count and log why connections to replicas fail

Callers of daemons that lost their links got 503, and the logs could not tell silent kept connections from new ones that time out or are refused: a reservation without an answer left no line, not_sent no reason. Each failure is now counted by call and reason and logged within the limit of request lines.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -52,6 +52,31 @@
     Broken(String),
 }
 
+impl Error {
+    /// Name in logs and metrics.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::NotSent(e) => match e.kind() {
+                io::ErrorKind::TimedOut => "connect_timeout",
+                io::ErrorKind::ConnectionRefused => "connect_refused",
+                io::ErrorKind::ConnectionReset => "connect_reset",
+                _ => "not_sent",
+            },
+            Self::Broken(_) => "broken",
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(e) => e.fmt(f),
+            Self::Broken(reason) => f.write_str(reason),
+        }
+    }
+}
+
 /// Connection to one address.
 #[derive(Debug)]
 pub struct Connection {
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -17,6 +17,7 @@
 use spdlog::sink::{Sink, StdStreamSink};
 use spdlog::{info, warn};
 
+use crate::connection::Error;
 use crate::store::Failure;
 
 /// Rate limit of the lines about requests.
@@ -249,6 +250,13 @@
     warn!("unexpected status of a reservation; sending without one", kv: { replica, status });
 }
 
+pub(crate) fn connection_failed(replica: &str, call: &str, error: &Error) {
+    if rate_limit::try_acquire() {
+        let (why, error) = (error.name(), error.to_string());
+        info!("connection to a replica failed", kv: { replica, call, why, error });
+    }
+}
+
 pub(crate) fn replica_departing(replica: &str, born_ms: u64) {
     info!("replica announced its departure; it gets no more requests", kv: { replica, born_ms });
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -75,6 +75,12 @@
         self.add(format_compact!("reservations_total{{end=\"{end}\"}}"));
     }
 
+    pub(crate) fn connection_failed(&self, call: &str, why: &str) {
+        self.add(format_compact!(
+            "connections_failed_total{{call=\"{call}\",why=\"{why}\"}}"
+        ));
+    }
+
     pub(crate) fn owner_call(&self, end: &str) {
         self.add(format_compact!("owner_calls_total{{end=\"{end}\"}}"));
     }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -284,7 +284,11 @@
     if reply.is_none() {
         core.connector.close_idle(selection.address);
     }
-    match reply.unwrap_or_else(|| Err(Error::Broken("silence".into()))) {
+    let reply = reply.unwrap_or_else(|| Err(Error::Broken("silence".into())));
+    if let Err(e) = &reply {
+        record_connection_error(core, selection, "reservation", e);
+    }
+    match reply {
         Ok((StatusCode::OK, body)) => match core.dialect.parse_reservation(&body) {
             Some(name) => ReserveReply::Granted(name),
             None => ReserveReply::Unsupported,
@@ -319,7 +323,10 @@
         .connector
         .acquire(selection.address, CONNECT_TIMEOUT.min(timeout))
         .await
-        .map_err(|e| error_outcome(&e))?;
+        .map_err(|e| {
+            record_connection_error(core, selection, "request", &e);
+            error_outcome(&e)
+        })?;
     if !core.admits(&message.profile) {
         core.connector.release(connection);
         return Err(Outcome::Quarantined);
@@ -331,6 +338,7 @@
     let response = match with_timeout(timeout, connection.send(request)).await {
         Some(Ok(response)) => response,
         Some(Err(e)) => {
+            record_connection_error(core, selection, "request", &e);
             let outcome = error_outcome(&e);
             if outcome == Outcome::Broken {
                 watch.record_broken();
@@ -405,6 +413,17 @@
     }
 }
 
+/// Counts and logs why a call to a replica has no response.
+fn record_connection_error<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    selection: &Selection,
+    call: &str,
+    error: &Error,
+) {
+    core.metrics.connection_failed(call, error.name());
+    log::connection_failed(&selection.id, call, error);
+}
+
 fn error_outcome(error: &Error) -> Outcome {
     match error {
         Error::NotSent(_) => Outcome::NotSent,
