gateway: failing tests of a daemon without links to replicas

Callers of a daemon that has lost its links get nothing, though another daemon reaches the same replicas. Six cases: links that go silent, are reset, or refuse new connections, for requests that may be repeated and for those that may not.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -6,6 +6,8 @@
 mod departure;
 mod discovery;
 mod harness;
+mod link;
+mod links;
 mod online;
 mod owner;
 mod pace;
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -1,6 +1,7 @@
 //! In-memory store with fault injection.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -9,6 +10,8 @@
 use bitterncart_state::ledger::Record;
 use event_listener::Event;
 
+use crate::link::Link;
+
 /// Injected fault in calls about the ledger.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -35,21 +38,50 @@
 
 /// Handle to the store.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct MemoryStore(Arc<Shared>);
+pub(crate) struct MemoryStore {
+    shared: Arc<Shared>,
+    /// Addresses of replicas, each with that of the link over which the holder of this
+    /// handle reaches it.
+    links: Vec<(SocketAddr, SocketAddr)>,
+}
 
 impl MemoryStore {
     pub(crate) fn set_fault(&self, fault: Fault) {
-        *self.0.fault.lock().expect("lock") = fault;
+        *self.shared.fault.lock().expect("lock") = fault;
+    }
+
+    /// The store for a daemon that reaches replicas over links.
+    pub(crate) fn seen_over(&self, links: &[Link]) -> Self {
+        Self {
+            links: links
+                .iter()
+                .map(|link| (link.target, link.address))
+                .collect(),
+            ..self.clone()
+        }
+    }
+
+    /// The record of a replica with the address of the link to it.
+    fn over_link(&self, mut record: Record) -> Record {
+        let link = |address| self.links.iter().find(|(target, _)| *target == address);
+        let replica = Self::parse_replica(&record).ok();
+        if let Some(mut replica) = replica
+            && let Some((_, address)) = link(replica.address)
+        {
+            replica.address = *address;
+            record.value = Some(serde_json::to_vec(&replica).expect("a replica"));
+        }
+        record
     }
 
     pub(crate) fn put(&self, topic: Topic, key: &str, value: &str) {
         let value = (!value.is_empty()).then(|| value.as_bytes().to_vec());
         let key = key.into();
         let record = Record { key, value };
-        let mut topics = self.0.topics.lock().expect("lock");
+        let mut topics = self.shared.topics.lock().expect("lock");
         topics.entry(format!("{topic:?}")).or_default().push(record);
         drop(topics);
-        self.0.changed.notify(usize::MAX);
+        self.shared.changed.notify(usize::MAX);
     }
 
     pub(crate) fn publish_manifest(&self, manifest: &Manifest) {
@@ -63,7 +95,7 @@
     }
 
     /// Peer addresses of the registered daemons.
-    pub(crate) fn registered_daemons(&self) -> Vec<std::net::SocketAddr> {
+    pub(crate) fn registered_daemons(&self) -> Vec<SocketAddr> {
         let records = self.records(Topic::Members);
         records.iter().filter_map(|r| r.key.parse().ok()).collect()
     }
@@ -76,11 +108,13 @@
     }
 
     pub(crate) fn records(&self, topic: Topic) -> Vec<Record> {
-        let topics = self.0.topics.lock().expect("lock");
-        topics
-            .get(&format!("{topic:?}"))
-            .cloned()
-            .unwrap_or_default()
+        let topics = self.shared.topics.lock().expect("lock");
+        let records = topics.get(&format!("{topic:?}")).cloned();
+        let records = records.unwrap_or_default().into_iter();
+        match topic {
+            Topic::Replicas => records.map(|record| self.over_link(record)).collect(),
+            _ => records.collect(),
+        }
     }
 
     fn append_now(
@@ -89,7 +123,7 @@
         expected_end: Option<u64>,
         records: &[Record],
     ) -> Result<u64, Failure> {
-        let mut topics = self.0.topics.lock().expect("lock");
+        let mut topics = self.shared.topics.lock().expect("lock");
         let all = topics.entry(format!("{topic:?}")).or_default();
         if expected_end.is_some_and(|end| all.len() as u64 != end) {
             return Err(Failure::Conflict);
@@ -97,7 +131,7 @@
         all.extend_from_slice(records);
         let end = all.len() as u64;
         drop(topics);
-        self.0.changed.notify(usize::MAX);
+        self.shared.changed.notify(usize::MAX);
         Ok(end)
     }
 }
@@ -125,7 +159,7 @@
         timeout: Duration,
     ) -> Result<u64, Failure> {
         let fault = match topic {
-            Topic::Ledger(_) => *self.0.fault.lock().expect("lock"),
+            Topic::Ledger(_) => *self.shared.fault.lock().expect("lock"),
             _ => Fault::None,
         };
         match fault {
@@ -149,13 +183,13 @@
     }
 
     async fn read(&self, topic: Topic, start_offset: u64, wait: Duration) -> Result<Read, Failure> {
-        let fault = *self.0.fault.lock().expect("lock");
+        let fault = *self.shared.fault.lock().expect("lock");
         if let (Fault::SlowReads(time), Topic::Ledger(_)) = (fault, topic) {
             smol::Timer::after(time).await;
         }
         let has_records = async {
             loop {
-                let changed = self.0.changed.listen();
+                let changed = self.shared.changed.listen();
                 if self.records(topic).len() as u64 > start_offset {
                     return;
                 }
@@ -177,7 +211,7 @@
     }
 
     async fn read_newest(&self, topic: Topic, after: Option<&str>) -> Result<Page, Failure> {
-        let fault = *self.0.fault.lock().expect("lock");
+        let fault = *self.shared.fault.lock().expect("lock");
         if fault == Fault::Unavailable && matches!(topic, Topic::Ledger(_)) {
             return Err(Failure::Refused(503));
         }
