gateway: peers relay connections of a daemon without links to replicas

Callers of daemons that lost their links to all replicas got 503 after 0.65 s or nothing until their deadline: a request could reach a replica over the links of the daemon that read it and in no other way.

A daemon whose connection fails now has the link checked: a peer connects to the same replica, then the daemon tries again. If only the peer succeeds, the link is broken, and connections to that replica lead through a relay; with three links broken and none opened meanwhile, all do. The relay copies bytes of an upgraded connection; every decision about the request stays with the daemon that read it, so attempts, deadlines, reservations, tokens, versions and cancellation are what they were, and there is no second hop. Requests that may be repeated are taken off connections that bring no answers. A daemon without links reports no process as ended, and another one asks a peer before it does. Without links and relays a daemon tells so in /ready.

--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 pub mod backlog;
 pub mod checkpoint;
 mod datagram;
+pub mod links;
 pub mod manifest;
 pub mod ownership;
 pub mod peers;
@@ -27,6 +28,7 @@
 pub mod streams;
 
 pub use backlog::{Backlog, Group, Queued};
+pub use links::Links;
 pub use manifest::{Batch, Kind, Limits, Manifest, Route};
 pub use ownership::{Candidate, CutOff, Member, View};
 pub use peers::{Heartbeat, Peers};
--- a/crates/coordination/src/fleet/peers.rs
+++ b/crates/coordination/src/fleet/peers.rs
@@ -19,7 +19,7 @@
 
 use super::backlog::Queued;
 use super::pool::Load;
-use super::{quarantine, rate_limit};
+use super::{links, quarantine, rate_limit};
 
 /// Time without a heartbeat after which a peer counts as dead.
 pub const FAILURE_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -129,6 +129,10 @@
     /// datagram.
     #[serde(skip)]
     pub quarantine: quarantine::Digest,
+    /// State of its links to the replicas; `None` if it is of a version that relays no
+    /// connections. Follows the quarantine in a datagram.
+    #[serde(skip)]
+    pub links: Option<links::Report>,
 }
 
 /// Field between the queue and the limits of a datagram, with which earlier versions
@@ -148,7 +152,8 @@
         let datagram = postcard::to_extend(&self.queued, postcard::to_stdvec(self)?)?;
         let datagram = postcard::to_extend(&RetiredDigest::default(), datagram)?;
         let datagram = postcard::to_extend(&self.limits, datagram)?;
-        postcard::to_extend(&self.quarantine, datagram)
+        let datagram = postcard::to_extend(&self.quarantine, datagram)?;
+        postcard::to_extend(&self.links, datagram)
     }
 
     /// Decodes a datagram. One of an earlier version ends before the queue or one of
@@ -173,8 +178,13 @@
         }
         let (limits, rest) = postcard::take_from_bytes(rest)?;
         heartbeat.limits = limits;
+        if rest.is_empty() {
+            return Ok(heartbeat);
+        }
+        let (quarantine, rest) = postcard::take_from_bytes(rest)?;
+        heartbeat.quarantine = quarantine;
         if !rest.is_empty() {
-            heartbeat.quarantine = postcard::from_bytes(rest)?;
+            heartbeat.links = postcard::from_bytes(rest)?;
         }
         Ok(heartbeat)
     }
@@ -322,6 +332,34 @@
             .map(|p| &p.heartbeat)
     }
 
+    /// Live peers that can relay connections to replicas. Weak instances relay none:
+    /// those with less than half of the capacity of the strongest one, `own` included.
+    #[must_use]
+    pub fn relays(&self, now: Duration, own: u32) -> Vec<links::Relay> {
+        let live = || {
+            let peers = self.peers.values();
+            peers.filter(move |peer| now.saturating_sub(peer.received_at) < FAILURE_TIMEOUT)
+        };
+        let capacities = live().map(|peer| peer.heartbeat.capacity);
+        let strongest = capacities.fold(own, u32::max);
+        let strong = live().filter(|peer| peer.heartbeat.capacity * 2 >= strongest);
+        let relay = |peer: &Peer| {
+            let heartbeat = &peer.heartbeat;
+            let report = heartbeat
+                .links
+                .filter(|links| !links.cut_off && !heartbeat.leaving)?;
+            let answered_ago = Duration::from_millis(u64::from(report.answered_ago_ms));
+            Some(links::Relay {
+                address: heartbeat.from,
+                data_centre: heartbeat.data_centre.clone(),
+                capacity: heartbeat.capacity,
+                relayed: report.relayed,
+                answered_at: peer.received_at.saturating_sub(answered_ago),
+            })
+        };
+        strong.filter_map(relay).collect()
+    }
+
     /// Short ids of the batch items that live peers run.
     #[must_use]
     pub fn running_items(&self, now: Duration) -> HashSet<u32> {
--- a/crates/coordination/src/fleet/retry.rs
+++ b/crates/coordination/src/fleet/retry.rs
@@ -21,6 +21,8 @@
     Misdirected,
     /// The connection broke or the answer is invalid; the request may have run.
     Broken,
+    /// Given up as this daemon lost its link to the replica; the request may have run.
+    LinkLost,
     /// No answer within the timeout of the attempt; the request may have run.
     Silent,
     /// The replica answered with an error of its own; the request may have run.
@@ -46,6 +48,7 @@
             Self::Quarantined => "quarantined",
             Self::Misdirected => "misdirected",
             Self::Broken => "broken",
+            Self::LinkLost => "link_lost",
             Self::Silent => "silent",
             Self::Failed => "failed",
         }
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod builds;
 mod checkpoint;
 mod departure;
+mod links;
 mod manifest;
 mod ownership;
 mod pool;
--- a/crates/coordination/tests/fleet/ownership.rs
+++ b/crates/coordination/tests/fleet/ownership.rs
@@ -35,6 +35,7 @@
         queued: Vec::new(),
         quarantine: Default::default(),
         limits: Vec::new(),
+        links: None,
     }
 }
 
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -10,10 +10,13 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
+use event_listener::Event;
+use futures_lite::future;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -23,6 +26,8 @@
 use socket2::{SockRef, TcpKeepalive};
 
 use crate::clock::{self, with_timeout};
+use crate::links::AnswerTime;
+use crate::relay;
 
 /// Time after which a connection with unacknowledged data is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
@@ -50,6 +55,9 @@
     NotSent(io::Error),
     /// The connection broke or timed out after data may have been sent.
     Broken(String),
+    /// The connection was given up, as the link brings no answers; data may have been
+    /// sent.
+    LinkLost,
 }
 
 impl Error {
@@ -64,8 +72,18 @@
                 _ => "not_sent",
             },
             Self::Broken(_) => "broken",
+            Self::LinkLost => "link_lost",
         }
     }
+
+    /// Error of a connection that no relay could open.
+    pub(crate) fn relay(failure: &relay::Failure) -> Self {
+        Self::NotSent(match failure {
+            relay::Failure::Refused => io::ErrorKind::ConnectionRefused.into(),
+            relay::Failure::Unreachable => io::ErrorKind::TimedOut.into(),
+            relay::Failure::NoRelay => io::Error::other("no relay"),
+        })
+    }
 }
 
 impl fmt::Display for Error {
@@ -73,6 +91,28 @@
         match self {
             Self::NotSent(e) => e.fmt(f),
             Self::Broken(reason) => f.write_str(reason),
+            Self::LinkLost => f.write_str("the link brings no answers"),
+        }
+    }
+}
+
+/// Whether a connection may be given up, and was.
+#[derive(Debug, Default)]
+struct Fate {
+    /// The request in flight may be repeated elsewhere.
+    is_abortable: AtomicBool,
+    is_aborted: AtomicBool,
+}
+
+impl Fate {
+    /// Waits until the connection is given up.
+    async fn aborted(&self, requested: &Event) {
+        loop {
+            requested.listen().await;
+            if self.is_abortable.load(Ordering::Relaxed) {
+                self.is_aborted.store(true, Ordering::Relaxed);
+                return;
+            }
         }
     }
 }
@@ -84,6 +124,11 @@
     sender: http1::SendRequest<Full<Bytes>>,
     // Dropping the task closes the connection.
     _driver: Task<()>,
+    fate: Arc<Fate>,
+    /// Relay through which it leads.
+    relay: Option<SocketAddr>,
+    /// Where its answers are recorded.
+    answered: Option<AnswerTime>,
     idle_since: Duration,
     /// Time for which it may stay idle.
     idle_timeout: Duration,
@@ -101,7 +146,9 @@
     ) -> Result<http::Response<Incoming>, Error> {
         self.sender.ready().await.map_err(not_sent)?;
         let response = self.sender.send_request(request).await.map_err(|e| {
-            if e.is_canceled() {
+            if self.is_aborted() {
+                Error::LinkLost
+            } else if e.is_canceled() {
                 not_sent(e)
             } else {
                 Error::Broken(e.to_string())
@@ -109,9 +156,47 @@
         })?;
         self.idle_timeout =
             advertised_idle_timeout(response.headers()).unwrap_or(self.idle_timeout);
+        self.record_answer();
         Ok(response)
     }
 
+    /// Marks a connection whose answers show that this daemon's links work.
+    pub(crate) fn answering(self, answered: &AnswerTime) -> Self {
+        Self {
+            answered: Some(answered.clone()),
+            ..self
+        }
+    }
+
+    /// Marks a connection that leads through a relay.
+    pub(crate) fn over_relay(self, relay: SocketAddr) -> Self {
+        Self {
+            relay: Some(relay),
+            ..self
+        }
+    }
+
+    /// Records that a part of an answer arrived.
+    pub(crate) fn record_answer(&self) {
+        if let Some(answered) = &self.answered {
+            answered.record();
+        }
+    }
+
+    /// Whether the request in flight is given up if the link brings no answers. One
+    /// that leads through a relay is not.
+    pub(crate) fn set_abortable(&self, is_abortable: bool) {
+        let is_abortable = is_abortable && self.relay.is_none();
+        self.fate
+            .is_abortable
+            .store(is_abortable, Ordering::Relaxed);
+    }
+
+    /// Whether the connection was given up.
+    pub(crate) fn is_aborted(&self) -> bool {
+        self.fate.is_aborted.load(Ordering::Relaxed)
+    }
+
     fn is_reusable(&self, now: Duration) -> bool {
         // The driver may still be processing the end of the last response;
         // sending waits for it.
@@ -142,6 +227,7 @@
 pub struct Connector {
     executor: Arc<Executor<'static>>,
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>,
+    abort_requested: Arc<Event>,
 }
 
 impl fmt::Debug for Connector {
@@ -157,6 +243,7 @@
         Self {
             executor,
             idle: Arc::default(),
+            abort_requested: Arc::default(),
         }
     }
 
@@ -170,18 +257,24 @@
         address: SocketAddr,
         timeout: Duration,
     ) -> Result<Connection, Error> {
-        match self.take_idle(address) {
+        match self.take_idle(address, |_| true) {
             Some(connection) => Ok(connection),
             None => self.open(address, timeout).await,
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes an idle connection to an address whose relay, if it has one, is usable.
+    pub(crate) fn take_idle(
+        &self,
+        address: SocketAddr,
+        is_usable: impl Fn(Option<SocketAddr>) -> bool,
+    ) -> Option<Connection> {
         let now = clock::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
         connections.retain(|connection| connection.is_reusable(now));
-        connections.pop()
+        let usable = connections.iter().rposition(|c| is_usable(c.relay))?;
+        Some(connections.remove(usable))
     }
 
     /// Opens a new connection within `timeout`.
@@ -190,25 +283,43 @@
     ///
     /// If no connection can be made in time.
     pub async fn open(&self, address: SocketAddr, timeout: Duration) -> Result<Connection, Error> {
-        let stream = with_timeout(timeout, TcpStream::connect(address))
-            .await
-            .unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
-            .map_err(Error::NotSent)?;
-        configure_socket(&stream).map_err(Error::NotSent)?;
+        let stream = connect(address, timeout).await.map_err(Error::NotSent)?;
+        self.handshake(stream, address).await
+    }
+
+    /// Makes a connection to an address of a stream that leads there.
+    pub(crate) async fn handshake(
+        &self,
+        stream: TcpStream,
+        address: SocketAddr,
+    ) -> Result<Connection, Error> {
         let (sender, driver) = http1::handshake(FuturesIo::new(stream))
             .await
             .map_err(not_sent)?;
-        // Errors of the connection are reported to the request in flight.
-        let driver = self.executor.spawn(async move { drop(driver.await) });
+        let fate = Arc::<Fate>::default();
+        let (own_fate, abort_requested) = (Arc::clone(&fate), Arc::clone(&self.abort_requested));
+        let driver = self.executor.spawn(async move {
+            // Errors of the connection are reported to the request in flight.
+            let driver = async { drop(driver.with_upgrades().await) };
+            future::or(driver, own_fate.aborted(&abort_requested)).await;
+        });
         Ok(Connection {
             address,
             sender,
             _driver: driver,
+            fate,
+            relay: None,
+            answered: None,
             idle_since: Duration::ZERO,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
         })
     }
 
+    /// Gives up the connections whose request may be repeated elsewhere.
+    pub(crate) fn abort_abortable(&self) {
+        self.abort_requested.notify(usize::MAX);
+    }
+
     /// Whether an address refuses connections, so that no process listens there;
     /// `None` if it neither accepts nor refuses one within `timeout`.
     pub(crate) async fn is_refused(&self, address: SocketAddr, timeout: Duration) -> Option<bool> {
@@ -224,6 +335,7 @@
     /// Keeps a connection for reuse; its last response must have been read
     /// completely.
     pub fn release(&self, mut connection: Connection) {
+        connection.set_abortable(false);
         connection.idle_since = clock::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.entry(connection.address).or_default();
@@ -253,6 +365,15 @@
     }
 }
 
+/// Connects to an address within `timeout`.
+pub(crate) async fn connect(address: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
+    let stream = with_timeout(timeout, TcpStream::connect(address))
+        .await
+        .unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
+    configure_socket(&stream)?;
+    Ok(stream)
+}
+
 /// Configures a socket for small messages and early detection of silent
 /// connections.
 pub(crate) fn configure_socket(stream: &TcpStream) -> io::Result<()> {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -15,7 +15,7 @@
 use bitterncart_coordination::fleet::pool::Key as Replica;
 use bitterncart_coordination::fleet::quarantine::{Subject, Verdict};
 use bitterncart_coordination::fleet::{
-    CutOff, Manifest, Peers, Pool, Profile, admission_queue, ownership,
+    CutOff, Heartbeat, Manifest, Peers, Pool, Profile, admission_queue, ownership,
 };
 use bitterncart_protocol::hash;
 use event_listener::Event;
@@ -27,6 +27,7 @@
 use crate::crash;
 use crate::datagram::Socket;
 use crate::dialect::Dialect;
+use crate::links;
 use crate::log;
 use crate::metrics::Metrics;
 use crate::runner::Runs;
@@ -55,7 +56,9 @@
     pub socket: Arc<Socket>,
     pub tokens: Tokens,
     pub streams: streams::Registry,
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
+    /// Links to the replicas.
+    pub links: links::Monitor,
     pub shards: Vec<Shard>,
     /// Notified when client connections have to be closed.
     pub close_requested: Event,
@@ -65,7 +68,7 @@
     /// Notified when the manifest or the replicas have been read.
     configured: Event,
     manifest: RwLock<Option<Arc<Manifest>>>,
-    peers: Mutex<Peers>,
+    peers: Arc<Mutex<Peers>>,
     cut_off: Mutex<CutOff>,
     ownership_table: Mutex<ownership::Table>,
     pool: Arc<Mutex<Pool>>,
@@ -109,6 +112,15 @@
         let pool = Pool::new(settings.data_centre.clone(), settings.name.clone());
         let pool = Arc::new(Mutex::new(pool));
         let socket = Arc::<Socket>::default();
+        let peers = Arc::<Mutex<Peers>>::default();
+        let metrics = Arc::<Metrics>::default();
+        let links = links::Monitor::new(
+            settings.data_centre.clone(),
+            settings.capacity_millicores(),
+            (Arc::clone(&pool), Arc::clone(&peers)),
+            (connector.clone(), Arc::clone(&executor)),
+            Arc::clone(&metrics),
+        );
         Self(Arc::new(State {
             current_settings: RwLock::new(settings.clone()),
             settings,
@@ -121,17 +133,19 @@
                 Arc::clone(&pool),
                 connector.clone(),
                 Arc::clone(&executor),
+                links.clone(),
             ),
             executor,
             connector,
-            metrics: Metrics::default(),
+            metrics,
+            links,
             shards,
             close_requested: Event::new(),
             runs: Mutex::default(),
             load_lock: smol::lock::Mutex::new(()),
             configured: Event::new(),
             manifest: RwLock::default(),
-            peers: Mutex::default(),
+            peers,
             cut_off: Mutex::default(),
             ownership_table: Mutex::default(),
             members: Mutex::default(),
@@ -335,6 +349,14 @@
         !self.is_draining()
             && self.replicas_known.load(Ordering::Relaxed)
             && self.manifest().is_some()
+            && !self.is_helpless()
+    }
+
+    /// Whether this daemon can send no request to a replica, not even through a peer,
+    /// while peers can. Clients are then better served elsewhere.
+    fn is_helpless(&self) -> bool {
+        let has_link = |peer: &Heartbeat| peer.links.is_none_or(|links| !links.cut_off);
+        self.links.has_no_path() && self.peers().live(clock::now()).any(has_link)
     }
 
     /// Records a successful call to the store.
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -22,6 +22,7 @@
 
 use crate::clock;
 use crate::connection::Connector;
+use crate::links;
 use crate::log;
 
 /// Timeout of the probe of an address.
@@ -49,6 +50,7 @@
     pool: Arc<Mutex<Pool>>,
     connector: Connector,
     executor: Arc<Executor<'static>>,
+    links: links::Monitor,
     suspicions: Mutex<HashMap<Process, Suspicion>>,
     quarantine: Mutex<Quarantine>,
 }
@@ -58,11 +60,13 @@
         pool: Arc<Mutex<Pool>>,
         connector: Connector,
         executor: Arc<Executor<'static>>,
+        links: links::Monitor,
     ) -> Self {
         Self(Arc::new(State {
             pool,
             connector,
             executor,
+            links,
             suspicions: Mutex::default(),
             quarantine: Mutex::default(),
         }))
@@ -115,6 +119,11 @@
             smol::Timer::after(PROBE_DELAY).await;
             has_ended = self.is_refused(process.address).await;
         }
+        if has_ended {
+            // The refusal may come from a broken link of this daemon.
+            let links = &self.0.links;
+            has_ended = !links.is_reached_by_peer(&process.id, process.address).await;
+        }
         let suspicion = self.suspicions().remove(&process);
         if let (Some(suspicion), true) = (suspicion, has_ended) {
             let (now, suspects) = (clock::now(), &suspicion.suspects);
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -106,6 +106,7 @@
             .detach();
         core.spawn(gossip::send_heartbeats(core.clone(), gossip_socket))
             .detach();
+        core.spawn(core.links.clone().run()).detach();
         core.spawn(watch::manifest(core.clone())).detach();
         core.spawn(watch::replicas(core.clone())).detach();
         core.spawn(watch::expire(core.clone())).detach();
@@ -170,7 +171,11 @@
                 .current_settings()
                 .stop_timeout()
                 .saturating_sub(STOP_MARGIN);
-        while (open.load(Ordering::Relaxed) > 0 || core.runs().has_active()) && clock::now() < end {
+        let is_busy = || {
+            let relayed = core.links.relayed().load(Ordering::Relaxed);
+            open.load(Ordering::Relaxed) + relayed > 0 || core.runs().has_active()
+        };
+        while is_busy() && clock::now() < end {
             smol::Timer::after(POLL_INTERVAL).await;
         }
         log::stopped(&core.settings.name, open.load(Ordering::Relaxed));
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -74,9 +74,9 @@
                 return Ok(response);
             }
             Err(Error::NotSent(e)) => e.to_string(),
-            Err(Error::Broken(reason)) => {
+            Err(e @ (Error::Broken(_) | Error::LinkLost)) => {
                 failure = Failure::Unknown;
-                reason
+                e.to_string()
             }
         };
         core.connector.close_idle(owner);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bitterncart_coordination::fleet::links;
 use bitterncart_coordination::fleet::peers::{Ownership, Usage, heartbeat_period};
 use bitterncart_coordination::fleet::rate_limit::{self, Message};
 use bitterncart_coordination::fleet::streams::Message as StreamMessage;
@@ -95,6 +96,10 @@
         };
         let content = Heartbeat {
             seq: 0,
+            links: heartbeat.links.map(|links| links::Report {
+                cut_off: links.cut_off,
+                ..links::Report::default()
+            }),
             quarantine: heartbeat.quarantine.without_ages(),
             limits: heartbeat
                 .limits
@@ -184,6 +189,7 @@
         queued: queued_requests(core),
         quarantine: core.crashes.digest(now),
         limits: core.pool().limit_reports(now),
+        links: Some(core.links.report()),
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,7 @@
 //! The tasks of a daemon run on one executor and share its state. A task that
 //! needs several locks takes them in this order: manifest, ledger, runs, peers,
 //! cut-off daemons, ownership table, pool, admission queue, quarantine, streams,
-//! buckets, asks.
+//! buckets, asks, links, idle connections.
 
 mod availability;
 mod body;
@@ -23,9 +23,11 @@
 mod forward;
 mod gossip;
 mod jobs;
+mod links;
 mod metrics;
 mod online;
 mod ownership;
+mod relay;
 mod runner;
 mod server;
 mod shard;
--- /dev/null
+++ b/crates/gateway/src/links.rs
@@ -0,0 +1,354 @@
+//! Connections to replicas, over this daemon's own links or through relays.
+//!
+//! Watches the own links with the decisions of [`fleet::links`]: checks replicas to
+//! which a connection failed, probes broken links, and gives up requests whose
+//! connections bring no answers any more, if they may be repeated.
+//!
+//! [`fleet::links`]: bitterncart_coordination::fleet::links
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bitterncart_coordination::fleet::links::{
+    Change, Check, Path, Relay, Report, Target, choose_relay,
+};
+use bitterncart_coordination::fleet::pool::Selection;
+use bitterncart_coordination::fleet::{Links, Peers, Pool};
+use compact_str::CompactString;
+use smol::Executor;
+
+use crate::clock;
+use crate::connection::{Connection, Connector, Error};
+use crate::log;
+use crate::metrics::Metrics;
+use crate::relay::{self, Failure};
+
+/// Timeout of a new connection to a replica.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Bounds of the time in which this daemon must connect to a replica after a relay did:
+/// a multiple of the time that the relay took, and a minimum.
+const CHECK_FACTOR: u32 = 4;
+
+const MIN_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Interval between checks of what is due.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Maximum number of relays that are asked for one connection.
+const MAX_RELAYS_ASKED: usize = 3;
+
+/// Time of the latest answer over an own link, in milliseconds of the boot clock.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AnswerTime(Arc<AtomicU64>);
+
+impl AnswerTime {
+    pub(crate) fn record(&self) {
+        let now_ms = clock::now().as_millis() as u64;
+        self.0.store(now_ms, Ordering::Relaxed);
+    }
+
+    fn get(&self) -> Duration {
+        Duration::from_millis(self.0.load(Ordering::Relaxed))
+    }
+}
+
+/// Monitor of the links of this daemon.
+#[derive(Clone, Debug)]
+pub(crate) struct Monitor(Arc<State>);
+
+#[derive(Debug)]
+struct State {
+    data_centre: CompactString,
+    capacity: u32,
+    pool: Arc<Mutex<Pool>>,
+    peers: Arc<Mutex<Peers>>,
+    connector: Connector,
+    executor: Arc<Executor<'static>>,
+    metrics: Arc<Metrics>,
+    links: Mutex<Links>,
+    answered: AnswerTime,
+    /// Connections that this daemon relays for others.
+    relayed: Arc<AtomicUsize>,
+}
+
+impl Monitor {
+    pub(crate) fn new(
+        data_centre: CompactString,
+        capacity: u32,
+        (pool, peers): (Arc<Mutex<Pool>>, Arc<Mutex<Peers>>),
+        (connector, executor): (Connector, Arc<Executor<'static>>),
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self(Arc::new(State {
+            data_centre,
+            capacity,
+            pool,
+            peers,
+            connector,
+            executor,
+            metrics,
+            links: Mutex::default(),
+            answered: AnswerTime::default(),
+            relayed: Arc::default(),
+        }))
+    }
+
+    /// The links, with the time of the latest answer.
+    fn links(&self) -> MutexGuard<'_, Links> {
+        let links = self.0.links.lock();
+        let mut links = links.unwrap_or_else(PoisonError::into_inner);
+        links.record_answer(self.0.answered.get());
+        links
+    }
+
+    fn pool(&self) -> MutexGuard<'_, Pool> {
+        self.0.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn targets(&self) -> Vec<Target> {
+        self.pool().link_targets(clock::now())
+    }
+
+    /// Number of connections that this daemon relays.
+    pub(crate) fn relayed(&self) -> &Arc<AtomicUsize> {
+        &self.0.relayed
+    }
+
+    /// Whether this daemon is cut off from the replicas.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        self.links().is_cut_off()
+    }
+
+    /// Whether this daemon is cut off and no peer can relay its connections.
+    pub(crate) fn has_no_path(&self) -> bool {
+        self.is_cut_off() && self.relays().is_empty()
+    }
+
+    /// State of the links for the peers.
+    pub(crate) fn report(&self) -> Report {
+        let relayed = self.0.relayed.load(Ordering::Relaxed);
+        let links = self.links();
+        let answered_ago = links.answered_ago(clock::now());
+        Report {
+            cut_off: links.is_cut_off(),
+            relayed: u16::try_from(relayed).unwrap_or(u16::MAX),
+            answered_ago_ms: u16::try_from(answered_ago.as_millis()).unwrap_or(u16::MAX),
+        }
+    }
+
+    /// Peers that can relay connections.
+    fn relays(&self) -> Vec<Relay> {
+        let peers = self.0.peers.lock();
+        let peers = peers.unwrap_or_else(PoisonError::into_inner);
+        peers.relays(clock::now(), self.0.capacity)
+    }
+
+    /// Returns an idle connection to a replica, or opens one.
+    pub(crate) async fn acquire(
+        &self,
+        selection: &Selection,
+        timeout: Duration,
+    ) -> Result<Connection, Error> {
+        let path = self.links().path(clock::now(), selection.address);
+        let relays = match path {
+            Path::Direct => Vec::new(),
+            Path::Relayed { .. } => self.relays(),
+        };
+        let is_usable = |relay: Option<SocketAddr>| match (path, relay) {
+            (Path::Direct, relay) => relay.is_none(),
+            (Path::Relayed { reuses_direct }, None) => reuses_direct,
+            (_, Some(relay)) => relays.iter().any(|usable| usable.address == relay),
+        };
+        match self.0.connector.take_idle(selection.address, is_usable) {
+            Some(connection) => Ok(connection),
+            None => self.open(selection, timeout).await,
+        }
+    }
+
+    /// Opens a new connection to a replica.
+    pub(crate) async fn open(
+        &self,
+        selection: &Selection,
+        timeout: Duration,
+    ) -> Result<Connection, Error> {
+        let address = selection.address;
+        let path = self.links().path(clock::now(), address);
+        match path {
+            Path::Direct => self.open_direct(address, timeout).await,
+            Path::Relayed { .. } => {
+                let data_centre = self.pool().data_centre_of(selection.key);
+                let near = data_centre.as_deref().unwrap_or_default();
+                let opened = self.open_relayed(&selection.id, address, near).await;
+                opened.map_err(|failure| Error::relay(&failure))
+            }
+        }
+    }
+
+    async fn open_direct(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Connection, Error> {
+        match self.0.connector.open(address, timeout).await {
+            Ok(connection) => {
+                self.record_opened(address);
+                Ok(connection.answering(&self.0.answered))
+            }
+            Err(e) => {
+                self.record_failure(address);
+                Err(e)
+            }
+        }
+    }
+
+    /// Connects to a replica through up to [`MAX_RELAYS_ASKED`] relays, until one of
+    /// them tells whether it reaches the replica.
+    async fn open_relayed(
+        &self,
+        id: &str,
+        address: SocketAddr,
+        data_centre: &str,
+    ) -> Result<Connection, Failure> {
+        let mut relays = self.relays();
+        relays.retain(|relay| self.links().may_ask(clock::now(), relay.address));
+        for _ in 0..MAX_RELAYS_ASKED {
+            let near = [self.0.data_centre.as_str(), data_centre];
+            let Some(relay) = choose_relay(&relays, near, rand::random) else {
+                break;
+            };
+            match relay::open(&self.0.connector, relay, id, address).await {
+                Err(Failure::NoRelay) => {
+                    self.links().record_failed_relay(clock::now(), relay);
+                    relays.retain(|other| other.address != relay);
+                }
+                opened => {
+                    let end = if opened.is_ok() {
+                        "opened"
+                    } else {
+                        "unreachable"
+                    };
+                    self.0.metrics.relayed_connection(end);
+                    return opened;
+                }
+            }
+        }
+        self.0.metrics.relayed_connection("no_relay");
+        Err(Failure::NoRelay)
+    }
+
+    /// Records that a direct connection was opened.
+    pub(crate) fn record_opened(&self, address: SocketAddr) {
+        self.links().record_opened(address);
+    }
+
+    /// Records that a connection failed or brought no answer in time, and checks
+    /// whether the link is the cause.
+    pub(crate) fn record_failure(&self, address: SocketAddr) {
+        let targets = self.targets();
+        let now = clock::now();
+        let checks = self
+            .links()
+            .record_failure(now, address, &targets, rand::random);
+        checks.into_iter().for_each(|address| self.check(address));
+    }
+
+    /// Checks a link in the background: a relay connects first, then this daemon, so
+    /// that a replica that was silent for a moment is not taken for a broken link.
+    fn check(&self, address: SocketAddr) {
+        let monitor = self.clone();
+        let check = async move {
+            let target = monitor.targets().into_iter().find(|t| t.address == address);
+            let started = clock::now();
+            let relayed = match &target {
+                Some(target) => {
+                    let near = &target.data_centre;
+                    monitor.open_relayed(&target.id, address, near).await.ok()
+                }
+                None => None,
+            };
+            let relay_time = clock::now().saturating_sub(started);
+            let timeout = match relayed {
+                Some(_) => (relay_time * CHECK_FACTOR).clamp(MIN_CHECK_TIMEOUT, CONNECT_TIMEOUT),
+                None => CONNECT_TIMEOUT,
+            };
+            let result = match monitor.0.connector.open(address, timeout).await {
+                Ok(connection) => {
+                    let connection = connection.answering(&monitor.0.answered);
+                    monitor.0.connector.release(connection);
+                    Check::Opened
+                }
+                Err(_) if relayed.is_some() => Check::Broken,
+                Err(_) => Check::Unreachable,
+            };
+            if let (Check::Broken, Some(connection)) = (result, relayed) {
+                monitor.0.connector.release(connection);
+            }
+            monitor.record_check(address, result);
+        };
+        self.0.executor.spawn(check).detach();
+    }
+
+    fn record_check(&self, address: SocketAddr, result: Check) {
+        let targets = self.targets();
+        let now = clock::now();
+        let step = self
+            .links()
+            .record_check(now, address, result, &targets, rand::random);
+        log::link_checked(address, result);
+        self.0.metrics.link_checked(result);
+        self.apply(step.change);
+        step.check
+            .into_iter()
+            .for_each(|address| self.check(address));
+    }
+
+    fn apply(&self, change: Option<Change>) {
+        let Some(change) = change else { return };
+        log::links_changed(change);
+        // The failures were those of the links.
+        self.pool().forget_failures();
+        if change == (Change::CutOff { is_silent: true }) {
+            self.0.connector.abort_abortable();
+        }
+    }
+
+    /// Checks what is due as long as the daemon runs.
+    pub(crate) async fn run(self) {
+        loop {
+            smol::Timer::after(TICK_INTERVAL).await;
+            let targets = self.targets();
+            let now = clock::now();
+            let (change, probed) = {
+                let mut links = self.links();
+                (links.tick(now, &targets), links.start_probe(now, &targets))
+            };
+            self.apply(change);
+            if let Some(address) = probed {
+                let probe = self.clone().probe(address);
+                self.0.executor.spawn(probe).detach();
+            }
+        }
+    }
+
+    /// Probes a broken link. The connection is kept for requests.
+    async fn probe(self, address: SocketAddr) {
+        let result = match self.0.connector.open(address, CONNECT_TIMEOUT).await {
+            Ok(connection) => {
+                let connection = connection.answering(&self.0.answered);
+                self.0.connector.release(connection);
+                Check::Opened
+            }
+            Err(_) => Check::Broken,
+        };
+        self.record_check(address, result);
+    }
+
+    /// Whether a replica that refuses connections of this daemon accepts those of a
+    /// peer, so that it is this daemon's link that is broken.
+    pub(crate) async fn is_reached_by_peer(&self, id: &str, address: SocketAddr) -> bool {
+        self.is_cut_off() || self.open_relayed(id, address, "").await.is_ok()
+    }
+}
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bitterncart_coordination::fleet::links::{Change, Check};
 use bitterncart_coordination::fleet::pool::Selection;
 use bitterncart_coordination::fleet::quarantine::{Subject, Suspect, Verdict};
 use bitterncart_coordination::fleet::replica::Process;
@@ -257,6 +258,28 @@
     }
 }
 
+pub(crate) fn relay_failed(relay: SocketAddr, replica: &str, why: &str) {
+    if rate_limit::try_acquire() {
+        info!("a peer relays no connection; another one is asked", kv: { relay:? = relay, replica, why });
+    }
+}
+
+pub(crate) fn link_checked(address: SocketAddr, result: Check) {
+    if rate_limit::try_acquire() {
+        let result = result.name();
+        info!("link to a replica checked", kv: { address:? = address, result });
+    }
+}
+
+pub(crate) fn links_changed(change: Change) {
+    match change {
+        Change::CutOff { is_silent } => {
+            warn!("cut off from the replicas; peers relay connections", kv: { is_silent });
+        }
+        Change::Restored => info!("links to the replicas are back"),
+    }
+}
+
 pub(crate) fn replica_departing(replica: &str, born_ms: u64) {
     info!("replica announced its departure; it gets no more requests", kv: { replica, born_ms });
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,6 +5,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use bitterncart_coordination::fleet::links::Check;
 use bitterncart_coordination::fleet::{Decision, Outcome, Route};
 use bitterncart_protocol::Code;
 use compact_str::{CompactString, format_compact};
@@ -81,6 +82,25 @@
         ));
     }
 
+    /// Request of a peer for a relayed connection.
+    pub(crate) fn relay(&self, end: &str) {
+        self.add(format_compact!("relays_total{{end=\"{end}\"}}"));
+    }
+
+    /// Connection that a peer was asked to relay.
+    pub(crate) fn relayed_connection(&self, end: &str) {
+        self.add(format_compact!(
+            "relayed_connections_total{{end=\"{end}\"}}"
+        ));
+    }
+
+    pub(crate) fn link_checked(&self, result: Check) {
+        self.add(format_compact!(
+            "link_checks_total{{result=\"{}\"}}",
+            result.name()
+        ));
+    }
+
     pub(crate) fn owner_call(&self, end: &str) {
         self.add(format_compact!("owner_calls_total{{end=\"{end}\"}}"));
     }
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -256,11 +256,11 @@
                 }
                 Ok(response) => {
                     match with_timeout(self.remaining(), response.read_to_end(&self.core)).await {
-                        Some(Some((head, bytes))) => match self.complete(&slot, head, bytes) {
+                        Some(Ok((head, bytes))) => match self.complete(&slot, head, bytes) {
                             Ok(response) => return response,
                             Err(decision) => decision,
                         },
-                        Some(None) => self.record_failure(&slot, Outcome::Broken),
+                        Some(Err(outcome)) => self.record_failure(&slot, outcome),
                         None => self.record_failure(&slot, Outcome::Silent),
                     }
                 }
@@ -294,6 +294,7 @@
             &SendOptions {
                 remaining: Some(remaining),
                 reservation,
+                is_repeatable: self.route.kind.is_repeatable(),
             },
             self.attempt_timeout(remaining),
         )
@@ -325,6 +326,7 @@
                 Ok((response, Some(event)))
             }
             Some(Received::Event(_) | Received::Broken) => Err(Outcome::Broken),
+            Some(Received::LinkLost) => Err(Outcome::LinkLost),
             Some(Received::End) => Ok((response, None)),
             None => Err(Outcome::Silent),
         }
@@ -345,10 +347,13 @@
         let mut pool = self.core.pool();
         match outcome {
             Outcome::Misdirected => pool.record_misdirected(slot.selection.key),
-            Outcome::NotRun | Outcome::Failed | Outcome::Quarantined => {}
+            Outcome::NotRun | Outcome::Failed | Outcome::Quarantined | Outcome::LinkLost => {}
             _ => pool.record_failure(now, slot.selection.key),
         }
         drop(pool);
+        if matches!(outcome, Outcome::Broken | Outcome::Silent) {
+            self.core.links.record_failure(slot.selection.address);
+        }
         if outcome == Outcome::Quarantined {
             self.quarantined = self.core.verdict(&self.message.profile);
         }
@@ -496,6 +501,7 @@
                     return true;
                 }
                 Some(Received::Event(_) | Received::Broken) => Outcome::Broken,
+                Some(Received::LinkLost) => Outcome::LinkLost,
                 None => Outcome::Silent,
             };
             drop(response);
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -614,6 +614,7 @@
         let options = SendOptions {
             remaining: None,
             reservation,
+            is_repeatable: true,
         };
         let response = send(
             &self.core,
@@ -682,6 +683,7 @@
                     return self.finish(outcome, "completed");
                 }
                 Some(Received::Broken) => return self.record_broken(Outcome::Broken),
+                Some(Received::LinkLost) => return self.record_broken(Outcome::LinkLost),
                 None => return self.record_broken(Outcome::Silent),
             }
         }
@@ -745,10 +747,13 @@
         let mut pool = self.core.pool();
         match outcome {
             Outcome::Misdirected => pool.record_misdirected(self.slot.selection.key),
-            Outcome::NotRun | Outcome::Quarantined => {}
+            Outcome::NotRun | Outcome::Quarantined | Outcome::LinkLost => {}
             _ => pool.record_failure(clock::now(), self.slot.selection.key),
         }
         drop(pool);
+        if matches!(outcome, Outcome::Broken | Outcome::Silent) {
+            self.core.links.record_failure(self.slot.selection.address);
+        }
         log::item_run_ended(&self.id.0, self.id.1, outcome.name());
         self.core.metrics.item_run(outcome.name());
         self.schedule_retry();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -34,6 +34,7 @@
 use crate::jobs;
 use crate::log;
 use crate::online::{self, error_response};
+use crate::relay;
 use crate::store::Store;
 use crate::upstream::{Message, strip_hop_by_hop_headers};
 
@@ -148,6 +149,7 @@
             .timer(SmolTimer::new())
             .header_read_timeout(idle_timeout)
             .serve_connection(FuturesIo::new(stream), service)
+            .with_upgrades()
     );
     let closed = future::or(async { Some(connection.as_mut().await) }, async {
         if !core.is_closing() {
@@ -170,6 +172,9 @@
 ) -> Response<Body> {
     let arrived = clock::now();
     let mut response = match endpoint {
+        Endpoint::Peers if request.uri().path() == relay::PATH => {
+            return relay::serve(core, request).await;
+        }
         Endpoint::Clients | Endpoint::Peers => dispatch(core, request, arrived, endpoint).await,
         Endpoint::Ready => readiness(core),
         Endpoint::Metrics => Response::new(Body::full(core.metrics.text().into())),
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -171,6 +171,8 @@
     pub remaining: Option<Duration>,
     /// Name of the reserved slot.
     pub reservation: Option<HeaderValue>,
+    /// Whether the request may be sent again if the link brings no answers.
+    pub is_repeatable: bool,
 }
 
 /// Result of a reservation call.
@@ -238,6 +240,7 @@
     };
     let attempt = async |connection: Result<Connection, Error>| {
         let mut connection = connection?;
+        connection.set_abortable(true);
         let request = message.request(
             core.dialect.header_names(),
             &selection.id,
@@ -260,22 +263,11 @@
         Ok((head.status, body.to_bytes()))
     };
     let reply = async {
-        match attempt(
-            core.connector
-                .acquire(selection.address, CONNECT_TIMEOUT)
-                .await,
-        )
-        .await
-        {
+        match attempt(core.links.acquire(selection, CONNECT_TIMEOUT).await).await {
             // The replica may have closed the idle connection.
-            Err(Error::Broken(_)) => {
+            Err(Error::Broken(_) | Error::LinkLost) => {
                 core.connector.close_idle(selection.address);
-                attempt(
-                    core.connector
-                        .open(selection.address, CONNECT_TIMEOUT)
-                        .await,
-                )
-                .await
+                attempt(core.links.open(selection, CONNECT_TIMEOUT).await).await
             }
             reply => reply,
         }
@@ -283,6 +275,7 @@
     let reply = with_timeout(RESERVE_TIMEOUT, reply).await;
     if reply.is_none() {
         core.connector.close_idle(selection.address);
+        core.links.record_failure(selection.address);
     }
     let reply = reply.unwrap_or_else(|| Err(Error::Broken("silence".into())));
     if let Err(e) = &reply {
@@ -320,8 +313,8 @@
 ) -> Result<Response, Outcome> {
     let header_names = core.dialect.header_names();
     let mut connection = core
-        .connector
-        .acquire(selection.address, CONNECT_TIMEOUT.min(timeout))
+        .links
+        .acquire(selection, CONNECT_TIMEOUT.min(timeout))
         .await
         .map_err(|e| {
             record_connection_error(core, selection, "request", &e);
@@ -331,6 +324,7 @@
         core.connector.release(connection);
         return Err(Outcome::Quarantined);
     }
+    connection.set_abortable(options.is_repeatable);
     let request = message.request(header_names, &selection.id, options);
     let attempt = message.headers.get(&header_names.attempt_id);
     let attempt_id = attempt.map_or(&[][..], HeaderValue::as_bytes);
@@ -428,6 +422,7 @@
     match error {
         Error::NotSent(_) => Outcome::NotSent,
         Error::Broken(_) => Outcome::Broken,
+        Error::LinkLost => Outcome::LinkLost,
     }
 }
 
@@ -441,35 +436,45 @@
     /// The connection broke, or the stream ended inside an event or without one, or
     /// exceeded the size limit of one.
     Broken,
+    /// The connection was given up, as the link brings no answers.
+    LinkLost,
 }
 
 impl Response {
-    /// Reads the whole body and returns the connection to the idle ones; `None`
-    /// if the connection broke or the body exceeds [`MAX_RESPONSE_BYTES`].
+    /// Reads the whole body and returns the connection to the idle ones.
+    ///
+    /// # Errors
+    ///
+    /// If the connection broke or was given up, or the body exceeds
+    /// [`MAX_RESPONSE_BYTES`].
     pub(crate) async fn read_to_end<S: Store, D: Dialect>(
         mut self,
         core: &Core<S, D>,
-    ) -> Option<(response::Parts, Bytes)> {
+    ) -> Result<(response::Parts, Bytes), Outcome> {
         let mut bytes = BytesMut::new();
         while let Some(frame) = self.body.frame().await {
             match frame.map(http_body::Frame::into_data) {
-                Ok(Ok(data)) => bytes.extend_from_slice(&data),
+                Ok(Ok(data)) => {
+                    self.connection.record_answer();
+                    bytes.extend_from_slice(&data);
+                }
                 // Trailers are not forwarded.
                 Ok(Err(_)) => {}
+                Err(_) if self.connection.is_aborted() => return Err(Outcome::LinkLost),
                 Err(_) => {
                     self.watch.record_broken();
-                    return None;
+                    return Err(Outcome::Broken);
                 }
             }
             if bytes.len() > MAX_RESPONSE_BYTES {
-                return None;
+                return Err(Outcome::Broken);
             }
         }
         if self.head.status.is_success() {
             self.watch.record_complete();
         }
         core.connector.release(self.connection);
-        Some((self.head, bytes.freeze()))
+        Ok((self.head, bytes.freeze()))
     }
 
     /// Waits for the next event.
@@ -484,11 +489,13 @@
                     self.watch.record_complete();
                     return Received::End;
                 }
+                None | Some(Err(_)) if self.connection.is_aborted() => return Received::LinkLost,
                 None | Some(Err(_)) => {
                     self.watch.record_broken();
                     return Received::Broken;
                 }
                 Some(Ok(frame)) => {
+                    self.connection.record_answer();
                     if let Some(data) = frame.data_ref() {
                         self.splitter.push(data);
                     }
--- a/crates/gateway/tests/gateway/owner.rs
+++ b/crates/gateway/tests/gateway/owner.rs
@@ -45,6 +45,7 @@
                 queued: Vec::new(),
                 quarantine: Default::default(),
                 limits: Vec::new(),
+                links: None,
             };
             let bytes = postcard::to_stdvec(&heartbeat).expect("a heartbeat");
             // A lost heartbeat is followed by others.
