gateway: refuse at once while no daemon reaches the replicas

Callers of a daemon without links waited 0.65 s in its queue before the refusal, and each poll of the queue tried in vain, although the daemon knew that neither its links nor a relay would help. It now refuses with 1312 links_lost and a Retry-After of a quarter to a third of the time left, starts no batch item, and serves again with the first links. The four tests of daemon_without_links_and_relays_refuses_at_once failed before.

--- a/crates/coordination/src/fleet/links.rs
+++ b/crates/coordination/src/fleet/links.rs
@@ -194,13 +194,20 @@
         self.cut.is_some()
     }
 
+    /// Whether the daemon is cut off, and open connections bring no answers either.
+    #[must_use]
+    pub fn is_silent(&self, now: Duration) -> bool {
+        self.cut.as_ref().is_some_and(|cut| {
+            self.answered_at <= cut.since || self.answered_ago(now) >= REUSE_TIMEOUT
+        })
+    }
+
     /// How to connect to a replica now.
     #[must_use]
     pub fn path(&self, now: Duration, address: SocketAddr) -> Path {
         match &self.cut {
-            Some(cut) => Path::Relayed {
-                reuses_direct: self.answered_at > cut.since
-                    && now.saturating_sub(self.answered_at) < REUSE_TIMEOUT,
+            Some(_) => Path::Relayed {
+                reuses_direct: !self.is_silent(now),
             },
             None if self.is_broken(address) => Path::Relayed {
                 reuses_direct: false,
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -122,9 +122,11 @@
         self.links().is_cut_off()
     }
 
-    /// Whether this daemon is cut off and no peer can relay its connections.
+    /// Whether this daemon is cut off, also over open connections, and no peer can
+    /// relay its connections.
     pub(crate) fn has_no_path(&self) -> bool {
-        self.is_cut_off() && self.relays().is_empty()
+        let is_lost = self.links().is_silent(clock::now());
+        is_lost && self.relays().is_empty()
     }
 
     /// State of the links for the peers.
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -48,6 +48,10 @@
 /// Bounds of the random delay after which a refused client may retry, in seconds.
 const RETRY_AFTER_RANGE_S: (f64, f64) = (0.08, 0.35);
 
+/// Bounds of that delay while no replica can be reached, as shares of the client's
+/// remaining time: a later retry is more likely to succeed, and must leave time for it.
+const LINKS_RETRY_AFTER_SHARES: (f64, f64) = (0.25, 0.33);
+
 /// Minimum delay after which a client may retry a quarantined request; the trial
 /// that is due is another request.
 const MIN_QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(10);
@@ -411,6 +415,7 @@
             Decision::Refuse if matches!(self.shortage, Some(Shortage::Overload(_))) => {
                 Code::QueueExpired
             }
+            Decision::Refuse if self.shortage == Some(Shortage::NoLinks) => Code::LinksLost,
             Decision::Refuse if self.is_not_resumable() => Code::StreamNotResumable,
             Decision::Refuse if self.is_limited() => Code::ReplicasLimited,
             Decision::Refuse => Code::NoReplica,
@@ -423,6 +428,11 @@
             (Some(verdict), _) => verdict.trial_in.max(MIN_QUARANTINE_RETRY_AFTER),
             // Spread, so that the requests of one peak do not all come back together.
             (None, Some(Shortage::Overload(wait))) => wait.mul_f64(0.5 + rand::random::<f64>()),
+            (None, Some(Shortage::NoLinks)) => {
+                let (min, max) = LINKS_RETRY_AFTER_SHARES;
+                self.remaining()
+                    .mul_f64(min + (max - min) * rand::random::<f64>())
+            }
             (None, _) => random_duration(RETRY_AFTER_RANGE_S),
         };
         error_response_after(&self.core, code, retry_after)
--- a/crates/gateway/src/online/admission.rs
+++ b/crates/gateway/src/online/admission.rs
@@ -56,6 +56,8 @@
 pub(super) enum Shortage {
     /// No replica is left, or none without a rate limit.
     NoReplica,
+    /// This daemon is cut off from the replicas, and no peer relays connections.
+    NoLinks,
     /// More requests are queued than start in time; it is expected to take so long.
     Overload(Duration),
 }
@@ -119,6 +121,7 @@
     }
 
     async fn find_slot(&self) -> Result<(Slot<S, D>, Option<HeaderValue>), Shortage> {
+        self.check_links()?;
         let backend = match &self.binding {
             Binding::Free => self.route.backend(rand::random()),
             Binding::Build(build) => self.route.backend_of(&build.service),
@@ -132,6 +135,13 @@
         }
     }
 
+    fn check_links(&self) -> Result<(), Shortage> {
+        if self.core.links.has_no_path() {
+            return Err(Shortage::NoLinks);
+        }
+        Ok(())
+    }
+
     /// Selects a replica that takes requests without a token.
     fn select_unlimited(&self, service: &str) -> Option<Slot<S, D>> {
         let limited = self.core.pool().limited(clock::now(), service);
@@ -228,6 +238,7 @@
         let queued = QueueGuard::enqueue(&self.core, &backend.service, objective_deadline)
             .ok_or(Shortage::NoReplica)?;
         while clock::now() < until {
+            self.check_links()?;
             let slot_offered = self.core.slot_offered.listen();
             let offer = self.core.admission_queue().take_offer(queued.ticket);
             let slot = match offer {
@@ -296,6 +307,7 @@
     ) -> Result<(Slot<S, D>, Option<HeaderValue>), Shortage> {
         while clock::now() < until {
             smol::Timer::after(POLL_INTERVAL).await;
+            self.check_links()?;
             match self.select_slot(&backend.service, &[]) {
                 Some(slot) => {
                     if let Acquired::Slot(slot, reservation) = self.reserve_at(backend, slot).await
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -250,10 +250,12 @@
 
 /// Whether items may start. Without the store, those of the loaded shards go on:
 /// their results are recorded when it is back. A daemon that is cut off starts
-/// none, as others have taken its shards over.
+/// none, as others have taken its shards over; neither does one that can send no
+/// request to a replica.
 fn may_start_items<S: Store, D: Dialect>(core: &Core<S, D>) -> bool {
     let now = clock::now();
-    !core.is_store_unavailable(now) || core.peers().is_store_outage(now)
+    let may_record = !core.is_store_unavailable(now) || core.peers().is_store_outage(now);
+    may_record && !core.links.has_no_path()
 }
 
 /// Removes ended jobs from the ledger whose submission is older than the retention.
--- a/crates/gateway/tests/gateway/links.rs
+++ b/crates/gateway/tests/gateway/links.rs
@@ -4,7 +4,7 @@
 
 use crate::harness::{Gateway, post, status, store, wait_until};
 use crate::link::{Link, State};
-use crate::replica::{Action, ScriptedReplica};
+use crate::replica::{Action, ScriptedReplica, header};
 use crate::store::MemoryStore;
 
 const OK_RESPONSE: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
@@ -98,3 +98,34 @@
     refused_connections_idempotent("/idempotent/close", State::Refusing);
     refused_connections_once("/once/close", State::Refusing);
 }
+
+cases! {
+    /// Guards against requests that wait for a slot although neither the daemon nor any
+    /// peer reaches a replica. Each is refused at once, and served when a link is back.
+    fn daemon_without_links_and_relays_refuses_at_once(path: &str, cut: State) {
+        smol::block_on(async {
+            let replica = ScriptedReplica::start_with("r", script).await;
+            let link = Link::start(&replica);
+            let links = [link];
+            let gateway = Gateway::start(&store(&[&replica]).seen_over(&links)).await;
+            assert_eq!(status(&gateway.fetch(&post(path, "before")).await), 200);
+            links[0].set(cut);
+            let fetch = |id: &str| smol::block_on(gateway.fetch(&post(path, id)));
+            wait_until("a refusal that names the links", || {
+                fetch("during").contains("1312")
+            })
+            .await;
+            let response = fetch("refused");
+            assert_eq!(status(&response), 503, "{response}");
+            assert!(header(&response, "retry-after").is_some(), "{response}");
+            links[0].set(State::Up);
+            wait_until("the link to be back", || status(&fetch("after")) == 200).await;
+            let mut requests = replica.requests().into_iter();
+            assert!(!requests.any(|head| head.contains("attempt: refused\r\n")));
+        });
+    }
+    silent_link_once("/once/a", State::Silent);
+    silent_link_idempotent("/idempotent/a", State::Silent);
+    reset_link_once("/once/a", State::Reset);
+    refused_connection_idempotent("/idempotent/close", State::Refusing);
+}
