gateway: notice the loss of all links without waiting for a request to time out

Callers in the first half second of a cut were served late: a daemon noticed it when a reservation had not been answered for 150 ms, and asked peers that were cut off as well. A silence of 100 ms while at least three replicas have requests now counts as a failure of one of them, and starts the checks. Peers are ranked by their latest answers within 50 ms instead of 100 ms, and one that does not reach the replica is left out for half a second, as it may have no links either.

--- a/crates/coordination/src/fleet/links.rs
+++ b/crates/coordination/src/fleet/links.rs
@@ -35,6 +35,10 @@
 /// Time for which an answer shows that links work, without a check of another replica.
 const FRESH_ANSWER: Duration = Duration::from_millis(100);
 
+/// Time without any answer, while several replicas have requests, that counts as a
+/// failure.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Minimum time between two checks of a replica.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -58,7 +62,7 @@
 
 /// Time before the latest answer of any peer within which the latest answer of a peer
 /// shows that it has links, too.
-const ANSWER_WINDOW: Duration = Duration::from_millis(100);
+const ANSWER_WINDOW: Duration = Duration::from_millis(50);
 
 /// State of a daemon's links in its heartbeats.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -182,6 +186,8 @@
     cut: Option<Cut>,
     /// Time of the latest answer over an own link.
     answered_at: Duration,
+    /// Time since which several replicas have had requests over own links.
+    busy_since: Option<Duration>,
     probed_at: Duration,
     /// Relays that did not help, with the end of their backoff.
     failed_relays: HashMap<SocketAddr, Duration>,
@@ -240,6 +246,21 @@
         self.failures.remove(&address);
     }
 
+    /// Records how many replicas have requests of this daemon. Returns whether none of
+    /// them has sent anything for so long that this counts as a failure of any of them.
+    pub fn record_busy(&mut self, now: Duration, replicas: usize) -> bool {
+        let is_busy = replicas >= MIN_BROKEN && self.cut.is_none();
+        self.busy_since = is_busy.then(|| self.busy_since.unwrap_or(now));
+        self.busy_since
+            .is_some_and(|since| now.saturating_sub(since.max(self.answered_at)) >= SILENCE_TIMEOUT)
+    }
+
+    /// Whether there is nothing to check or to probe.
+    #[must_use]
+    pub fn is_calm(&self) -> bool {
+        self.cut.is_none() && self.inquiry.is_none() && self.failures.is_empty()
+    }
+
     /// Records that a direct connection to a replica failed, or brought no answer in
     /// time. Returns the replicas to check: this one, and others unless answers have
     /// just arrived.
--- a/crates/coordination/src/fleet/pool.rs
+++ b/crates/coordination/src/fleet/pool.rs
@@ -778,6 +778,12 @@
         entries.map(target).collect()
     }
 
+    /// Addresses of the replicas at which this daemon has requests.
+    pub fn in_use(&self) -> impl Iterator<Item = SocketAddr> {
+        let entries = self.entries.values().filter(|e| e.own.total() > 0);
+        entries.map(|e| e.replica.address)
+    }
+
     /// Data centre of a replica.
     #[must_use]
     pub fn data_centre_of(&self, key: Key) -> Option<CompactString> {
--- a/crates/coordination/tests/fleet/links.rs
+++ b/crates/coordination/tests/fleet/links.rs
@@ -359,6 +359,23 @@
     }
 }
 
+/// A daemon with requests at several replicas need not wait for one of them to time out.
+#[test]
+fn silence_of_all_replicas_in_use_counts_as_a_failure() {
+    let ms = |ms| CUT_AT + Duration::from_millis(ms);
+    let mut links = Links::default();
+    // It had nothing to do before, so that nothing was answered.
+    assert!(!links.record_busy(ms(0), 3));
+    links.record_answer(ms(40));
+    assert!(!links.record_busy(ms(130), 3));
+    assert!(links.record_busy(ms(150), 3));
+    // Too few replicas to tell, or none.
+    assert!(!links.record_busy(ms(300), 2));
+    assert!(!links.record_busy(ms(350), 3));
+    links.record_answer(ms(440));
+    assert!(!links.record_busy(ms(500), 3));
+}
+
 /// A relay that does not help is left out for a time.
 #[test]
 fn failed_relay_is_not_asked_again_at_once() {
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -35,7 +35,7 @@
 const MIN_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Interval between checks of what is due.
-const TICK_INTERVAL: Duration = Duration::from_millis(100);
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Maximum number of relays that are asked for one connection.
 const MAX_RELAYS_ASKED: usize = 3;
@@ -221,11 +221,13 @@
             let Some(relay) = choose_relay(&relays, near, rand::random) else {
                 break;
             };
-            match relay::open(&self.0.connector, relay, id, address).await {
-                Err(Failure::NoRelay) => {
-                    self.links().record_failed_relay(clock::now(), relay);
-                    relays.retain(|other| other.address != relay);
-                }
+            let opened = relay::open(&self.0.connector, relay, id, address).await;
+            if matches!(opened, Err(Failure::NoRelay | Failure::Unreachable)) {
+                // It may be cut off as well, without having noticed.
+                self.links().record_failed_relay(clock::now(), relay);
+            }
+            match opened {
+                Err(Failure::NoRelay) => relays.retain(|other| other.address != relay),
                 opened => {
                     let end = if opened.is_ok() {
                         "opened"
@@ -288,6 +290,7 @@
             if let (Check::Broken, Some(connection)) = (result, relayed) {
                 monitor.0.connector.release(connection);
             }
+            log::link_checked(address, result);
             monitor.record_check(address, result);
         };
         self.0.executor.spawn(check).detach();
@@ -299,7 +302,6 @@
         let step = self
             .links()
             .record_check(now, address, result, &targets, rand::random);
-        log::link_checked(address, result);
         self.0.metrics.link_checked(result);
         self.apply(step.change);
         step.check
@@ -321,6 +323,10 @@
     pub(crate) async fn run(self) {
         loop {
             smol::Timer::after(TICK_INTERVAL).await;
+            self.watch_silence();
+            if self.links().is_calm() {
+                continue;
+            }
             let targets = self.targets();
             let now = clock::now();
             let (change, probed) = {
@@ -335,12 +341,25 @@
         }
     }
 
+    /// Takes a silence of all replicas that have requests for a failure of one of them.
+    fn watch_silence(&self) {
+        let (in_use, any) = {
+            let pool = self.pool();
+            (pool.in_use().count(), pool.in_use().next())
+        };
+        let is_silent = self.links().record_busy(clock::now(), in_use);
+        if let (Some(address), true) = (any, is_silent) {
+            self.record_failure(address);
+        }
+    }
+
     /// Probes a broken link. The connection is kept for requests.
     async fn probe(self, address: SocketAddr) {
         let result = match self.0.connector.open(address, CONNECT_TIMEOUT).await {
             Ok(connection) => {
                 let connection = connection.answering(&self.0.answered);
                 self.0.connector.release(connection);
+                log::link_checked(address, Check::Opened);
                 Check::Opened
             }
             Err(_) => Check::Broken,
