gateway: connections outlast a silent moment of a sound replica

A replica may fall silent for a second or so and go on. With a user timeout of 2 s, an idle connection ended at its second keep-alive probe, 2 s after the last byte, so a silence that began 0.9 s after it had ended the connection after 1.1 s: callers whose stream may not be resumed lost it. The user timeout is 3 s now. sockets::silence_of_a_sound_peer_ends_no_connection reads the options of a socket and failed at 2 s; it also bounds the end of a dead connection by 4 s.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -10,6 +10,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -29,8 +30,10 @@
 use crate::links::AnswerTime;
 use crate::relay;
 
-/// Time after which a connection with unacknowledged data is closed.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which a connection with unacknowledged data, or with an unanswered
+/// keep-alive probe, is closed. Longer than a sound peer may be silent, plus the time
+/// before the first probe.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Interval between TCP keep-alive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -376,9 +379,13 @@
 
 /// Configures a socket for small messages and early detection of silent
 /// connections.
-pub(crate) fn configure_socket(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
+///
+/// # Errors
+///
+/// If the system refuses an option.
+pub fn configure_socket(stream: &impl AsFd) -> io::Result<()> {
     let socket = SockRef::from(stream);
+    socket.set_tcp_nodelay(true)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -14,5 +14,6 @@
 mod rate_limit;
 mod replica;
 mod reservation;
+mod sockets;
 mod store;
 mod versions;
