gateway: tests of relayed streams, items and crash evidence; idle relayed connections end

Two peers of any data centre are asked, as one may have lost its link as well. Idle connections are closed when their relay leaves or is cut off, or when the own link is back, so that a stopping relay need not wait for them.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -355,6 +355,18 @@
         drop(connections);
     }
 
+    /// Closes idle connections through relays unless `is_needed` holds for the address
+    /// and the relay.
+    pub(crate) fn close_relayed(&self, is_needed: impl Fn(SocketAddr, SocketAddr) -> bool) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        for connections in idle.values_mut() {
+            connections.retain(|connection| {
+                let relay = connection.relay;
+                relay.is_none_or(|relay| is_needed(connection.address, relay))
+            });
+        }
+    }
+
     /// Closes connections whose idle timeout has passed.
     pub(crate) fn close_expired(&self) {
         let now = clock::now();
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -8,6 +8,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -53,6 +54,8 @@
     links: links::Monitor,
     suspicions: Mutex<HashMap<Process, Suspicion>>,
     quarantine: Mutex<Quarantine>,
+    /// Processes that were found to have ended.
+    ended: AtomicUsize,
 }
 
 impl Monitor {
@@ -69,6 +72,7 @@
             links,
             suspicions: Mutex::default(),
             quarantine: Mutex::default(),
+            ended: AtomicUsize::default(),
         }))
     }
 
@@ -128,6 +132,7 @@
         if let (Some(suspicion), true) = (suspicion, has_ended) {
             let (now, suspects) = (clock::now(), &suspicion.suspects);
             let broken_for = now.saturating_sub(suspicion.broken_at);
+            self.0.ended.fetch_add(1, Ordering::Relaxed);
             log::replica_ended(&process, suspicion.requests, suspects, broken_for);
             let pool = self.0.pool.lock();
             pool.unwrap_or_else(PoisonError::into_inner)
@@ -147,6 +152,11 @@
         connector.is_refused(address, PROBE_TIMEOUT).await == Some(true)
     }
 
+    /// Number of processes that were found to have ended.
+    pub(crate) fn ended(&self) -> usize {
+        self.0.ended.load(Ordering::Relaxed)
+    }
+
     fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         let quarantine = &self.0.quarantine;
         quarantine.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -140,6 +140,18 @@
         self.core.peers().live(clock::now()).count()
     }
 
+    /// Whether the daemon has lost its links to the replicas.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        self.core.links.is_cut_off()
+    }
+
+    /// Number of processes of replicas that were found to have ended under requests.
+    #[must_use]
+    pub fn ended_replicas(&self) -> usize {
+        self.core.crashes.ended()
+    }
+
     /// Version of the current manifest.
     #[must_use]
     pub fn manifest_version(&self) -> Option<u64> {
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -40,6 +40,9 @@
 /// Maximum number of relays that are asked for one connection.
 const MAX_RELAYS_ASKED: usize = 3;
 
+/// Peers that are asked whether a replica has ended.
+const MAX_WITNESSES: usize = 2;
+
 /// Time of the latest answer over an own link, in milliseconds of the boot clock.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct AnswerTime(Arc<AtomicU64>);
@@ -368,8 +371,37 @@
     }
 
     /// Whether a replica that refuses connections of this daemon accepts those of a
-    /// peer, so that it is this daemon's link that is broken.
+    /// peer, so that it is this daemon's link that is broken. Asks several peers of any
+    /// data centre, as one may have lost its link, too.
     pub(crate) async fn is_reached_by_peer(&self, id: &str, address: SocketAddr) -> bool {
-        self.is_cut_off() || self.open_relayed(id, address, "").await.is_ok()
+        if self.is_cut_off() {
+            return true;
+        }
+        let mut relays = self.relays();
+        for _ in 0..MAX_WITNESSES {
+            let Some(relay) = choose_relay(&relays, ["", ""], rand::random) else {
+                break;
+            };
+            if relay::open(&self.0.connector, relay, id, address)
+                .await
+                .is_ok()
+            {
+                return true;
+            }
+            relays.retain(|other| other.address != relay);
+        }
+        false
+    }
+
+    /// Closes idle connections through relays that are leaving, lost or cut off, and
+    /// those to replicas to which this daemon has a link again.
+    pub(crate) fn close_unneeded(&self) {
+        let relays = self.relays();
+        let now = clock::now();
+        let links = self.links();
+        self.0.connector.close_relayed(|address, relay| {
+            let is_relay = relays.iter().any(|usable| usable.address == relay);
+            is_relay && links.path(now, address) != Path::Direct
+        });
     }
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -185,6 +185,7 @@
         core.crashes.expire();
         core.tokens.expire();
         core.streams.expire();
+        core.links.close_unneeded();
         core.connector.close_expired();
     }
 }
--- a/crates/gateway/tests/gateway/batch.rs
+++ b/crates/gateway/tests/gateway/batch.rs
@@ -14,7 +14,7 @@
 const EVENTS: &str = "signature: s\r\ncontent-type: text/event-stream\r\nconnection: close\r\n";
 const COMPLETE: Action = Action::Respond(200, EVENTS, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 
-fn submit(id: &str) -> String {
+pub(crate) fn submit(id: &str) -> String {
     request("POST", "/items/", id, "one\ntwo\n")
 }
 
@@ -23,7 +23,7 @@
 }
 
 /// Polls a daemon until a job has at least `count` results.
-async fn results(gateway: &Gateway, id: &str, count: usize) -> Vec<String> {
+pub(crate) async fn results(gateway: &Gateway, id: &str, count: usize) -> Vec<String> {
     loop {
         let response = gateway.fetch(&read(id)).await;
         assert_eq!(status(&response), 200, "{response}");
--- a/crates/gateway/tests/gateway/links.rs
+++ b/crates/gateway/tests/gateway/links.rs
@@ -1,7 +1,11 @@
 //! A daemon that loses its links to all replicas, beside one that keeps them.
 
+use std::time::Duration;
+
 use bitterncart_testing::cases;
+use futures_lite::AsyncReadExt;
 
+use crate::batch::{results, submit};
 use crate::harness::{Gateway, post, status, store, wait_until};
 use crate::link::{Link, State};
 use crate::replica::{Action, ScriptedReplica, header};
@@ -18,44 +22,76 @@
 /// Requests that are served in a row before a daemon counts as recovered.
 const REQUESTS: usize = 10;
 
+const EVENTS: &str = "signature: s\r\ncontent-type: text/event-stream\r\nconnection: close\r\n";
+const FIRST_EVENT: Action = Action::Respond(200, EVENTS, "id: 1\ndata: a\n\n");
+const SECOND_EVENT: &str = "id: 2\ndata: b\n\n";
+
+/// Streams that are open while a relay is lost.
+const STREAMS: usize = 6;
+
 fn script(head: &str) -> Vec<Action> {
+    let second = || Action::Send(SECOND_EVENT.to_owned());
     match head {
+        _ if head.contains("last-event: 1") => {
+            vec![Action::Respond(200, EVENTS, SECOND_EVENT), Action::Close]
+        }
+        _ if head.contains("/stalled ") => vec![FIRST_EVENT, Action::AwaitDisconnect],
+        _ if head.contains("/slow ") => {
+            let pause = Action::Wait(Duration::from_millis(500));
+            vec![FIRST_EVENT, pause, second(), Action::Close]
+        }
+        _ if head.contains("/hangs ") => vec![Action::AwaitDisconnect],
+        _ if head.starts_with("POST /items/") => vec![FIRST_EVENT, second(), Action::Close],
         _ if head.starts_with("POST /reserve ") => vec![RESERVED],
         _ if head.contains("/close ") => vec![OK_AND_CLOSE, Action::Close],
         _ => vec![OK_RESPONSE],
     }
 }
 
-/// Two replicas, a daemon that reaches them over links, and one that does so directly.
+/// Replicas, a daemon that reaches them over links, and one that does so directly.
 struct Fleet {
     links: Vec<Link>,
     replicas: Vec<ScriptedReplica>,
     cut_off: Gateway,
-    _linked: Gateway,
+    linked: Vec<Gateway>,
 }
 
 impl Fleet {
-    async fn start() -> Self {
+    /// Starts the fleet with two replicas and `relays` daemons that keep their links.
+    async fn start(relays: usize) -> Self {
         let mut replicas = Vec::new();
         for id in ["r1", "r2"] {
             replicas.push(ScriptedReplica::start_with(id, script).await);
         }
         let links: Vec<Link> = replicas.iter().map(Link::start).collect();
         let store: MemoryStore = store(&replicas.iter().collect::<Vec<_>>());
-        let linked = Gateway::start(&store).await;
+        let mut linked = Vec::new();
+        for _ in 0..relays {
+            linked.push(Gateway::start(&store).await);
+        }
         let cut_off = Gateway::start(&store.seen_over(&links)).await;
-        wait_until("both daemons to know each other", || {
-            linked.daemon.live_peers() == 1 && cut_off.daemon.live_peers() == 1
+        wait_until("all daemons to know each other", || {
+            let mut daemons = linked.iter().chain([&cut_off]);
+            daemons.all(|gateway| gateway.daemon.live_peers() == relays)
         })
         .await;
         Self {
             links,
             replicas,
             cut_off,
-            _linked: linked,
+            linked,
         }
     }
 
+    /// Starts the fleet, and cuts the links of one daemon until it uses a relay.
+    async fn start_cut_off(relays: usize) -> Self {
+        let fleet = Self::start(relays).await;
+        fleet.set_links(State::Silent);
+        let is_served = || smol::block_on(fleet.serves("/idempotent/a", "during"));
+        wait_until("a request to be served during the cut", is_served).await;
+        fleet
+    }
+
     fn set_links(&self, state: State) {
         self.links.iter().for_each(|link| link.set(state));
     }
@@ -71,7 +107,7 @@
     /// the replicas, although other daemons reach them.
     fn daemon_without_links_serves_over_its_peer(path: &str, cut: State) {
         smol::block_on(async {
-            let fleet = Fleet::start().await;
+            let fleet = Fleet::start(1).await;
             assert!(fleet.serves(path, "before").await);
             fleet.set_links(cut);
             let is_served = || smol::block_on(fleet.serves(path, "during"));
@@ -129,3 +165,82 @@
     reset_link_once("/once/a", State::Reset);
     refused_connection_idempotent("/idempotent/close", State::Refusing);
 }
+
+cases! {
+    /// The replica must stop soon after the client has left, also behind a relay.
+    fn client_that_leaves_ends_the_relayed_request(path: &str) {
+        smol::block_on(async {
+            let fleet = Fleet::start_cut_off(1).await;
+            fleet.cut_off.fetch_until(&post(path, "id"), "data: a").await;
+            let is_ended = || fleet.replicas.iter().any(|replica| replica.disconnects() == 1);
+            wait_until("the replica to see the disconnect", is_ended).await;
+        });
+    }
+    client_leaves_stream("/stream/stalled");
+    client_leaves_resumable_stream("/resumable/stalled");
+}
+
+/// A relay that is killed breaks the streams that it carried; each goes on after its last
+/// event through another one.
+#[test]
+fn streams_go_on_when_their_relay_is_lost() {
+    smol::block_on(async {
+        let mut fleet = Fleet::start_cut_off(2).await;
+        let lost = fleet.linked.pop();
+        let mut streams = Vec::new();
+        for n in 0..STREAMS {
+            let request = post("/resumable/slow", &format!("id{n}"));
+            streams.push(fleet.cut_off.send(&request).await);
+        }
+        let started = || {
+            let heads = fleet.replicas.iter().flat_map(ScriptedReplica::requests);
+            heads.filter(|head| head.contains("/slow ")).count()
+        };
+        wait_until("all streams to start", || started() == STREAMS).await;
+        drop(lost);
+        for mut stream in streams {
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).await.expect("an answer");
+            let (head, body) = answer.split_once("\r\n\r\n").expect("a response");
+            assert!(head.contains(" 200 "), "{answer}");
+            let events: Vec<&str> = body.lines().filter(|l| l.starts_with("data: ")).collect();
+            assert_eq!(events, ["data: a", "data: b"], "{answer}");
+        }
+    });
+}
+
+/// A request that breaks with the links is no evidence of a crash: the replica runs on, as
+/// a peer finds.
+#[test]
+fn reset_links_end_no_process() {
+    smol::block_on(async {
+        let fleet = Fleet::start(1).await;
+        let pending = fleet.cut_off.send(&post("/once/hangs", "id")).await;
+        let hangs = || {
+            let mut heads = fleet.replicas.iter().flat_map(ScriptedReplica::requests);
+            heads.any(|head| head.contains("/hangs "))
+        };
+        wait_until("a replica to have the request", hangs).await;
+        fleet.set_links(State::Reset);
+        wait_until("the daemon to use a relay", || {
+            let is_served = smol::block_on(fleet.serves("/idempotent/a", "during"));
+            is_served && fleet.cut_off.daemon.is_cut_off()
+        })
+        .await;
+        drop(pending);
+        assert_eq!(fleet.cut_off.daemon.ended_replicas(), 0);
+    });
+}
+
+#[test]
+fn items_run_once_over_a_relay() {
+    smol::block_on(async {
+        let fleet = Fleet::start_cut_off(1).await;
+        assert_eq!(status(&fleet.cut_off.fetch(&submit("job")).await), 202);
+        let lines = results(&fleet.cut_off, "job", 2).await;
+        assert!(lines.iter().all(|line| line.ends_with("a,b")), "{lines:?}");
+        let heads = fleet.replicas.iter().flat_map(ScriptedReplica::requests);
+        let items = heads.filter(|head| head.starts_with("POST /items/"));
+        assert_eq!(items.count(), 2);
+    });
+}
