gateway: a catalog of software versions outlives the daemons

The versions of each service now have records in the store, beside the registered daemons: since when each is listed and, once it has left, until when. One live daemon writes when the list changes; a daemon reads them as it starts. A service with one version that has been recorded for long enough needs no following of the list; a version that left counts for a minute more.

versions::stream_continues_after_a_loss_of_all_daemons fails without the records' word in Versions::covers.

--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod admission_queue;
 pub mod backlog;
+pub mod catalog;
 pub mod checkpoint;
 mod datagram;
 pub mod links;
@@ -28,6 +29,7 @@
 pub mod streams;
 
 pub use backlog::{Backlog, Group, Queued};
+pub use catalog::Catalog;
 pub use links::Links;
 pub use manifest::{Batch, Kind, Limits, Manifest, Route};
 pub use ownership::{Candidate, CutOff, Member, View};
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod admission_queue;
 mod backlog;
 mod builds;
+mod catalog;
 mod checkpoint;
 mod departure;
 mod links;
--- /dev/null
+++ b/crates/gateway/src/catalog.rs
@@ -0,0 +1,92 @@
+//! Keeps the catalog of software versions in the store, beside the registered daemons.
+
+use std::time::Duration;
+
+use bitterncart_protocol::hash;
+use bitterncart_state::ledger::Record;
+
+use crate::clock;
+use crate::core::Core;
+use crate::daemon::read_members;
+use crate::dialect::Dialect;
+use crate::log;
+use crate::store::{Store, Topic};
+
+/// Interval between comparisons of the catalog with the listed versions.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Timeout of a write.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Writes what has changed as long as the daemon runs. Of the live daemons, one writes
+/// each record; if two do, the later record has the same meaning.
+pub(crate) async fn maintain<S: Store, D: Dialect>(core: Core<S, D>) {
+    loop {
+        smol::Timer::after(CHECK_INTERVAL).await;
+        let is_settled = core.knows_members() && core.peers().is_stable(clock::now());
+        if !is_settled
+            || !core.pool().is_list_current(clock::now())
+            || own_changes(&core).is_empty()
+        {
+            continue;
+        }
+        // Another daemon may have written them.
+        if let Err(e) = read_members(&core).await {
+            core.record_store_failure("versions", &e);
+            continue;
+        }
+        let changes = own_changes(&core);
+        if changes.is_empty() {
+            continue;
+        }
+        let written = core
+            .store
+            .append(Topic::Members, None, &changes, WRITE_TIMEOUT)
+            .await;
+        match written {
+            Ok(_) => {
+                core.record_store_success();
+                apply(&core, &changes);
+                log::versions_recorded(&changes);
+            }
+            Err(e) => core.record_store_failure("versions", &e),
+        }
+    }
+}
+
+/// Applies records of the catalog.
+pub(crate) fn apply<S: Store, D: Dialect>(core: &Core<S, D>, records: &[Record]) {
+    let mut catalog = core.catalog();
+    for record in records {
+        catalog.apply(&record.key, record.value.as_deref());
+    }
+    let sole_versions = catalog.sole_versions(wall_ms());
+    drop(catalog);
+    core.pool()
+        .set_recorded_versions(clock::now(), sole_versions);
+}
+
+/// Records that are to be written by this daemon.
+fn own_changes<S: Store, D: Dialect>(core: &Core<S, D>) -> Vec<Record> {
+    let listed = core.pool().listed_versions();
+    let changes = core.catalog().changes(wall_ms(), &listed);
+    let is_own = |key: &str| {
+        let score = |address: std::net::SocketAddr| {
+            hash::rendezvous_score(key.as_bytes(), address.to_string().as_bytes())
+        };
+        let own_score = score(core.peer_address());
+        let peers = core.peers();
+        let mut others = peers.live(clock::now()).filter(|peer| !peer.leaving);
+        !others.any(|peer| score(peer.from) > own_score)
+    };
+    let own = changes.into_iter().filter(|change| is_own(&change.key));
+    let record = own.map(|change| Record {
+        key: change.key,
+        value: change.value.map(String::into_bytes),
+    });
+    record.collect()
+}
+
+fn wall_ms() -> u64 {
+    clock::wall().as_millis() as u64
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -15,7 +15,7 @@
 use bitterncart_coordination::fleet::pool::Key as Replica;
 use bitterncart_coordination::fleet::quarantine::{Subject, Verdict};
 use bitterncart_coordination::fleet::{
-    CutOff, Heartbeat, Manifest, Peers, Pool, Profile, admission_queue, ownership,
+    Catalog, CutOff, Heartbeat, Manifest, Peers, Pool, Profile, admission_queue, ownership,
 };
 use bitterncart_protocol::hash;
 use event_listener::Event;
@@ -73,6 +73,7 @@
     ownership_table: Mutex<ownership::Table>,
     pool: Arc<Mutex<Pool>>,
     admission_queue: Mutex<admission_queue::Queue>,
+    catalog: Mutex<Catalog>,
     /// Notified when a slot is offered to a request in the admission queue.
     pub slot_offered: Event,
     /// Daemons registered in the store; `None` until they have been read.
@@ -151,6 +152,7 @@
             members: Mutex::default(),
             pool,
             admission_queue: Mutex::default(),
+            catalog: Mutex::default(),
             slot_offered: Event::new(),
             draining: AtomicBool::new(false),
             closing: AtomicBool::new(false),
@@ -200,6 +202,10 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn catalog(&self) -> MutexGuard<'_, Catalog> {
+        self.catalog.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Offers a free slot to the requests in the admission queue.
     pub(crate) fn offer_slot(&self, service: &str, replica: Replica) {
         if self.admission_queue().offer(clock::now(), service, replica) {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -29,7 +29,7 @@
 use crate::settings::Settings;
 use crate::shard::Shard;
 use crate::store::{Failure, Store, Topic};
-use crate::{gossip, runner, shard, watch};
+use crate::{catalog, gossip, runner, shard, watch};
 
 /// Time after the start of the shutdown for which connections are still
 /// accepted. The load balancer checks readiness once a second and takes a daemon
@@ -116,6 +116,7 @@
             core.spawn(shard::run_writer(core.clone(), number)).detach();
         }
         core.spawn(follow_members(core.clone())).detach();
+        core.spawn(catalog::maintain(core.clone())).detach();
         Ok(Self {
             core,
             open_connections,
@@ -224,8 +225,8 @@
     }
 }
 
-/// Reads the daemons registered in the store.
-async fn read_members<S: Store, D: Dialect>(
+/// Reads the daemons registered in the store, and the catalog beside them.
+pub(crate) async fn read_members<S: Store, D: Dialect>(
     core: &Core<S, D>,
 ) -> Result<BTreeSet<SocketAddr>, Failure> {
     let mut members = BTreeSet::new();
@@ -236,6 +237,7 @@
             .read_newest(Topic::Members, after.as_deref())
             .await?;
         core.record_store_success();
+        catalog::apply(core, &page.records);
         // Other versions may use other keys; those are skipped.
         members.extend(
             page.records
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,10 +9,11 @@
 //! The tasks of a daemon run on one executor and share its state. A task that
 //! needs several locks takes them in this order: manifest, ledger, runs, peers,
 //! cut-off daemons, ownership table, pool, admission queue, quarantine, streams,
-//! buckets, asks, links, idle connections.
+//! buckets, asks, links, idle connections. The catalog is locked alone.
 
 mod availability;
 mod body;
+mod catalog;
 mod checkpoint;
 mod clock;
 pub mod connection;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -14,6 +14,7 @@
 use bitterncart_coordination::fleet::replica::Process;
 use bitterncart_coordination::fleet::{Build, Decision, Outcome, Profile, Route};
 use bitterncart_protocol::Code;
+use bitterncart_state::ledger::Record;
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::{Sink, StdStreamSink};
 use spdlog::{info, warn};
@@ -280,6 +281,11 @@
     }
 }
 
+pub(crate) fn versions_recorded(records: &[Record]) {
+    let keys: Vec<&str> = records.iter().map(|record| record.key.as_str()).collect();
+    info!("catalog of software versions changed", kv: { keys:? = keys });
+}
+
 pub(crate) fn replica_departing(replica: &str, born_ms: u64) {
     info!("replica announced its departure; it gets no more requests", kv: { replica, born_ms });
 }
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::{Replica, Stage};
+use bitterncart_gateway::store::Topic;
 
 use crate::harness::{Gateway, WAIT_TIMEOUT, post, status, store, wait_until};
 use crate::replica::{Action, ScriptedReplica, header};
@@ -188,3 +189,44 @@
         assert_not_resumable(&gateway, &replicas, &request).await;
     });
 }
+
+/// Guards against clients that take up a stream after a loss of all daemons and are
+/// refused, though the service has had one version all along.
+#[test]
+fn stream_continues_after_a_loss_of_all_daemons() {
+    smol::block_on(async {
+        let replicas = start_replicas().await;
+        let store = store(&replicas[..2].iter().collect::<Vec<_>>());
+        // A daemon wrote this long before.
+        let version = replicas[0].version();
+        store.put(Topic::Members, &format!("version/s\u{1f}{version}"), "1");
+        let gateway = Gateway::start(&store).await;
+        wait_until("the daemon to be registered", || {
+            store.count_records("127.") == 1
+        })
+        .await;
+        let is_served = || {
+            let response = smol::block_on(gateway.fetch(&taken_up("second", "first")));
+            status(&response) == 200
+        };
+        let started = std::time::Instant::now();
+        wait_until("the stream to go on", is_served).await;
+        assert!(
+            started.elapsed() < Duration::from_secs(4),
+            "less than two timeouts"
+        );
+    });
+}
+
+/// Daemons record the versions of the list, each once.
+#[test]
+fn versions_are_recorded_once() {
+    smol::block_on(async {
+        let replicas = start_replicas().await;
+        let store = store(&replicas.iter().collect::<Vec<_>>());
+        let _gateways = start_gateways(&store, 3).await;
+        wait_until("the records", || store.count_records("version/") >= 2).await;
+        smol::Timer::after(Duration::from_millis(1500)).await;
+        assert_eq!(store.count_records("version/"), 2);
+    });
+}
