gateway: a relay without answers says that it may be cut off itself

Callers of a daemon that is cut off got 503 while a replica was silent for everybody: a relay that could not connect to that replica was not asked for anything for half a second, and with few relays none was left. Only the relay can tell the two apart: if it had an answer over its own links while it tried, the replica is unreachable; if not, it may be cut off, and another one is asked.

--- a/crates/coordination/src/fleet/links.rs
+++ b/crates/coordination/src/fleet/links.rs
@@ -233,6 +233,13 @@
         self.answered_at = self.answered_at.max(at);
     }
 
+    /// Whether an answer came over an own link since a time. A relay that failed to
+    /// connect and had none meanwhile may be cut off itself.
+    #[must_use]
+    pub fn has_answer_since(&self, time: Duration) -> bool {
+        self.answered_at >= time
+    }
+
     /// Time since the latest answer over an own link.
     #[must_use]
     pub fn answered_ago(&self, now: Duration) -> Duration {
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -225,12 +225,11 @@
                 break;
             };
             let opened = relay::open(&self.0.connector, relay, id, address).await;
-            if matches!(opened, Err(Failure::NoRelay | Failure::Unreachable)) {
-                // It may be cut off as well, without having noticed.
-                self.links().record_failed_relay(clock::now(), relay);
-            }
             match opened {
-                Err(Failure::NoRelay) => relays.retain(|other| other.address != relay),
+                Err(Failure::NoRelay) => {
+                    self.links().record_failed_relay(clock::now(), relay);
+                    relays.retain(|other| other.address != relay);
+                }
                 opened => {
                     let end = if opened.is_ok() {
                         "opened"
@@ -246,6 +245,11 @@
         Err(Failure::NoRelay)
     }
 
+    /// Whether an answer came over an own link since a time.
+    pub(crate) fn has_answer_since(&self, time: Duration) -> bool {
+        self.links().has_answer_since(time)
+    }
+
     /// Records that a direct connection was opened.
     pub(crate) fn record_opened(&self, address: SocketAddr) {
         self.links().record_opened(address);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,7 +22,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::body::Body;
-use crate::clock::with_timeout;
+use crate::clock::{self, with_timeout};
 use crate::connection::{Connection, Connector, Error, connect};
 use crate::core::Core;
 use crate::dialect::Dialect;
@@ -148,6 +148,7 @@
         core.metrics.relay("refused");
         return response(StatusCode::SERVICE_UNAVAILABLE);
     };
+    let started = clock::now();
     let replica = match connect(address, CONNECT_TIMEOUT).await {
         Ok(replica) => replica,
         Err(e) => {
@@ -157,6 +158,8 @@
                 io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => {
                     StatusCode::BAD_GATEWAY
                 }
+                // This daemon may be cut off as well; another relay knows better.
+                _ if !core.links.has_answer_since(started) => StatusCode::SERVICE_UNAVAILABLE,
                 _ => StatusCode::GATEWAY_TIMEOUT,
             });
         }
--- a/crates/gateway/tests/gateway/links.rs
+++ b/crates/gateway/tests/gateway/links.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use bitterncart_coordination::fleet::Replica;
 use bitterncart_testing::cases;
-use futures_lite::AsyncReadExt;
+use futures_lite::{AsyncReadExt, future};
 
 use crate::batch::{results, submit};
 use crate::harness::{Gateway, post, status, store, wait_until};
@@ -54,6 +55,7 @@
     replicas: Vec<ScriptedReplica>,
     cut_off: Gateway,
     linked: Vec<Gateway>,
+    store: MemoryStore,
 }
 
 impl Fleet {
@@ -80,6 +82,7 @@
             replicas,
             cut_off,
             linked,
+            store,
         }
     }
 
@@ -244,3 +247,37 @@
         assert_eq!(items.count(), 2);
     });
 }
+
+/// A replica that is silent for all takes no relay away from the others: the relay has
+/// answers from elsewhere, so it says that the replica is unreachable.
+#[test]
+fn silent_replica_behind_a_relay_costs_no_other_request() {
+    smol::block_on(async {
+        let fleet = Fleet::start_cut_off(1).await;
+        let (silent, sound) = (&fleet.replicas[0], &fleet.replicas[1]);
+        // Nobody accepts connections at its address any more.
+        let dead = Link::start(silent);
+        dead.set(State::Silent);
+        fleet.store.publish_replica(&Replica {
+            address: dead.address,
+            born_ms: 2,
+            ..silent.record()
+        });
+        let busy = async {
+            for n in 0.. {
+                let request = post("/idempotent/close", &format!("busy{n}"));
+                fleet.linked[0].fetch(&request).await;
+                smol::Timer::after(Duration::from_millis(20)).await;
+            }
+        };
+        let served = async {
+            smol::Timer::after(Duration::from_secs(1)).await;
+            for n in 0..REQUESTS {
+                let id = format!("id{n}");
+                assert!(fleet.serves("/idempotent/close", &id).await, "request {n}");
+            }
+        };
+        future::or(busy, served).await;
+        assert!(!sound.requests().is_empty());
+    });
+}
