coordination, gateway: targets of links in a file of their own, parts of the monitor by name

The monitor of links takes its parts as one struct in place of two tuples. abort_repeatable says which connections it gives up. Moves and names only.

--- a/crates/coordination/src/fleet/pool.rs
+++ b/crates/coordination/src/fleet/pool.rs
@@ -18,6 +18,7 @@
 //! A replica that says in an answer that it is leaving gets no more requests,
 //! whatever the listing says, until another process takes its place.
 
+mod links;
 mod shortage;
 mod versions;
 
@@ -31,7 +32,6 @@
 
 use self::versions::Versions;
 use super::backlog::{self, Backlog, Group, Queued};
-use super::links::Target;
 use super::peers::short_hash;
 use super::rate_limit::Limits;
 use super::replica::{Build, Process, Replica, Stage};
@@ -757,46 +757,6 @@
         }
     }
 
-    /// Forgets the backoffs of all replicas, as the links of this daemon were the cause.
-    pub fn forget_failures(&mut self) {
-        for entry in self.entries.values_mut() {
-            entry.failures = 0;
-            entry.backoff_until = Duration::ZERO;
-        }
-    }
-
-    /// Replicas in service, as targets of links.
-    #[must_use]
-    pub fn link_targets(&self, now: Duration) -> Vec<Target> {
-        let entries = self.entries.values().filter(|e| e.is_in_service(now));
-        let target = |e: &Entry| Target {
-            id: e.replica.id.clone(),
-            address: e.replica.address,
-            service: e.replica.service.clone(),
-            data_centre: e.replica.data_centre.clone(),
-        };
-        entries.map(target).collect()
-    }
-
-    /// Addresses of the replicas at which this daemon has requests.
-    pub fn in_use(&self) -> impl Iterator<Item = SocketAddr> {
-        let entries = self.entries.values().filter(|e| e.own.total() > 0);
-        entries.map(|e| e.replica.address)
-    }
-
-    /// Data centre of a replica.
-    #[must_use]
-    pub fn data_centre_of(&self, key: Key) -> Option<CompactString> {
-        Some(self.entries.get(key)?.replica.data_centre.clone())
-    }
-
-    /// Address of a replica that may be connected to.
-    #[must_use]
-    pub fn address_of(&self, id: &str) -> Option<SocketAddr> {
-        let entry = self.entries.get(*self.by_id.get(id)?)?;
-        Some(entry.replica.address)
-    }
-
     /// Records that a replica reported no free slot.
     pub fn record_full(&mut self, now: Duration, key: Key) {
         if let Some(entry) = self.entries.get_mut(key) {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -319,7 +319,7 @@
     }
 
     /// Gives up the connections whose request may be repeated elsewhere.
-    pub(crate) fn abort_abortable(&self) {
+    pub(crate) fn abort_repeatable(&self) {
         self.abort_requested.notify(usize::MAX);
     }
 
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -115,13 +115,15 @@
         let socket = Arc::<Socket>::default();
         let peers = Arc::<Mutex<Peers>>::default();
         let metrics = Arc::<Metrics>::default();
-        let links = links::Monitor::new(
-            settings.data_centre.clone(),
-            settings.capacity_millicores(),
-            (Arc::clone(&pool), Arc::clone(&peers)),
-            (connector.clone(), Arc::clone(&executor)),
-            Arc::clone(&metrics),
-        );
+        let links = links::Monitor::new(links::Shared {
+            data_centre: settings.data_centre.clone(),
+            capacity: settings.capacity_millicores(),
+            pool: Arc::clone(&pool),
+            peers: Arc::clone(&peers),
+            connector: connector.clone(),
+            executor: Arc::clone(&executor),
+            metrics: Arc::clone(&metrics),
+        });
         Self(Arc::new(State {
             current_settings: RwLock::new(settings.clone()),
             settings,
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -62,15 +62,23 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Monitor(Arc<State>);
 
+/// What the monitor shares with the rest of the daemon.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    /// Data centre of this daemon.
+    pub data_centre: CompactString,
+    /// Its processor capacity, in thousandths of a core.
+    pub capacity: u32,
+    pub pool: Arc<Mutex<Pool>>,
+    pub peers: Arc<Mutex<Peers>>,
+    pub connector: Connector,
+    pub executor: Arc<Executor<'static>>,
+    pub metrics: Arc<Metrics>,
+}
+
 #[derive(Debug)]
 struct State {
-    data_centre: CompactString,
-    capacity: u32,
-    pool: Arc<Mutex<Pool>>,
-    peers: Arc<Mutex<Peers>>,
-    connector: Connector,
-    executor: Arc<Executor<'static>>,
-    metrics: Arc<Metrics>,
+    shared: Shared,
     links: Mutex<Links>,
     answered: AnswerTime,
     /// Connections that this daemon relays for others.
@@ -78,21 +86,9 @@
 }
 
 impl Monitor {
-    pub(crate) fn new(
-        data_centre: CompactString,
-        capacity: u32,
-        (pool, peers): (Arc<Mutex<Pool>>, Arc<Mutex<Peers>>),
-        (connector, executor): (Connector, Arc<Executor<'static>>),
-        metrics: Arc<Metrics>,
-    ) -> Self {
+    pub(crate) fn new(shared: Shared) -> Self {
         Self(Arc::new(State {
-            data_centre,
-            capacity,
-            pool,
-            peers,
-            connector,
-            executor,
-            metrics,
+            shared,
             links: Mutex::default(),
             answered: AnswerTime::default(),
             relayed: Arc::default(),
@@ -108,7 +104,11 @@
     }
 
     fn pool(&self) -> MutexGuard<'_, Pool> {
-        self.0.pool.lock().unwrap_or_else(PoisonError::into_inner)
+        self.0
+            .shared
+            .pool
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     fn targets(&self) -> Vec<Target> {
@@ -146,9 +146,9 @@
 
     /// Peers that can relay connections.
     fn relays(&self) -> Vec<Relay> {
-        let peers = self.0.peers.lock();
+        let peers = self.0.shared.peers.lock();
         let peers = peers.unwrap_or_else(PoisonError::into_inner);
-        peers.relays(clock::now(), self.0.capacity)
+        peers.relays(clock::now(), self.0.shared.capacity)
     }
 
     /// Returns an idle connection to a replica, or opens one.
@@ -167,7 +167,12 @@
             (Path::Relayed { reuses_direct }, None) => reuses_direct,
             (_, Some(relay)) => relays.iter().any(|usable| usable.address == relay),
         };
-        match self.0.connector.take_idle(selection.address, is_usable) {
+        match self
+            .0
+            .shared
+            .connector
+            .take_idle(selection.address, is_usable)
+        {
             Some(connection) => Ok(connection),
             None => self.open(selection, timeout).await,
         }
@@ -197,7 +202,7 @@
         address: SocketAddr,
         timeout: Duration,
     ) -> Result<Connection, Error> {
-        match self.0.connector.open(address, timeout).await {
+        match self.0.shared.connector.open(address, timeout).await {
             Ok(connection) => {
                 self.record_opened(address);
                 Ok(connection.answering(&self.0.answered))
@@ -220,11 +225,11 @@
         let mut relays = self.relays();
         relays.retain(|relay| self.links().may_ask(clock::now(), relay.address));
         for _ in 0..MAX_RELAYS_ASKED {
-            let near = [self.0.data_centre.as_str(), data_centre];
+            let near = [self.0.shared.data_centre.as_str(), data_centre];
             let Some(relay) = choose_relay(&relays, near, rand::random) else {
                 break;
             };
-            let opened = relay::open(&self.0.connector, relay, id, address).await;
+            let opened = relay::open(&self.0.shared.connector, relay, id, address).await;
             match opened {
                 Err(Failure::NoRelay) => {
                     self.links().record_failed_relay(clock::now(), relay);
@@ -236,12 +241,12 @@
                     } else {
                         "unreachable"
                     };
-                    self.0.metrics.relayed_connection(end);
+                    self.0.shared.metrics.relayed_connection(end);
                     return opened;
                 }
             }
         }
-        self.0.metrics.relayed_connection("no_relay");
+        self.0.shared.metrics.relayed_connection("no_relay");
         Err(Failure::NoRelay)
     }
 
@@ -285,22 +290,22 @@
                 Some(_) => (relay_time * CHECK_FACTOR).clamp(MIN_CHECK_TIMEOUT, CONNECT_TIMEOUT),
                 None => CONNECT_TIMEOUT,
             };
-            let result = match monitor.0.connector.open(address, timeout).await {
+            let result = match monitor.0.shared.connector.open(address, timeout).await {
                 Ok(connection) => {
                     let connection = connection.answering(&monitor.0.answered);
-                    monitor.0.connector.release(connection);
+                    monitor.0.shared.connector.release(connection);
                     Check::Opened
                 }
                 Err(_) if relayed.is_some() => Check::Broken,
                 Err(_) => Check::Unreachable,
             };
             if let (Check::Broken, Some(connection)) = (result, relayed) {
-                monitor.0.connector.release(connection);
+                monitor.0.shared.connector.release(connection);
             }
             log::link_checked(address, result);
             monitor.record_check(address, result);
         };
-        self.0.executor.spawn(check).detach();
+        self.0.shared.executor.spawn(check).detach();
     }
 
     fn record_check(&self, address: SocketAddr, result: Check) {
@@ -309,7 +314,7 @@
         let step = self
             .links()
             .record_check(now, address, result, &targets, rand::random);
-        self.0.metrics.link_checked(result);
+        self.0.shared.metrics.link_checked(result);
         self.apply(step.change);
         step.check
             .into_iter()
@@ -322,7 +327,7 @@
         // The failures were those of the links.
         self.pool().forget_failures();
         if change == (Change::CutOff { is_silent: true }) {
-            self.0.connector.abort_abortable();
+            self.0.shared.connector.abort_repeatable();
         }
     }
 
@@ -343,7 +348,7 @@
             self.apply(change);
             if let Some(address) = probed {
                 let probe = self.clone().probe(address);
-                self.0.executor.spawn(probe).detach();
+                self.0.shared.executor.spawn(probe).detach();
             }
         }
     }
@@ -362,10 +367,10 @@
 
     /// Probes a broken link. The connection is kept for requests.
     async fn probe(self, address: SocketAddr) {
-        let result = match self.0.connector.open(address, CONNECT_TIMEOUT).await {
+        let result = match self.0.shared.connector.open(address, CONNECT_TIMEOUT).await {
             Ok(connection) => {
                 let connection = connection.answering(&self.0.answered);
-                self.0.connector.release(connection);
+                self.0.shared.connector.release(connection);
                 log::link_checked(address, Check::Opened);
                 Check::Opened
             }
@@ -386,7 +391,7 @@
             let Some(relay) = choose_relay(&relays, ["", ""], rand::random) else {
                 break;
             };
-            if relay::open(&self.0.connector, relay, id, address)
+            if relay::open(&self.0.shared.connector, relay, id, address)
                 .await
                 .is_ok()
             {
@@ -403,7 +408,7 @@
         let relays = self.relays();
         let now = clock::now();
         let links = self.links();
-        self.0.connector.close_relayed(|address, relay| {
+        self.0.shared.connector.close_relayed(|address, relay| {
             let is_relay = relays.iter().any(|usable| usable.address == relay);
             is_relay && links.path(now, address) != Path::Direct
         });
