review: answers without a length that are reset behind a relay look complete

A daemon that is cut off from the replicas reaches them through a peer, which turns a reset of the replica into an orderly end. The daemon then takes the received part of an answer without a length for the whole answer, and records batch items as completed with part of their output.

--- /dev/null
+++ b/review/lab/sys.rs
@@ -0,0 +1,103 @@
+//! Calls of the C library that the standard library does not offer, and free ports.
+
+use std::ffi::c_void;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::fd::AsRawFd;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Signals by their numbers on Linux.
+pub const SIGTERM: i32 = 15;
+pub const SIGKILL: i32 = 9;
+pub const SIGSTOP: i32 = 19;
+pub const SIGCONT: i32 = 18;
+
+const SOL_SOCKET: i32 = 1;
+const SO_LINGER: i32 = 13;
+
+#[repr(C)]
+struct Linger {
+    on: i32,
+    seconds: i32,
+}
+
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: usize) -> i32;
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const c_void, len: u32) -> i32;
+}
+
+/// Sends a signal to a process that this program started.
+pub fn signal(pid: u32, number: i32) {
+    // SAFETY: the call takes plain numbers.
+    unsafe { kill(pid as i32, number) };
+}
+
+/// Lets the calling process end with its parent.
+pub fn end_with_parent() {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    // SAFETY: the call takes plain numbers.
+    unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL as usize) };
+}
+
+/// Closes a connection with a reset.
+pub fn reset(stream: TcpStream) {
+    let linger = Linger { on: 1, seconds: 0 };
+    let size = size_of::<Linger>() as u32;
+    // SAFETY: the pointer and the size describe a value that lives during the call.
+    unsafe {
+        setsockopt(
+            stream.as_raw_fd(),
+            SOL_SOCKET,
+            SO_LINGER,
+            (&raw const linger).cast(),
+            size,
+        )
+    };
+    drop(stream);
+}
+
+/// Loopback address with a port.
+pub fn loopback(port: u16) -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, port).into()
+}
+
+/// Ports that are free for TCP and UDP; all are held until the last one is found.
+pub fn free_ports(count: usize) -> Vec<u16> {
+    let mut held = Vec::new();
+    while held.len() < count {
+        let tcp = TcpListener::bind(loopback(0)).expect("a free port");
+        let port = tcp.local_addr().expect("an address").port();
+        if let Ok(udp) = UdpSocket::bind(loopback(port)) {
+            held.push((port, tcp, udp));
+        }
+    }
+    held.iter().map(|(port, ..)| *port).collect()
+}
+
+/// Milliseconds since 1970.
+pub fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |time| time.as_millis() as u64)
+}
+
+/// Small random numbers, seeded by the time (xorshift).
+pub struct Random(u64);
+
+impl Random {
+    pub fn new() -> Self {
+        let seed = SystemTime::now().duration_since(UNIX_EPOCH);
+        Self(seed.map_or(1, |time| time.as_nanos() as u64) | 1)
+    }
+
+    pub fn next(&mut self) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0
+    }
+
+    /// Id of 16 hexadecimal digits.
+    pub fn id(&mut self) -> String {
+        format!("{:016x}", self.next())
+    }
+}
