review: wrong bytes in the midst of a stream pass as events

Bytes before an empty line are taken for an event without an id, which counts as the next one. The stream is then resumed behind events that never came: clients get a complete stream without them, and batch items are recorded as completed with empty lines in their place.

--- a/review/lab/fleet.rs
+++ b/review/lab/fleet.rs
@@ -68,6 +68,12 @@
         self.child = child.ok();
     }
 
+    /// Starts the process again after its end.
+    pub fn restart(&mut self) {
+        self.kill();
+        self.spawn();
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, number: i32) {
         if let Some(child) = &self.child {
--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -5,11 +5,13 @@
 //! It exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod fleet;
+mod fuzz;
 mod http;
 mod jobs;
 mod record;
 mod relayed;
 mod replica;
+mod spoiled;
 mod stale;
 mod store;
 mod sys;
@@ -34,6 +36,8 @@
     record.say(&format!("case {case}, trouble: {has_trouble}"));
     let broken = match case.as_str() {
         "relayed" => relayed::run(&record, has_trouble),
+        "spoiled" => spoiled::run(&record, has_trouble),
+        "fuzz" => fuzz::run(&record, has_trouble),
         "stale" => stale::run(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/lab/relayed.rs
+++ b/review/lab/relayed.rs
@@ -1,7 +1,6 @@
 //! Answers without a length that are reset on their way through a relay.
 
 use std::io::Write;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -9,12 +8,9 @@
 use crate::fleet::{self, BATCH, Fleet, Wanted};
 use crate::jobs;
 use crate::record::Record;
-use crate::replica::{Behaviour, Call, Then};
+use crate::replica::{Behaviour, Call, SPOILING_TIME, Spoiler, Then};
 use crate::sys::Random;
 
-/// One in so many answers of a spoiling replica is broken off: a share of 0.02.
-const ANSWERS_PER_RESET: u32 = 50;
-
 /// Time before the cut, of the cut, and after it.
 const PHASES: [Duration; 3] = [
     Duration::from_secs(4),
@@ -22,6 +18,9 @@
     Duration::from_secs(4),
 ];
 
+/// Starts of the times in which replicas break off answers.
+const SPOILED_FROM: [Duration; 2] = [Duration::from_millis(4300), Duration::from_millis(10_000)];
+
 /// Time between two requests.
 const INTERVAL: Duration = Duration::from_millis(16);
 
@@ -37,19 +36,14 @@
     (0..100).map(|n| format!("{id} line {n}\n")).collect()
 }
 
-/// Whether this answer is to be broken off.
-fn is_spoiled(answers: &AtomicU32, spoils: bool) -> bool {
-    spoils && answers.fetch_add(1, Ordering::SeqCst) % ANSWERS_PER_RESET == ANSWERS_PER_RESET - 1
-}
-
 /// Replica that answers with a body without a length, which ends with the connection.
 fn plain(spoils: bool) -> Arc<Behaviour> {
-    let answers = AtomicU32::new(0);
+    let spoiler = Spoiler::new(spoils);
     Arc::new(move |call: &mut Call| {
         call.pause(Duration::from_millis(15));
         let body = body_of(&call.id());
         call.head("Connection: close\r\n")?;
-        if is_spoiled(&answers, spoils) {
+        if spoiler.next() {
             call.stream.write_all(&body.as_bytes()[..body.len() / 2])?;
             call.pause(Duration::from_millis(20));
             call.note("ran; its answer is reset after half of the body");
@@ -62,11 +56,11 @@
 
 /// Replica that answers with events without a length.
 fn events(spoils: bool) -> Arc<Behaviour> {
-    let answers = AtomicU32::new(0);
+    let spoiler = Spoiler::new(spoils);
     Arc::new(move |call: &mut Call| {
         let (id, after) = (call.id(), call.last_event());
         call.head("Content-Type: text/event-stream\r\nConnection: close\r\n")?;
-        let is_spoiled = is_spoiled(&answers, spoils);
+        let is_spoiled = spoiler.next();
         for event in after + 1..=EVENTS {
             if !call.pause(Duration::from_millis(20)) {
                 call.note(&format!("was broken off by the other side before event {event}"));
@@ -118,6 +112,8 @@
             fleet.set_stranded(0, wants_cut);
             is_cut = wants_cut;
         }
+        let is_spoiling = |from: &Duration| at >= *from && at < *from + SPOILING_TIME;
+        Spoiler::set_active(SPOILED_FROM.iter().any(is_spoiling));
         if n.is_multiple_of(REQUESTS_PER_JOB) {
             let lot = jobs::Lot::draw(&mut random, "/lots/", ITEMS_PER_JOB);
             let daemon = daemons[(n / REQUESTS_PER_JOB) as usize % daemons.len()];
--- a/review/lab/replica.rs
+++ b/review/lab/replica.rs
@@ -21,6 +21,44 @@
 /// Interval of the entries that a replica writes.
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 
+/// Spoils a share of the answers of a replica while the impairment lasts.
+pub struct Spoiler {
+    /// Whether the replica is one of those that spoil answers.
+    pub is_chosen: bool,
+    answers: AtomicU32,
+}
+
+/// One in so many answers of a chosen replica is spoiled: a share of 0.02.
+const ANSWERS_PER_SPOILED: u32 = 50;
+
+static IS_SPOILING: AtomicBool = AtomicBool::new(false);
+
+impl Spoiler {
+    pub fn new(is_chosen: bool) -> Self {
+        Self {
+            is_chosen,
+            answers: AtomicU32::new(0),
+        }
+    }
+
+    /// Begins or ends the impairment, at all chosen replicas.
+    pub fn set_active(is_active: bool) {
+        IS_SPOILING.store(is_active, Ordering::SeqCst);
+    }
+
+    /// Counts an answer; whether it is to be spoiled.
+    pub fn next(&self) -> bool {
+        if !self.is_chosen || !IS_SPOILING.load(Ordering::SeqCst) {
+            return false;
+        }
+        let answer = self.answers.fetch_add(1, Ordering::SeqCst);
+        answer % ANSWERS_PER_SPOILED == ANSWERS_PER_SPOILED - 1
+    }
+}
+
+/// Time of one impairment of the kind `garble`, as on the site.
+pub const SPOILING_TIME: Duration = Duration::from_millis(5500);
+
 /// What follows an answer.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Then {
--- a/review/lab/sys.rs
+++ b/review/lab/sys.rs
@@ -61,13 +61,18 @@
     (Ipv4Addr::LOCALHOST, port).into()
 }
 
+/// Ports from which servers are given theirs: below those of outgoing connections.
+const FIRST_PORT: u64 = 10_000;
+const PORTS: u64 = 20_000;
+
 /// Ports that are free for TCP and UDP; all are held until the last one is found.
 pub fn free_ports(count: usize) -> Vec<u16> {
+    let mut random = Random::new();
     let mut held = Vec::new();
     while held.len() < count {
-        let tcp = TcpListener::bind(loopback(0)).expect("a free port");
-        let port = tcp.local_addr().expect("an address").port();
-        if let Ok(udp) = UdpSocket::bind(loopback(port)) {
+        let port = (FIRST_PORT + (random.next() >> 16) % PORTS) as u16;
+        let (tcp, udp) = (TcpListener::bind(loopback(port)), UdpSocket::bind(loopback(port)));
+        if let (Ok(tcp), Ok(udp)) = (tcp, udp) {
             held.push((port, tcp, udp));
         }
     }
@@ -89,6 +94,10 @@
         Self(seed.map_or(1, |time| time.as_nanos() as u64) | 1)
     }
 
+    pub fn with_seed(seed: u64) -> Self {
+        Self(seed | 1)
+    }
+
     pub fn next(&mut self) -> u64 {
         self.0 ^= self.0 << 13;
         self.0 ^= self.0 >> 7;
