review: one answer whose head never ends hangs a daemon

Heads of interim answers without end, in place of the answer to one request, keep the daemon's only thread in one poll of the connection. No time limit, request, heartbeat or readiness check gets a turn for as long as the bytes come.

--- a/review/lab/fleet.rs
+++ b/review/lab/fleet.rs
@@ -68,26 +68,8 @@
         self.child = child.ok();
     }
 
-    /// Starts the process again after its end.
-    pub fn restart(&mut self) {
-        self.kill();
-        self.spawn();
-    }
-
-    /// Sends a signal to the process.
-    pub fn signal(&self, number: i32) {
-        if let Some(child) = &self.child {
-            sys::signal(child.id(), number);
-        }
-    }
-
-    /// Whether the process has not ended.
-    pub fn is_running(&mut self) -> bool {
-        let status = self.child.as_mut().map(Child::try_wait);
-        matches!(status, Some(Ok(None)))
-    }
-
-    fn is_ready(&self) -> bool {
+    /// Whether the readiness check of the balancer is answered with 200 in time.
+    pub fn is_ready(&self) -> bool {
         let request = Request {
             method: "GET".into(),
             target: "/bitterncart/ready".into(),
@@ -133,14 +115,17 @@
         let store = Store::start(&store_ports, replica_ports.clone());
         store.put("keyed.op", "config", manifest.as_bytes().to_vec());
         record.line(&format!("operator: {manifest}"));
-        let replicas = wanted.iter().enumerate().map(|(n, (service, zone, slots, behaviour))| {
-            let ports: Vec<u16> = replica_ports.iter().map(|of_link| of_link[n]).collect();
-            let id = format!("i-{service}-{n}");
-            let about = (n, id.as_str(), *service, ZONES[*zone]);
-            let replica = Replica::start(about, *slots, &ports, record, Arc::clone(behaviour));
-            replica.register(&store);
-            replica
-        });
+        let replicas = wanted
+            .iter()
+            .enumerate()
+            .map(|(n, (service, zone, slots, behaviour))| {
+                let ports: Vec<u16> = replica_ports.iter().map(|of_link| of_link[n]).collect();
+                let id = format!("i-{service}-{n}");
+                let about = (n, id.as_str(), *service, ZONES[*zone]);
+                let replica = Replica::start(about, *slots, &ports, record, Arc::clone(behaviour));
+                replica.register(&store);
+                replica
+            });
         let replicas: Vec<Arc<Replica>> = replicas.collect();
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
@@ -183,8 +168,10 @@
 
     /// Puts a manifest; the return is the ack.
     pub fn put_manifest(&self, manifest: &str) {
-        self.store.put("keyed.op", "config", manifest.as_bytes().to_vec());
-        self.record.line(&format!("operator: acknowledged: {manifest}"));
+        self.store
+            .put("keyed.op", "config", manifest.as_bytes().to_vec());
+        self.record
+            .line(&format!("operator: acknowledged: {manifest}"));
     }
 
     /// Cuts a daemon from all replicas, or restores its links.
@@ -193,14 +180,16 @@
             replica.set_cut(daemon, is_cut);
         }
         let what = if is_cut { "cut from" } else { "back at" };
-        self.record.say(&format!("daemon {daemon} is {what} all replicas"));
+        self.record
+            .say(&format!("daemon {daemon} is {what} all replicas"));
     }
 
     /// Cuts a daemon from the store, or restores the link.
     pub fn set_cut_from_store(&self, daemon: usize, is_cut: bool) {
         self.store.set_silent(daemon, is_cut);
         let what = if is_cut { "cut from" } else { "back at" };
-        self.record.say(&format!("daemon {daemon} is {what} the store"));
+        self.record
+            .say(&format!("daemon {daemon} is {what} the store"));
     }
 
     /// Copies the logs of the daemons to a folder, if one is named.
@@ -253,7 +242,11 @@
     timeout: Duration,
 ) -> std::io::Result<Response> {
     let mut all = vec![("Host".to_owned(), HOST.to_owned())];
-    all.extend(headers.iter().map(|(name, value)| ((*name).into(), (*value).into())));
+    all.extend(
+        headers
+            .iter()
+            .map(|(name, value)| ((*name).into(), (*value).into())),
+    );
     let request = Request {
         method: method.into(),
         target: target.into(),
--- a/review/lab/http.rs
+++ b/review/lab/http.rs
@@ -37,7 +37,9 @@
     let mut decoded = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let hex = text.get(at + 1..at + 3).map(|hex| u8::from_str_radix(hex, 16));
+        let hex = text
+            .get(at + 1..at + 3)
+            .map(|hex| u8::from_str_radix(hex, 16));
         match (bytes[at], hex) {
             (b'%', Some(Ok(byte))) => {
                 decoded.push(byte);
@@ -52,7 +54,9 @@
 }
 
 pub fn header<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
-    let found = headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+    let found = headers
+        .iter()
+        .find(|(key, _)| key.eq_ignore_ascii_case(name));
     found.map(|(_, value)| value.as_str())
 }
 
@@ -109,7 +113,9 @@
         headers,
         body: Vec::new(),
     };
-    let length = request.header("content-length").and_then(|n| n.parse().ok());
+    let length = request
+        .header("content-length")
+        .and_then(|n| n.parse().ok());
     if let Some(length) = length {
         request.body.resize(length, 0);
         reader.read_exact(&mut request.body)?;
@@ -156,37 +162,60 @@
 /// Sends a request on a new connection and reads the response within `timeout`.
 pub fn call(address: SocketAddr, request: &Request, timeout: Duration) -> io::Result<Response> {
     let until = Instant::now() + timeout;
-    let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1).min(timeout))?;
-    stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(timeout))?;
-    let mut message = format!("{} {} HTTP/1.1\r\n", request.method, request.target).into_bytes();
-    for (name, value) in &request.headers {
-        message.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
+    let mut channel = Channel::open(address, Duration::from_secs(1).min(timeout))?;
+    channel.exchange(request, until.saturating_duration_since(Instant::now()))
+}
+
+/// Connection of a client.
+pub struct Channel(BufReader<TcpStream>);
+
+impl Channel {
+    pub fn open(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
+        let stream = TcpStream::connect_timeout(&address, timeout)?;
+        stream.set_nodelay(true)?;
+        Ok(Self(BufReader::new(stream)))
+    }
+
+    /// Sends a request and reads the response; each read takes `timeout` at most.
+    pub fn exchange(&mut self, request: &Request, timeout: Duration) -> io::Result<Response> {
+        let timeout = timeout.max(Duration::from_millis(1));
+        let mut message =
+            format!("{} {} HTTP/1.1\r\n", request.method, request.target).into_bytes();
+        for (name, value) in &request.headers {
+            message.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
+        }
+        let length = request.body.len();
+        message.extend_from_slice(format!("Content-Length: {length}\r\n\r\n").as_bytes());
+        message.extend_from_slice(&request.body);
+        let mut stream = self.0.get_ref();
+        stream.set_read_timeout(Some(timeout))?;
+        stream.write_all(&message)?;
+        self.read_response()
+    }
+
+    fn read_response(&mut self) -> io::Result<Response> {
+        let reader = &mut self.0;
+        let (first, headers) = read_head(reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
+        let status = first.split(' ').nth(1).and_then(|n| n.parse().ok());
+        let mut response = Response {
+            status: status.unwrap_or(0),
+            headers,
+            ..Response::default()
+        };
+        let length = response
+            .header("content-length")
+            .and_then(|n| n.parse::<usize>().ok());
+        let mut body = Vec::new();
+        let read = if let Some(length) = length {
+            body.resize(length, 0);
+            reader.read_exact(&mut body)
+        } else if response.header("transfer-encoding").is_some() {
+            read_chunks(reader, &mut body)
+        } else {
+            reader.read_to_end(&mut body).map(drop)
+        };
+        response.is_complete = read.is_ok();
+        response.body = body;
+        Ok(response)
     }
-    message.extend_from_slice(format!("Content-Length: {}\r\n\r\n", request.body.len()).as_bytes());
-    message.extend_from_slice(&request.body);
-    (&stream).write_all(&message)?;
-    let left = until.saturating_duration_since(Instant::now());
-    stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
-    let mut reader = BufReader::new(stream);
-    let (first, headers) = read_head(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
-    let status = first.split(' ').nth(1).and_then(|n| n.parse().ok());
-    let mut response = Response {
-        status: status.unwrap_or(0),
-        headers,
-        ..Response::default()
-    };
-    let length = response.header("content-length").and_then(|n| n.parse::<usize>().ok());
-    let mut body = Vec::new();
-    let read = if let Some(length) = length {
-        body.resize(length, 0);
-        reader.read_exact(&mut body)
-    } else if response.header("transfer-encoding").is_some() {
-        read_chunks(&mut reader, &mut body)
-    } else {
-        reader.read_to_end(&mut body).map(drop)
-    };
-    response.is_complete = read.is_ok();
-    response.body = body;
-    Ok(response)
 }
--- a/review/lab/jobs.rs
+++ b/review/lab/jobs.rs
@@ -76,18 +76,18 @@
         ("Content-Type", "application/json"),
     ];
     let target = format!("{}{}", lot.prefix, &lot.id[..6]);
-    let answer = fleet::send(daemon, ("POST", &target), &headers, lot.body().as_bytes(), TIMEOUT);
+    let answer = fleet::send(
+        daemon,
+        ("POST", &target),
+        &headers,
+        lot.body().as_bytes(),
+        TIMEOUT,
+    );
     let status = status(&answer);
-    record.line(&format!("client at {daemon}: job {} of {}: {status}", lot.id, lot.prefix));
-    status
-}
-
-/// Ends a job; the status, or why there is none.
-pub fn cancel(record: &Record, daemon: SocketAddr, id: &str) -> String {
-    let target = format!("/bitterncart/lots/{id}");
-    let answer = fleet::send(daemon, ("DELETE", &target), &[], b"", TIMEOUT);
-    let status = status(&answer);
-    record.line(&format!("client at {daemon}: end of job {id}: {status}"));
+    record.line(&format!(
+        "client at {daemon}: job {} of {}: {status}",
+        lot.id, lot.prefix
+    ));
     status
 }
 
@@ -107,7 +107,11 @@
     };
     let results = page.split("{\"id\"").skip(1).filter_map(|text| {
         let text = format!("{{\"id\"{text}");
-        Some((field(&text, "id")?, field(&text, "state")?, field(&text, "output")?))
+        Some((
+            field(&text, "id")?,
+            field(&text, "state")?,
+            field(&text, "output")?,
+        ))
     });
     results.collect()
 }
@@ -139,7 +143,10 @@
     }
     for lot in lots {
         let known = &results[&lot.id];
-        let done = known.iter().filter(|(_, state, _)| state == "completed").count();
+        let done = known
+            .iter()
+            .filter(|(_, state, _)| state == "completed")
+            .count();
         record.line(&format!(
             "job {}: {} items, {} results, {done} completed",
             lot.id,
--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -4,8 +4,8 @@
 //! answered and run. With `TROUBLE=0` in the environment it leaves the disruption out.
 //! It exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
+mod endless;
 mod fleet;
-mod fuzz;
 mod http;
 mod jobs;
 mod record;
@@ -18,6 +18,7 @@
 
 use std::process::ExitCode;
 
+use endless::Place;
 use record::Record;
 
 /// Exit codes.
@@ -37,7 +38,8 @@
     let broken = match case.as_str() {
         "relayed" => relayed::run(&record, has_trouble),
         "spoiled" => spoiled::run(&record, has_trouble),
-        "fuzz" => fuzz::run(&record, has_trouble),
+        "endless-body" => endless::run(&record, has_trouble, Place::Body),
+        "endless-head" => endless::run(&record, has_trouble, Place::Head),
         "stale" => stale::run(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/lab/record.rs
+++ b/review/lab/record.rs
@@ -35,7 +35,7 @@
 
     /// Writes a line, to standard output too.
     pub fn say(&self, text: &str) {
-        println!("{text}");
+        let _ = writeln!(std::io::stdout(), "{text}");
         self.line(text);
     }
 }
--- a/review/lab/relayed.rs
+++ b/review/lab/relayed.rs
@@ -63,7 +63,9 @@
         let is_spoiled = spoiler.next();
         for event in after + 1..=EVENTS {
             if !call.pause(Duration::from_millis(20)) {
-                call.note(&format!("was broken off by the other side before event {event}"));
+                call.note(&format!(
+                    "was broken off by the other side before event {event}"
+                ));
                 return Ok(Then::Reset);
             }
             if is_spoiled && event == EVENTS / 2 + 1 {
@@ -134,7 +136,10 @@
                     } else {
                         let (got, all) = (answer.body.len(), body_of(&id).len());
                         let text = format!("200, framed as complete, {got} of {all} bytes");
-                        broken.lock().expect("no thread panics").push(format!("{id}: {text}"));
+                        broken
+                            .lock()
+                            .expect("no thread panics")
+                            .push(format!("{id}: {text}"));
                         text
                     }
                 }
@@ -159,7 +164,10 @@
             }
         }
     }
-    record.say(&format!("MIXED: {} answers or results are cut off and look complete", broken.len()));
+    record.say(&format!(
+        "MIXED: {} answers or results are cut off and look complete",
+        broken.len()
+    ));
     for text in &broken {
         record.say(&format!("  {text}"));
     }
--- a/review/lab/replica.rs
+++ b/review/lab/replica.rs
@@ -86,7 +86,10 @@
 impl Call<'_> {
     /// Value of the request's id.
     pub fn id(&self) -> String {
-        self.request.header("attempt-id").unwrap_or_default().to_owned()
+        self.request
+            .header("attempt-id")
+            .unwrap_or_default()
+            .to_owned()
     }
 
     /// Last event that the caller has; 0 for none.
@@ -113,7 +116,9 @@
 
     pub fn note(&self, text: &str) {
         let (id, replica, link) = (self.id(), &self.replica.id, self.link);
-        self.record.line(&format!("replica {replica}, from daemon {link}: {id} {text}"));
+        self.record.line(&format!(
+            "replica {replica}, from daemon {link}: {id} {text}"
+        ));
     }
 }
 
@@ -202,7 +207,13 @@
         });
     }
 
-    fn listen(self: Arc<Self>, link: usize, port: u16, record: &Record, behaviour: &Arc<Behaviour>) {
+    fn listen(
+        self: Arc<Self>,
+        link: usize,
+        port: u16,
+        record: &Record,
+        behaviour: &Arc<Behaviour>,
+    ) {
         loop {
             let listener = TcpListener::bind(sys::loopback(port)).expect("the port is free");
             listener.set_nonblocking(true).expect("a socket option");
@@ -253,7 +264,11 @@
             }
             match peeked {
                 Ok(count) => return Some(count > 0),
-                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
+                Err(e)
+                    if matches!(
+                        e.kind(),
+                        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+                    ) => {}
                 Err(_) => return Some(false),
             }
         }
--- a/review/lab/spoiled.rs
+++ b/review/lab/spoiled.rs
@@ -66,14 +66,17 @@
                 return Ok(Then::Close);
             }
             if is_spoiled && event == SPOILED_AFTER + 1 {
-                call.note(&format!("ran up to event {SPOILED_AFTER}, then wrong bytes and a reset"));
+                call.note(&format!(
+                    "ran up to event {SPOILED_AFTER}, then wrong bytes and a reset"
+                ));
                 for bytes in wrong_bytes().chunks(4096) {
                     call.stream.write_all(&chunk(bytes))?;
                 }
                 call.pause(Duration::from_millis(50));
                 return Ok(Then::Reset);
             }
-            call.stream.write_all(&chunk(jobs::event(&id, event).as_bytes()))?;
+            call.stream
+                .write_all(&chunk(jobs::event(&id, event).as_bytes()))?;
         }
         call.stream.write_all(b"0\r\n\r\n")?;
         Ok(Then::Keep)
@@ -156,7 +159,11 @@
                 Err(e) => format!("no answer: {e}"),
             };
             record.line(&format!("client at {daemon}: {id}: {text}"));
-            *counts.lock().expect("no thread panics").entry(text).or_default() += 1;
+            *counts
+                .lock()
+                .expect("no thread panics")
+                .entry(text)
+                .or_default() += 1;
         }));
         let next = INTERVAL * (n + 1);
         thread::sleep(next.saturating_sub(started.elapsed()));
@@ -178,7 +185,10 @@
             }
         }
     }
-    record.say(&format!("{} streams or results are wrong and look complete", faults.len()));
+    record.say(&format!(
+        "{} streams or results are wrong and look complete",
+        faults.len()
+    ));
     for text in &faults {
         record.say(&format!("  {text}"));
     }
--- a/review/lab/stale.rs
+++ b/review/lab/stale.rs
@@ -47,10 +47,16 @@
     Arc::new(move |call: &mut Call| {
         let (id, replica) = (call.id(), &call.replica.id);
         let text = format!("{id} {} {}", call.request.method, call.request.target);
-        call.note(&format!("ran {} {}", call.request.method, call.request.target));
+        call.note(&format!(
+            "ran {} {}",
+            call.request.method, call.request.target
+        ));
         ran.lock().expect("no thread panics").push(text);
         let signature = format!("{replica}.{id}");
-        let headers = [("Attempt-Id", id.as_str()), ("Response-Signature", signature.as_str())];
+        let headers = [
+            ("Attempt-Id", id.as_str()),
+            ("Response-Signature", signature.as_str()),
+        ];
         http::respond(&mut call.stream, 200, &headers, b"done")?;
         Ok(Then::Keep)
     })
@@ -103,9 +109,17 @@
         let (daemon, at) = (1 + sent % 2, acked_at.elapsed().as_millis());
         let status = jobs::submit(record, daemons[daemon], &lot);
         sent += 1;
-        let has_run = ran.lock().expect("no thread panics").iter().any(|id| id.starts_with(&lot.id));
+        let has_run = ran
+            .lock()
+            .expect("no thread panics")
+            .iter()
+            .any(|id| id.starts_with(&lot.id));
         if status == "404" || has_run {
-            let by = if has_run { ", run by the service web" } else { "" };
+            let by = if has_run {
+                ", run by the service web"
+            } else {
+                ""
+            };
             wrong.push(format!(
                 "job {} of {prefix} at daemon {daemon}, {at} ms after the ack: {status}{by}",
                 lot.id
--- a/review/lab/store.rs
+++ b/review/lab/store.rs
@@ -80,7 +80,9 @@
 
     /// Cuts a link or restores it. Connections on which something was lost stay silent.
     pub fn set_silent(&self, link: usize, is_silent: bool) {
-        self.links[link].is_silent.store(is_silent, Ordering::SeqCst);
+        self.links[link]
+            .is_silent
+            .store(is_silent, Ordering::SeqCst);
     }
 
     fn is_silent(&self, link: usize) -> bool {
@@ -136,7 +138,9 @@
             return (400, Vec::new());
         };
         if request.body.len() > CALL_BYTES
-            || entries.iter().any(|e| e.key.len() + e.value.len() + 1 > RECORD_BYTES)
+            || entries
+                .iter()
+                .any(|e| e.key.len() + e.value.len() + 1 > RECORD_BYTES)
         {
             return (413, Vec::new());
         }
@@ -151,7 +155,10 @@
         records.extend(entries);
         let end = records.len();
         self.changed.notify_all();
-        (200, format!("{{\"offset\":{offset},\"end\":{end}}}").into_bytes())
+        (
+            200,
+            format!("{{\"offset\":{offset},\"end\":{end}}}").into_bytes(),
+        )
     }
 
     fn read(&self, request: &Request, partition: (String, u16), link: usize) -> (u16, Vec<u8>) {
@@ -174,7 +181,11 @@
                 return (200, body);
             }
             let wait = (until - now).min(Duration::from_millis(50));
-            state = self.changed.wait_timeout(state, wait).expect("no thread panics").0;
+            state = self
+                .changed
+                .wait_timeout(state, wait)
+                .expect("no thread panics")
+                .0;
         }
     }
 
@@ -194,7 +205,10 @@
                 break;
             }
             let value = base64(&self.viewed(entry, link).value);
-            let key = key.replace('\\', "\\\\").replace('"', "\\\"").replace('\u{1f}', "\\u001f");
+            let key = key
+                .replace('\\', "\\\\")
+                .replace('"', "\\\"")
+                .replace('\u{1f}', "\\u001f");
             items.push(format!(
                 "{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}"
             ));
--- a/review/lab/sys.rs
+++ b/review/lab/sys.rs
@@ -5,11 +5,8 @@
 use std::os::fd::AsRawFd;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-/// Signals by their numbers on Linux.
-pub const SIGTERM: i32 = 15;
-pub const SIGKILL: i32 = 9;
-pub const SIGSTOP: i32 = 19;
-pub const SIGCONT: i32 = 18;
+/// Number of the signal that ends a process.
+const SIGKILL: i32 = 9;
 
 const SOL_SOCKET: i32 = 1;
 const SO_LINGER: i32 = 13;
@@ -21,17 +18,10 @@
 }
 
 unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, argument: usize) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const c_void, len: u32) -> i32;
 }
 
-/// Sends a signal to a process that this program started.
-pub fn signal(pid: u32, number: i32) {
-    // SAFETY: the call takes plain numbers.
-    unsafe { kill(pid as i32, number) };
-}
-
 /// Lets the calling process end with its parent.
 pub fn end_with_parent() {
     const PR_SET_PDEATHSIG: i32 = 1;
@@ -71,7 +61,10 @@
     let mut held = Vec::new();
     while held.len() < count {
         let port = (FIRST_PORT + (random.next() >> 16) % PORTS) as u16;
-        let (tcp, udp) = (TcpListener::bind(loopback(port)), UdpSocket::bind(loopback(port)));
+        let (tcp, udp) = (
+            TcpListener::bind(loopback(port)),
+            UdpSocket::bind(loopback(port)),
+        );
         if let (Ok(tcp), Ok(udp)) = (tcp, udp) {
             held.push((port, tcp, udp));
         }
