review: an answer to an item that has no end exhausts its daemon's memory

Nothing limits the output of an item, so bytes without end behind its last event are all kept. The daemon exceeds the memory of its machine within a second, is killed, and the requests that it has at sound replicas are lost.

Shown by review/3: a script; one answer of one replica, below the rate of a link.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
-exec target/review/lab endless-body review/4/record.txt
+exec target/review/lab endless review/4/record.txt
--- a/review/lab/endless.rs
+++ b/review/lab/endless.rs
@@ -1,4 +1,4 @@
-//! Wrong bytes without end, in the body or the head of one answer.
+//! In place of one answer, heads of interim answers come without end.
 
 use std::io::Write;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -6,9 +6,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::fleet::{self, BATCH, Fleet, HOST, Wanted};
+use crate::fleet::{self, Fleet, HOST, Wanted};
 use crate::http::{self, Channel, Request};
-use crate::jobs;
 use crate::record::Record;
 use crate::replica::{Behaviour, Call, Then};
 use crate::sys::Random;
@@ -33,64 +32,15 @@
 /// Time between two requests of a client.
 const PAUSE: Duration = Duration::from_millis(150);
 
-const EVENTS: u64 = 20;
-
-/// Event after which the line feeds begin.
-const SPOILED_AFTER: u64 = 5;
-
-/// Where the wrong bytes are.
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub enum Place {
-    /// In the body of the answer to an item: line feeds.
-    Body,
-    /// In place of the head of the answer to a request: heads of interim answers.
-    Head,
-}
-
 /// Lines in the head of an interim answer.
 const HEAD_LINES: usize = 90;
 
 /// Rate of a link of 1000 Mbit/s.
 const LINK_BYTES_PER_S: f64 = 125e6;
 
-/// Line feeds in one chunk.
-const CHUNK_BYTES: usize = 256 << 10;
-
-/// One chunk of a body.
-fn chunk(bytes: &[u8]) -> Vec<u8> {
-    let mut chunk = format!("{:x}\r\n", bytes.len()).into_bytes();
-    chunk.extend_from_slice(bytes);
-    chunk.extend_from_slice(b"\r\n");
-    chunk
-}
-
-/// Replica that runs items. The first answer after `is_armed` is set is spoiled.
-fn events(is_armed: &Arc<AtomicBool>) -> Arc<Behaviour> {
-    let is_armed = Arc::clone(is_armed);
-    Arc::new(move |call: &mut Call| {
-        let (id, after) = (call.id(), call.last_event());
-        call.head("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")?;
-        for event in after + 1..=EVENTS {
-            if !call.pause(Duration::from_millis(15)) {
-                return Ok(Then::Close);
-            }
-            if event == SPOILED_AFTER + 1 && is_armed.swap(false, Ordering::SeqCst) {
-                call.note(&format!(
-                    "ran up to event {SPOILED_AFTER}, then line feeds without end"
-                ));
-                return endless(call, &chunk(&[b'\n'; CHUNK_BYTES]));
-            }
-            call.stream
-                .write_all(&chunk(jobs::event(&id, event).as_bytes()))?;
-        }
-        call.stream.write_all(b"0\r\n\r\n")?;
-        Ok(Then::Keep)
-    })
-}
-
 /// Head of an interim answer with many short lines.
 fn interim_head() -> Vec<u8> {
-    let lines = "a: b\r\n".repeat(HEAD_LINES);
+    let lines = "a:\r\n".repeat(HEAD_LINES);
     format!("HTTP/1.1 103 Early Hints\r\n{lines}\r\n").into_bytes()
 }
 
@@ -188,22 +138,22 @@
 }
 
 /// Runs the case; whether the rule was broken.
-pub fn run(record: &Record, has_trouble: bool, place: Place) -> Result<bool, String> {
-    let [body, head] = [(); 2].map(|()| Arc::new(AtomicBool::new(false)));
+pub fn run(record: &Record, has_trouble: bool) -> Result<bool, String> {
+    let is_armed = Arc::new(AtomicBool::new(false));
     let wanted: Vec<Wanted> = vec![
-        ("lm", 0, 8, events(&body)),
-        ("lm", 1, 8, events(&body)),
-        ("lm", 2, 8, events(&body)),
-        ("app", 0, 8, plain(&head)),
-        ("app", 1, 8, plain(&head)),
-        ("app", 2, 8, plain(&head)),
+        ("app", 0, 8, plain(&is_armed)),
+        ("app", 1, 8, plain(&is_armed)),
+        ("app", 2, 8, plain(&is_armed)),
     ];
     let once = ",\"timeout_ms\":2000,\"target_latency_ms\":300,\"max_attempts\":1";
-    let routes = [
-        fleet::route("topup", "/topup/", "non_idempotent", "app", once),
-        fleet::route("lots", "/lots/", "batch", "lm", BATCH),
-    ];
-    let manifest = fleet::manifest(1, &routes, &["lm", "app"]);
+    let routes = [fleet::route(
+        "topup",
+        "/topup/",
+        "non_idempotent",
+        "app",
+        once,
+    )];
+    let manifest = fleet::manifest(1, &routes, &["app"]);
     let fleet = Fleet::start(record, &wanted, &manifest)?;
     let daemons: Vec<_> = fleet.daemons.iter().map(fleet::Daemon::clients).collect();
     let fleet = Arc::new(Mutex::new(fleet));
@@ -219,16 +169,7 @@
         }));
     }
     thread::sleep(CALM);
-    let spoiled = match place {
-        Place::Body => &body,
-        Place::Head => &head,
-    };
-    spoiled.store(has_trouble, Ordering::SeqCst);
-    let mut random = Random::new();
-    let lot = jobs::Lot::draw(&mut random, "/lots/", 3);
-    if jobs::submit(record, daemons[1], &lot) != "202" {
-        return Err("the job is not accepted".into());
-    }
+    is_armed.store(has_trouble, Ordering::SeqCst);
     let mut misses = vec![0; daemons.len()];
     while started.elapsed() < TIME {
         for (n, misses) in misses.iter_mut().enumerate() {
@@ -259,11 +200,6 @@
     }
     let at_timeout: u32 = counts.iter().map(|counts| count(&counts.at_timeout)).sum();
     let later: u32 = counts.iter().map(|counts| count(&counts.later)).sum();
-    let results = jobs::read(daemons[1], &lot.id, 0).map(|results| results.len());
-    record.say(&format!(
-        "results of the job with {} items: {results:?}",
-        lot.items.len()
-    ));
     record.say(&format!(
         "CONFIG: {at_timeout} unanswered at the timeout, {later} half a second later"
     ));
--- a/review/lab/fleet.rs
+++ b/review/lab/fleet.rs
@@ -47,7 +47,8 @@
         sys::loopback(self.ports.clients)
     }
 
-    fn spawn(&mut self) {
+    /// Starts the process.
+    pub fn spawn(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log);
         let log = log.expect("a log file");
         let mut command = Command::new(PROGRAM);
@@ -81,6 +82,15 @@
         response.is_ok_and(|response| response.status == 200)
     }
 
+    /// Memory of the process that is in use, in kilobytes.
+    pub fn memory_kb(&self) -> u64 {
+        let pid = self.child.as_ref().map_or(0, Child::id);
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|line| line.trim().split(' ').next()?.parse().ok());
+        number.unwrap_or(0)
+    }
+
     /// Ends the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/lab/http.rs
+++ b/review/lab/http.rs
@@ -143,6 +143,14 @@
     stream.write_all(&message)
 }
 
+/// One chunk of a body.
+pub fn chunk(bytes: &[u8]) -> Vec<u8> {
+    let mut chunk = format!("{:x}\r\n", bytes.len()).into_bytes();
+    chunk.extend_from_slice(bytes);
+    chunk.extend_from_slice(b"\r\n");
+    chunk
+}
+
 /// Response as a client received it.
 #[derive(Clone, Debug, Default)]
 pub struct Response {
--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod http;
 mod jobs;
+mod memory;
 mod record;
 mod relayed;
 mod replica;
@@ -16,9 +17,9 @@
 mod store;
 mod sys;
 
+use std::panic::{self, AssertUnwindSafe};
 use std::process::ExitCode;
 
-use endless::Place;
 use record::Record;
 
 /// Exit codes.
@@ -35,14 +36,15 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Record::create(&path);
     record.say(&format!("case {case}, trouble: {has_trouble}"));
-    let broken = match case.as_str() {
+    let played = panic::catch_unwind(AssertUnwindSafe(|| match case.as_str() {
         "relayed" => relayed::run(&record, has_trouble),
+        "memory" => memory::run(&record, has_trouble),
         "spoiled" => spoiled::run(&record, has_trouble),
-        "endless-body" => endless::run(&record, has_trouble, Place::Body),
-        "endless-head" => endless::run(&record, has_trouble, Place::Head),
+        "endless" => endless::run(&record, has_trouble),
         "stale" => stale::run(&record, has_trouble),
         _ => Err(format!("no case {case}")),
-    };
+    }));
+    let broken = played.unwrap_or_else(|_| Err("a stand-in failed".into()));
     match broken {
         Ok(true) => {
             record.say("the rule was broken");
--- a/review/lab/spoiled.rs
+++ b/review/lab/spoiled.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::fleet::{self, BATCH, Fleet, Wanted};
-use crate::http::Response;
+use crate::http::{self, Response};
 use crate::jobs;
 use crate::record::Record;
 use crate::replica::{Behaviour, Call, SPOILING_TIME, Spoiler, Then};
@@ -35,14 +35,6 @@
 /// Event after which an answer is spoiled.
 const SPOILED_AFTER: u64 = 5;
 
-/// One chunk of a body.
-fn chunk(bytes: &[u8]) -> Vec<u8> {
-    let mut chunk = format!("{:x}\r\n", bytes.len()).into_bytes();
-    chunk.extend_from_slice(bytes);
-    chunk.extend_from_slice(b"\r\n");
-    chunk
-}
-
 /// Bytes that are no events: random ones, the same in each run.
 fn wrong_bytes() -> Vec<u8> {
     let mut random = Random::with_seed(0x9e37_79b9_7f4a_7c15);
@@ -70,13 +62,13 @@
                     "ran up to event {SPOILED_AFTER}, then wrong bytes and a reset"
                 ));
                 for bytes in wrong_bytes().chunks(4096) {
-                    call.stream.write_all(&chunk(bytes))?;
+                    call.stream.write_all(&http::chunk(bytes))?;
                 }
                 call.pause(Duration::from_millis(50));
                 return Ok(Then::Reset);
             }
             call.stream
-                .write_all(&chunk(jobs::event(&id, event).as_bytes()))?;
+                .write_all(&http::chunk(jobs::event(&id, event).as_bytes()))?;
         }
         call.stream.write_all(b"0\r\n\r\n")?;
         Ok(Then::Keep)
