review: a range of ports for each script

Scripts that started at the same time could take the same port, and a daemon then could not start (exit 2, the case not run).

Shown by 16 starts at once of review/3 with TROUBLE=0 before and after.

Measured: 1 of 16 not run before, with the daemon's log naming the address; 16 of 16 run after. All five scripts failed once more, and passed with TROUBLE=0.

--- a/review/lab/sys.rs
+++ b/review/lab/sys.rs
@@ -51,25 +51,22 @@
     (Ipv4Addr::LOCALHOST, port).into()
 }
 
-/// Ports from which servers are given theirs: below those of outgoing connections.
-const FIRST_PORT: u64 = 10_000;
-const PORTS: u64 = 20_000;
+/// Ports from which servers are given theirs, below those of outgoing connections. Each
+/// run has a range of its own, so that runs at the same time do not meet.
+const FIRST_PORT: u32 = 10_000;
+const RANGES: u32 = 220;
+const PORTS_PER_RANGE: u32 = 100;
 
-/// Ports that are free for TCP and UDP; all are held until the last one is found.
+/// Ports that are free for TCP and UDP.
 pub fn free_ports(count: usize) -> Vec<u16> {
-    let mut random = Random::new();
-    let mut held = Vec::new();
-    while held.len() < count {
-        let port = (FIRST_PORT + (random.next() >> 16) % PORTS) as u16;
-        let (tcp, udp) = (
-            TcpListener::bind(loopback(port)),
-            UdpSocket::bind(loopback(port)),
-        );
-        if let (Ok(tcp), Ok(udp)) = (tcp, udp) {
-            held.push((port, tcp, udp));
-        }
-    }
-    held.iter().map(|(port, ..)| *port).collect()
+    let first = FIRST_PORT + std::process::id() % RANGES * PORTS_PER_RANGE;
+    let range = first..first + PORTS_PER_RANGE;
+    let free = range.map(|port| port as u16).filter(|port| {
+        TcpListener::bind(loopback(*port)).is_ok() && UdpSocket::bind(loopback(*port)).is_ok()
+    });
+    let ports: Vec<u16> = free.take(count).collect();
+    assert!(ports.len() == count, "the range has too few free ports");
+    ports
 }
 
 /// Milliseconds since 1970.
