gateway: log and count how complete answers were framed

What callers saw: streams that end as complete before their last event.

Change: `request answered` names framing, last event id and relay; `item completed` is a line of its own with the same; `answers_total` counts by framing. No decision changes.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -179,6 +179,11 @@
         }
     }
 
+    /// Whether it leads through a relay.
+    pub(crate) fn is_relayed(&self) -> bool {
+        self.relay.is_some()
+    }
+
     /// Records that a part of an answer arrived.
     pub(crate) fn record_answer(&self) {
         if let Some(answered) = &self.answered {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! cut-off daemons, ownership table, pool, admission queue, quarantine, streams,
 //! buckets, asks, links, idle connections. The catalog is locked alone.
 
+mod answer;
 mod availability;
 mod body;
 mod catalog;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -19,6 +19,7 @@
 use spdlog::sink::{Sink, StdStreamSink};
 use spdlog::{info, warn};
 
+use crate::answer::Summary;
 use crate::connection::Error;
 use crate::store::Failure;
 
@@ -171,7 +172,13 @@
     pub total: Duration,
 }
 
-pub(crate) fn request_answered(id: &str, route: &str, selection: &Selection, times: &Times) {
+pub(crate) fn request_answered(
+    id: &str,
+    route: &str,
+    selection: &Selection,
+    times: &Times,
+    summary: Summary,
+) {
     if !rate_limit::try_acquire() {
         return;
     }
@@ -179,8 +186,10 @@
     let version = version(selection);
     let [waited_ms, first_ms, total_ms] =
         [times.slot_wait, times.first, times.total].map(|time| time.as_millis() as u64);
+    let (framing, last_event_id) = (summary.framing.name(), summary.last_event_id);
     info!("request answered", kv: {
-        request = id, route, replica, version, own, peers, waited_ms, first_ms, total_ms
+        request = id, route, replica, version, own, peers, waited_ms, first_ms, total_ms,
+        framing, last_event_id, relayed = summary.is_relayed
     });
 }
 
@@ -207,6 +216,18 @@
     info!("run of an item ended", kv: { job, index, end });
 }
 
+/// An item was completed by the answer of a replica.
+pub(crate) fn item_completed(job: &str, index: u32, selection: &Selection, summary: Summary) {
+    if !rate_limit::try_acquire() {
+        return;
+    }
+    let (replica, version) = (selection.id.as_str(), version(selection));
+    let (framing, last_event_id) = (summary.framing.name(), summary.last_event_id);
+    info!("item completed", kv: {
+        job, index, replica, version, framing, last_event_id, relayed = summary.is_relayed
+    });
+}
+
 pub(crate) fn store_call_failed(call: &str, error: &Failure) {
     warn!("call to the store failed", kv: { call, why: = error });
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,6 +11,8 @@
 use compact_str::{CompactString, format_compact};
 use hdrhistogram::Histogram;
 
+use crate::answer::Framing;
+
 /// Quantiles that are reported.
 const QUANTILES: [f64; 4] = [0.5, 0.95, 0.99, 1.0];
 
@@ -50,6 +52,14 @@
         histogram.saturating_record(time_to_first.as_millis() as u64);
     }
 
+    /// Complete answer of a replica.
+    pub(crate) fn answer_ended(&self, framing: Framing) {
+        self.add(format_compact!(
+            "answers_total{{framing=\"{}\"}}",
+            framing.name()
+        ));
+    }
+
     pub(crate) fn request_refused(&self, code: Code) {
         self.add(format_compact!("refused_total{{code=\"{}\"}}", code.name()));
     }
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -22,6 +22,7 @@
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header, response};
 
 use self::admission::Shortage;
+use crate::answer::Summary;
 use crate::body::{Body, Truncated};
 use crate::clock::{self, with_timeout};
 use crate::core::Core;
@@ -171,21 +172,21 @@
         }
     }
 
-    fn record_answer(&self, slot: &Slot<S, D>) {
+    fn record_answer(&self, slot: &Slot<S, D>, summary: Summary) {
         let total = clock::now().saturating_sub(self.arrived);
         let selection = &slot.selection;
         self.core
             .pool()
             .record_run_time(&selection.service, total.saturating_sub(self.slot_wait));
-        self.core
-            .metrics
-            .request_answered(&self.route, self.attempts.sent(), self.time_to_first);
+        let metrics = &self.core.metrics;
+        metrics.request_answered(&self.route, self.attempts.sent(), self.time_to_first);
+        metrics.answer_ended(summary.framing);
         let times = log::Times {
             slot_wait: self.slot_wait,
             first: self.time_to_first,
             total,
         };
-        log::request_answered(&self.id, &self.route.name, &slot.selection, &times);
+        log::request_answered(&self.id, &self.route.name, selection, &times, summary);
     }
 
     fn remaining(&self) -> Duration {
@@ -260,7 +261,7 @@
                 }
                 Ok(response) => {
                     match with_timeout(self.remaining(), response.read_to_end(&self.core)).await {
-                        Some(Ok((head, bytes))) => match self.complete(&slot, head, bytes) {
+                        Some(Ok(answer)) => match self.complete(&slot, answer) {
                             Ok(response) => return response,
                             Err(decision) => decision,
                         },
@@ -381,8 +382,7 @@
     fn complete(
         &mut self,
         slot: &Slot<S, D>,
-        head: response::Parts,
-        bytes: Bytes,
+        (head, bytes, summary): (response::Parts, Bytes, Summary),
     ) -> Result<Response<Body>, Decision> {
         if head.status.is_server_error() {
             match self.record_failure(slot, Outcome::Failed) {
@@ -399,7 +399,7 @@
         *response.status_mut() = head.status;
         *response.headers_mut() = forwarded_headers(head.headers);
         self.time_to_first = clock::now().saturating_sub(self.arrived);
-        self.record_answer(slot);
+        self.record_answer(slot, summary);
         Ok(response)
     }
 
@@ -506,7 +506,8 @@
                 }
                 Some(Received::End) => {
                     self.core.pool().record_success(slot.selection.key);
-                    self.record_answer(&slot);
+                    let last_event_id = self.last_event_id.unwrap_or(0);
+                    self.record_answer(&slot, response.summary(last_event_id));
                     response.release_connection(&self.core);
                     return true;
                 }
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -679,9 +679,14 @@
                     run.output.push(&event.data());
                 }
                 Some(Received::End) => {
+                    let (output, last_event_id) = self.completed_output();
+                    let summary = response.summary(last_event_id);
+                    let (job, index) = &self.id;
+                    log::item_completed(job, *index, &self.slot.selection, summary);
+                    self.core.metrics.answer_ended(summary.framing);
                     response.release_connection(&self.core);
                     self.core.pool().record_success(self.slot.selection.key);
-                    let outcome = ledger::Outcome::Completed(self.completed_output());
+                    let outcome = ledger::Outcome::Completed(output);
                     return self.finish(outcome, "completed");
                 }
                 Some(Received::Broken) => return self.record_broken(Outcome::Broken),
@@ -691,14 +696,15 @@
         }
     }
 
-    /// Returns the output of a completed item and records its run time.
-    fn completed_output(&self) -> Arc<str> {
+    /// Returns the output of a completed item with its last event id, and records its
+    /// run time.
+    fn completed_output(&self) -> (Arc<str>, u64) {
         let mut runs = self.core.runs();
         let Runs {
             runs, estimator, ..
         } = &mut *runs;
         let Some(run) = runs.get(&self.id) else {
-            return Arc::default();
+            return (Arc::default(), 0);
         };
         let (started, last_event_before) = self.started;
         let last_event_id = run.output.last_event_id();
@@ -707,7 +713,7 @@
             clock::now().saturating_sub(started),
         );
         estimator.record_finished(last_event_id);
-        Arc::from(run.output.text())
+        (Arc::from(run.output.text()), last_event_id)
     }
 
     fn finish(self, outcome: ledger::Outcome, reason: &str) {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -16,6 +16,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
+use crate::answer::{Framing, Summary};
 use crate::clock::{self, with_timeout};
 use crate::connection::{Connection, Error};
 use crate::core::Core;
@@ -159,6 +160,7 @@
     connection: Connection,
     splitter: Splitter,
     watch: Watch,
+    framing: Framing,
     /// Whether the stream may be complete without an event. One that ends with its
     /// connection may be that of a replica that ended.
     may_be_empty: bool,
@@ -357,8 +359,9 @@
         status if status.is_success() && !(signed && echo.is_some()) => Err(Outcome::Broken),
         status if !signed && !status.is_server_error() => Err(Outcome::Broken),
         _ => Ok(Response {
-            may_be_empty: is_framed(&head)
+            may_be_empty: Framing::of(&head) != Framing::Connection
                 || message.headers.contains_key(&header_names.last_event_id),
+            framing: Framing::of(&head),
             head,
             body,
             connection,
@@ -384,12 +387,6 @@
     }
 }
 
-/// Whether the end of a response is stated by a length or by chunks.
-fn is_framed(head: &response::Parts) -> bool {
-    head.headers.contains_key(header::CONTENT_LENGTH)
-        || head.headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 /// Rate limit that a response names, in requests a second.
 fn named_limit<S: Store, D: Dialect>(core: &Core<S, D>, head: &response::Parts) -> Option<f64> {
     let text = head.headers.get(&core.dialect.header_names().rate_limit)?;
@@ -450,7 +447,7 @@
     pub(crate) async fn read_to_end<S: Store, D: Dialect>(
         mut self,
         core: &Core<S, D>,
-    ) -> Result<(response::Parts, Bytes), Outcome> {
+    ) -> Result<(response::Parts, Bytes, Summary), Outcome> {
         let mut bytes = BytesMut::new();
         while let Some(frame) = self.body.frame().await {
             match frame.map(http_body::Frame::into_data) {
@@ -473,8 +470,18 @@
         if self.head.status.is_success() {
             self.watch.record_complete();
         }
+        let summary = self.summary(0);
         core.connector.release(self.connection);
-        Ok((self.head, bytes.freeze()))
+        Ok((self.head, bytes.freeze(), summary))
+    }
+
+    /// Describes the answer once it is complete.
+    pub(crate) fn summary(&self, last_event_id: u64) -> Summary {
+        Summary {
+            framing: self.framing,
+            last_event_id,
+            is_relayed: self.connection.is_relayed(),
+        }
     }
 
     /// Waits for the next event.
