gateway: relays pass resets on

Cause: a relay ended its copy at an error as at the end of the connection, and closed both sockets in order. What had broken on one side ended in order on the other, which is the end of an answer that has neither a length nor chunks.

Change: a relay resets both sides if one of them breaks. It says so at the upgrade (header passes-resets), as relays of earlier versions do not; they ignore nothing and send nothing new, so both read each other.

Evidence: ends::stream_goes_on_when_its_replica_resets_it_behind_a_relay failed with left: ["a"], right: ["a", "b"], and passes; links:: 17 passed.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -120,6 +120,15 @@
     }
 }
 
+/// Relay of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Relay {
+    /// Address of the daemon.
+    pub address: SocketAddr,
+    /// Whether it resets a connection whose other side breaks.
+    pub passes_resets: bool,
+}
+
 /// Connection to one address.
 #[derive(Debug)]
 pub struct Connection {
@@ -129,7 +138,7 @@
     _driver: Task<()>,
     fate: Arc<Fate>,
     /// Relay through which it leads.
-    relay: Option<SocketAddr>,
+    relay: Option<Relay>,
     /// Where its answers are recorded.
     answered: Option<AnswerTime>,
     idle_since: Duration,
@@ -172,16 +181,16 @@
     }
 
     /// Marks a connection that leads through a relay.
-    pub(crate) fn over_relay(self, relay: SocketAddr) -> Self {
+    pub(crate) fn over_relay(self, relay: Relay) -> Self {
         Self {
             relay: Some(relay),
             ..self
         }
     }
 
-    /// Whether it leads through a relay.
-    pub(crate) fn is_relayed(&self) -> bool {
-        self.relay.is_some()
+    /// Relay through which it leads.
+    pub(crate) fn relay(&self) -> Option<Relay> {
+        self.relay
     }
 
     /// Records that a part of an answer arrived.
@@ -281,7 +290,8 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
         connections.retain(|connection| connection.is_reusable(now));
-        let usable = connections.iter().rposition(|c| is_usable(c.relay))?;
+        let relay = |c: &Connection| c.relay.map(|relay| relay.address);
+        let usable = connections.iter().rposition(|c| is_usable(relay(c)))?;
         Some(connections.remove(usable))
     }
 
@@ -367,7 +377,7 @@
         for connections in idle.values_mut() {
             connections.retain(|connection| {
                 let relay = connection.relay;
-                relay.is_none_or(|relay| is_needed(connection.address, relay))
+                relay.is_none_or(|relay| is_needed(connection.address, relay.address))
             });
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,8 +3,10 @@
 //!
 //! The daemon asks the peer for an upgrade of the connection and names the replica.
 //! The peer connects to that replica over its own link only, so that there is never a
-//! second relay, and then copies bytes both ways until either side closes. All
-//! decisions about a request stay with the daemon that took it from the client.
+//! second relay, and then copies bytes both ways until either side closes. A connection
+//! that breaks on one side is reset on the other, as an orderly end may be that of an
+//! answer; the relay says at the upgrade that it does so. All decisions about a request
+//! stay with the daemon that took it from the client.
 
 use std::io;
 use std::net::SocketAddr;
@@ -20,10 +22,11 @@
 use hyper::upgrade::Upgraded;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
+use socket2::SockRef;
 
 use crate::body::Body;
 use crate::clock::{self, with_timeout};
-use crate::connection::{Connection, Connector, Error, connect};
+use crate::connection::{Connection, Connector, Error, Relay, connect};
 use crate::core::Core;
 use crate::dialect::Dialect;
 use crate::log;
@@ -38,6 +41,10 @@
 /// Protocol of the upgrade.
 const PROTOCOL: HeaderValue = HeaderValue::from_static("bitterncart-relay");
 
+/// Header of the upgrade with which a relay says that it passes resets on. Daemons of
+/// earlier versions do not, and close a connection in order however it ended.
+const PASSES_RESETS: &str = "passes-resets";
+
 /// Timeout of a connection from the relay to a replica.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -85,6 +92,7 @@
         if response.status() != StatusCode::SWITCHING_PROTOCOLS {
             return Ok(Err(response.status()));
         }
+        let passes_resets = response.headers().contains_key(PASSES_RESETS);
         let upgraded = hyper::upgrade::on(response).await;
         let stream = upgraded
             .map_err(|e| Error::Broken(e.to_string()))?
@@ -94,7 +102,10 @@
             return Err(Error::Broken("bytes before a request".into()));
         }
         let connection = connector.handshake(stream.io.into_inner(), replica).await?;
-        Ok(Ok(connection.over_relay(relay)))
+        Ok(Ok(connection.over_relay(Relay {
+            address: relay,
+            passes_resets,
+        })))
     };
     match with_timeout(CONNECT_TIMEOUT + RELAY_TIMEOUT, opened).await {
         Some(Ok(Ok(connection))) => Ok(connection),
@@ -180,6 +191,7 @@
     let headers = response.headers_mut();
     headers.insert(header::CONNECTION, HeaderValue::from_static("upgrade"));
     headers.insert(header::UPGRADE, PROTOCOL);
+    headers.insert(PASSES_RESETS, HeaderValue::from_static("1"));
     response
 }
 
@@ -189,24 +201,30 @@
     response
 }
 
-/// Copies bytes both ways until one side closes its connection. Then both are closed,
-/// as a daemon that closes its side no longer waits for the answer.
+/// Copies bytes both ways until one side closes its connection or it breaks. Then both
+/// are closed, as a daemon that closes its side no longer waits for the answer, or reset.
 async fn copy_both(peer: TcpStream, first: &[u8], replica: TcpStream) {
     let requests = async {
         let mut to = replica.clone();
-        if to.write_all(first).await.is_ok() {
-            copy(peer.clone(), to).await;
-        }
+        to.write_all(first).await?;
+        copy(peer.clone(), to).await
     };
     let answers = copy(replica.clone(), peer.clone());
-    future::or(requests, answers).await;
+    if future::or(requests, answers).await.is_err() {
+        for stream in [&peer, &replica] {
+            // One that has broken needs no reset.
+            let _set = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+        }
+    }
 }
 
-async fn copy(mut from: TcpStream, mut to: TcpStream) {
+/// Copies bytes until the end of `from`.
+async fn copy(mut from: TcpStream, mut to: TcpStream) -> io::Result<()> {
     let mut buffer = [0; COPY_BUFFER_BYTES];
-    while let Ok(count @ 1..) = from.read(&mut buffer).await {
-        if to.write_all(&buffer[..count]).await.is_err() {
-            return;
+    loop {
+        match from.read(&mut buffer).await? {
+            0 => return Ok(()),
+            count => to.write_all(&buffer[..count]).await?,
         }
     }
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -480,7 +480,7 @@
         Summary {
             framing: self.framing,
             last_event_id,
-            is_relayed: self.connection.is_relayed(),
+            is_relayed: self.connection.relay().is_some(),
         }
     }
 
