gateway: an end of the connection is confirmed before it ends an answer

Cause: an answer that has neither a length nor chunks ends with its connection, and the daemon took every orderly end behind a complete event for it. A process that is killed closes its connections in order, too: a replica's, or that of a relay, which carries several streams of one daemon. A run that resumes a stream could even end without an event, and a replica that stops at its deadline looked done.

Change: one place decides how an answer ended, for streams, calls and items (upstream::Response::is_whole). What has no length and no chunks is whole only if the process still accepts a connection over the same path, which is kept for the next request, has sent an event if it is a stream, and ended before its deadline. A relay that passes no resets on confirms nothing. Received gives way to Result<Option<Event>, Outcome>.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -188,6 +188,16 @@
         }
     }
 
+    /// Address to which it leads.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether the other side has not closed it, as far as it is known.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
     /// Relay through which it leads.
     pub(crate) fn relay(&self) -> Option<Relay> {
         self.relay
@@ -217,7 +227,7 @@
     fn is_reusable(&self, now: Duration) -> bool {
         // The driver may still be processing the end of the last response;
         // sending waits for it.
-        !self.sender.is_closed() && now.saturating_sub(self.idle_since) < self.idle_timeout
+        self.is_open() && now.saturating_sub(self.idle_since) < self.idle_timeout
     }
 }
 
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -28,6 +28,10 @@
 /// Timeout of a new connection to a replica.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time in which a process that ends closes its listener behind its connections, and
+/// with it those that were not yet accepted.
+const CLOSE_DELAY: Duration = Duration::from_millis(10);
+
 /// Bounds of the time in which this daemon must connect to a replica after a relay did:
 /// a multiple of the time that the relay took, and a minimum.
 const CHECK_FACTOR: u32 = 4;
@@ -402,6 +406,29 @@
         false
     }
 
+    /// Whether the process to which a connection led still accepts one over the same path.
+    /// That one is kept for reuse.
+    pub(crate) async fn is_still_accepted(&self, replica_id: &str, ended: &Connection) -> bool {
+        let address = ended.address();
+        let opened = match ended.relay() {
+            None => self.open_direct(address, CONNECT_TIMEOUT).await.ok(),
+            Some(relay) if relay.passes_resets => {
+                let connector = &self.0.shared.connector;
+                let opened = relay::open(connector, relay.address, replica_id, address).await;
+                opened.ok()
+            }
+            // What broke behind this relay also ends in order.
+            Some(_) => None,
+        };
+        let Some(opened) = opened else { return false };
+        smol::Timer::after(CLOSE_DELAY).await;
+        let is_open = opened.is_open();
+        if is_open {
+            self.0.shared.connector.release(opened);
+        }
+        is_open
+    }
+
     /// Closes idle connections through relays that are leaving, lost or cut off, and
     /// those to replicas to which this daemon has a link again.
     pub(crate) fn close_unneeded(&self) {
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -31,7 +31,7 @@
 use crate::sse::Event;
 use crate::store::Store;
 use crate::streams;
-use crate::upstream::{self, Message, Received, SendOptions, Slot, send, strip_hop_by_hop_headers};
+use crate::upstream::{self, Message, SendOptions, Slot, send, strip_hop_by_hop_headers};
 
 /// Minimum time before the deadline at which an attempt is still made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
@@ -321,18 +321,11 @@
         &self,
         mut response: upstream::Response,
     ) -> Result<(upstream::Response, Option<Event>), Outcome> {
-        match with_timeout(
-            self.attempt_timeout(self.remaining()),
-            response.next_event(),
-        )
-        .await
-        {
-            Some(Received::Event(event)) if self.is_expected(event.id) => {
-                Ok((response, Some(event)))
-            }
-            Some(Received::Event(_) | Received::Broken) => Err(Outcome::Broken),
-            Some(Received::LinkLost) => Err(Outcome::LinkLost),
-            Some(Received::End) => Ok((response, None)),
+        let timeout = self.attempt_timeout(self.remaining());
+        match with_timeout(timeout, response.next_event(&self.core)).await {
+            Some(Ok(Some(event))) if !self.is_expected(event.id) => Err(Outcome::Broken),
+            Some(Ok(event)) => Ok((response, event)),
+            Some(Err(outcome)) => Err(outcome),
             None => Err(Outcome::Silent),
         }
     }
@@ -495,8 +488,9 @@
             return true;
         }
         loop {
-            let outcome = match with_timeout(self.idle_timeout(), response.next_event()).await {
-                Some(Received::Event(event)) if self.is_expected(event.id) => {
+            let next = with_timeout(self.idle_timeout(), response.next_event(&self.core));
+            let outcome = match next.await {
+                Some(Ok(Some(event))) if self.is_expected(event.id) => {
                     self.record_event_id(event.id);
                     match sender.send(Ok(event.bytes)).await {
                         Ok(()) => continue,
@@ -504,15 +498,15 @@
                         Err(_) => return true,
                     }
                 }
-                Some(Received::End) => {
+                Some(Ok(Some(_))) => Outcome::Broken,
+                Some(Ok(None)) => {
                     self.core.pool().record_success(slot.selection.key);
                     let last_event_id = self.last_event_id.unwrap_or(0);
                     self.record_answer(&slot, response.summary(last_event_id));
                     response.release_connection(&self.core);
                     return true;
                 }
-                Some(Received::Event(_) | Received::Broken) => Outcome::Broken,
-                Some(Received::LinkLost) => Outcome::LinkLost,
+                Some(Err(outcome)) => outcome,
                 None => Outcome::Silent,
             };
             drop(response);
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -36,7 +36,7 @@
 use crate::log;
 use crate::shard::Undecided;
 use crate::store::Store;
-use crate::upstream::{self, Message, Received, ReserveReply, SendOptions, Slot, admit, send};
+use crate::upstream::{self, Message, ReserveReply, SendOptions, Slot, admit, send};
 
 /// Interval between checks for items to preempt or drop.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -663,8 +663,8 @@
 
     async fn receive_events(self, mut response: upstream::Response) {
         loop {
-            match with_timeout(STREAM_IDLE_TIMEOUT, response.next_event()).await {
-                Some(Received::Event(event)) => {
+            match with_timeout(STREAM_IDLE_TIMEOUT, response.next_event(&self.core)).await {
+                Some(Ok(Some(event))) => {
                     let mut runs = self.core.runs();
                     let Some(run) = runs.runs.get_mut(&self.id) else {
                         return;
@@ -678,7 +678,7 @@
                     }
                     run.output.push(&event.data());
                 }
-                Some(Received::End) => {
+                Some(Ok(None)) => {
                     let (output, last_event_id) = self.completed_output();
                     let summary = response.summary(last_event_id);
                     let (job, index) = &self.id;
@@ -689,8 +689,7 @@
                     let outcome = ledger::Outcome::Completed(output);
                     return self.finish(outcome, "completed");
                 }
-                Some(Received::Broken) => return self.record_broken(Outcome::Broken),
-                Some(Received::LinkLost) => return self.record_broken(Outcome::LinkLost),
+                Some(Err(outcome)) => return self.record_broken(outcome),
                 None => return self.record_broken(Outcome::Silent),
             }
         }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -12,6 +12,7 @@
 use bitterncart_coordination::fleet::pool::{Class, Selection};
 use bitterncart_coordination::fleet::{Outcome, Profile};
 use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -36,6 +37,10 @@
 /// Maximum size of the response to a reservation call.
 const MAX_RESERVATION_BYTES: usize = 16 << 10;
 
+/// Time before its deadline at which a replica may stop, as its clock and the time that
+/// it is given are not exact.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
+
 /// Timeout of a reservation call.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -161,9 +166,9 @@
     splitter: Splitter,
     watch: Watch,
     framing: Framing,
-    /// Whether the stream may be complete without an event. One that ends with its
-    /// connection may be that of a replica that ended.
-    may_be_empty: bool,
+    replica_id: CompactString,
+    /// Time at which the replica stops its work.
+    deadline: Option<Duration>,
 }
 
 /// Parameters of one attempt.
@@ -331,6 +336,7 @@
     let attempt = message.headers.get(&header_names.attempt_id);
     let attempt_id = attempt.map_or(&[][..], HeaderValue::as_bytes);
     let watch = core.crashes.watch(selection, &message.profile, attempt_id);
+    let deadline = options.remaining.map(|remaining| clock::now() + remaining);
     let response = match with_timeout(timeout, connection.send(request)).await {
         Some(Ok(response)) => response,
         Some(Err(e)) => {
@@ -359,14 +365,14 @@
         status if status.is_success() && !(signed && echo.is_some()) => Err(Outcome::Broken),
         status if !signed && !status.is_server_error() => Err(Outcome::Broken),
         _ => Ok(Response {
-            may_be_empty: Framing::of(&head) != Framing::Connection
-                || message.headers.contains_key(&header_names.last_event_id),
             framing: Framing::of(&head),
             head,
             body,
             connection,
             splitter: Splitter::default(),
             watch,
+            replica_id: selection.id.clone(),
+            deadline,
         }),
     }
 }
@@ -423,20 +429,6 @@
     }
 }
 
-/// Next part of an event stream.
-#[derive(Debug)]
-pub(crate) enum Received {
-    /// Complete event.
-    Event(Event),
-    /// The stream ended after a complete event.
-    End,
-    /// The connection broke, or the stream ended inside an event or without one, or
-    /// exceeded the size limit of one.
-    Broken,
-    /// The connection was given up, as the link brings no answers.
-    LinkLost,
-}
-
 impl Response {
     /// Reads the whole body and returns the connection to the idle ones.
     ///
@@ -449,24 +441,15 @@
         core: &Core<S, D>,
     ) -> Result<(response::Parts, Bytes, Summary), Outcome> {
         let mut bytes = BytesMut::new();
-        while let Some(frame) = self.body.frame().await {
-            match frame.map(http_body::Frame::into_data) {
-                Ok(Ok(data)) => {
-                    self.connection.record_answer();
-                    bytes.extend_from_slice(&data);
-                }
-                // Trailers are not forwarded.
-                Ok(Err(_)) => {}
-                Err(_) if self.connection.is_aborted() => return Err(Outcome::LinkLost),
-                Err(_) => {
-                    self.watch.record_broken();
-                    return Err(Outcome::Broken);
-                }
-            }
+        while let Some(data) = self.next_data().await? {
+            bytes.extend_from_slice(&data);
             if bytes.len() > MAX_RESPONSE_BYTES {
                 return Err(Outcome::Broken);
             }
         }
+        if !self.is_whole(core).await {
+            return Err(self.record_broken());
+        }
         if self.head.status.is_success() {
             self.watch.record_complete();
         }
@@ -475,47 +458,89 @@
         Ok((self.head, bytes.freeze(), summary))
     }
 
-    /// Describes the answer once it is complete.
-    pub(crate) fn summary(&self, last_event_id: u64) -> Summary {
-        Summary {
-            framing: self.framing,
-            last_event_id,
-            is_relayed: self.connection.relay().is_some(),
-        }
-    }
-
-    /// Waits for the next event.
-    pub(crate) async fn next_event(&mut self) -> Received {
+    /// Waits for the next event; `None` if the stream is complete.
+    ///
+    /// # Errors
+    ///
+    /// If the connection broke or was given up, or the stream ended inside an event or
+    /// before it was whole, or exceeded the size limit of an event.
+    pub(crate) async fn next_event<S: Store, D: Dialect>(
+        &mut self,
+        core: &Core<S, D>,
+    ) -> Result<Option<Event>, Outcome> {
         loop {
             if let Some(event) = self.splitter.next() {
                 self.watch.record_event();
-                return Received::Event(event);
+                return Ok(Some(event));
+            }
+            let Some(data) = self.next_data().await? else {
+                break;
+            };
+            self.splitter.push(&data);
+            if self.splitter.is_oversized() {
+                return Err(Outcome::Broken);
             }
-            match self.body.frame().await {
-                None if !self.splitter.has_partial_event() && !self.lacks_events() => {
-                    self.watch.record_complete();
-                    return Received::End;
-                }
-                None | Some(Err(_)) if self.connection.is_aborted() => return Received::LinkLost,
-                None | Some(Err(_)) => {
-                    self.watch.record_broken();
-                    return Received::Broken;
-                }
-                Some(Ok(frame)) => {
-                    self.connection.record_answer();
-                    if let Some(data) = frame.data_ref() {
-                        self.splitter.push(data);
-                    }
-                    if self.splitter.is_oversized() {
-                        return Received::Broken;
-                    }
-                }
+        }
+        let lacks_events = self.framing == Framing::Connection && !self.watch.has_events();
+        if self.splitter.has_partial_event() || lacks_events || !self.is_whole(core).await {
+            return Err(self.record_broken());
+        }
+        self.watch.record_complete();
+        Ok(None)
+    }
+
+    /// Reads on in the body; `None` at its end.
+    async fn next_data(&mut self) -> Result<Option<Bytes>, Outcome> {
+        while let Some(frame) = self.body.frame().await {
+            let Ok(frame) = frame else {
+                return Err(self.record_broken());
+            };
+            self.connection.record_answer();
+            // Trailers are not forwarded.
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Whether an answer whose connection has ended in order is whole. One that has
+    /// neither a length nor chunks may be that of a process, or relay, that ended, or that
+    /// stopped at the deadline.
+    async fn is_whole<S: Store, D: Dialect>(&self, core: &Core<S, D>) -> bool {
+        if self.connection.is_aborted() {
+            return false;
+        }
+        let now = clock::now() + DEADLINE_MARGIN;
+        let is_stopped = || self.deadline.is_some_and(|deadline| now >= deadline);
+        match self.framing {
+            Framing::Length | Framing::Chunks => true,
+            Framing::Connection if is_stopped() => false,
+            Framing::Connection => {
+                let links = &core.links;
+                links
+                    .is_still_accepted(&self.replica_id, &self.connection)
+                    .await
             }
         }
     }
 
-    fn lacks_events(&self) -> bool {
-        !self.may_be_empty && !self.watch.has_events()
+    /// Records that the answer is not whole, and says why.
+    fn record_broken(&self) -> Outcome {
+        if self.connection.is_aborted() {
+            return Outcome::LinkLost;
+        }
+        self.watch.record_broken();
+        Outcome::Broken
+    }
+
+    /// Describes the answer once it is complete.
+    pub(crate) fn summary(&self, last_event_id: u64) -> Summary {
+        Summary {
+            framing: self.framing,
+            last_event_id,
+            is_relayed: self.connection.relay().is_some(),
+        }
     }
 
     /// Returns the connection to the idle ones; the body must have been read to
