gateway: a promise counts only in an answer to this very request

What callers saw: 503 for calls that may run once and that ran (REFUSED), and calls that ran twice (TWICE), with replicas that answer a second time, late.

Cause: a call that reserves a slot has no id, so its refusal has none either. Its second copy comes when the next request is on the connection; without an id it passed as the answer to that one, and its promise (not run, or another process) was believed.

Change: an answer that says that the request was not run, or that another process answered, must name the attempt; else it is a broken answer, which promises nothing.

--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -353,14 +353,17 @@
     check_departure(core, selection, &head);
     let echo = head.headers.get(&header_names.attempt_id);
     let signed = head.headers.contains_key(&header_names.signature);
-    let mismatched = echo.is_some() && echo != attempt;
-    if echo == attempt && head.status != StatusCode::MISDIRECTED_REQUEST {
+    let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+    let is_not_run = is_misdirected || head.headers.contains_key(&header_names.not_run);
+    if echo == attempt && !is_misdirected {
         record_limit(core, selection, named_limit(core, &head));
     }
     match head.status {
-        _ if mismatched => Err(Outcome::Broken),
-        StatusCode::MISDIRECTED_REQUEST => Err(Outcome::Misdirected),
-        _ if head.headers.contains_key(&header_names.not_run) => Err(Outcome::NotRun),
+        // Without an id it may be the second copy of the answer to a reservation call,
+        // whose promise says nothing of this request.
+        _ if echo != attempt && (echo.is_some() || is_not_run) => Err(Outcome::Broken),
+        _ if is_misdirected => Err(Outcome::Misdirected),
+        _ if is_not_run => Err(Outcome::NotRun),
         _ if head.headers.contains_key(header::CONTENT_ENCODING) => Err(Outcome::Broken),
         status if status.is_success() && !(signed && echo.is_some()) => Err(Outcome::Broken),
         status if !signed && !status.is_server_error() => Err(Outcome::Broken),
