gateway: a stream to a client is complete only if its relay says so

What callers saw: nothing yet; of the hypotheses about streams that end as complete too early, this is the one in the daemon itself.

Cause: the body of a stream ended with a last chunk as soon as the channel of its events was closed, whoever closed it: a task that was dropped or panicked looked like the end.

Change: the task that relays a stream sends an end; a channel that closes without it breaks the client's connection.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,5 +1,6 @@
 //! Bodies of responses to clients: complete bytes, or events relayed as they
-//! arrive. A stream that breaks ends with an error, so that the client detects a
+//! arrive. A stream is complete only if the task that relays it says so; if it breaks, or
+//! the task ends in any other way, the body ends with an error, so that the client detects a
 //! truncated response.
 
 use std::convert::Infallible;
@@ -30,14 +31,25 @@
     }
 }
 
+/// Part of a stream for a client.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Part {
+    /// Bytes of an event.
+    Event(Bytes),
+    /// The stream is complete.
+    End,
+}
+
 /// Body of a response to a client.
 #[derive(Debug)]
 pub(crate) enum Body {
     /// Complete body; `None` if it is empty or has been sent.
     Full(Option<Bytes>),
-    /// Events as they arrive; dropping the body cancels the task that relays them.
+    /// Events as they arrive, up to [`Part::End`]; dropping the body cancels the task that
+    /// relays them.
     Events {
-        events: Pin<Box<Receiver<Result<Bytes, Truncated>>>>,
+        parts: Pin<Box<Receiver<Part>>>,
+        is_complete: bool,
         _task: Task<()>,
     },
 }
@@ -46,6 +58,15 @@
     pub(crate) fn full(bytes: Bytes) -> Self {
         Self::Full((!bytes.is_empty()).then_some(bytes))
     }
+
+    /// Body of the parts that a task sends.
+    pub(crate) fn events(parts: Receiver<Part>, task: Task<()>) -> Self {
+        Self::Events {
+            parts: Box::pin(parts),
+            is_complete: false,
+            _task: task,
+        }
+    }
 }
 
 impl http_body::Body for Body {
@@ -58,10 +79,19 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match self.get_mut() {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Self::Events { events, .. } => events
-                .as_mut()
-                .poll_next(cx)
-                .map(|next| next.map(|part| part.map(Frame::data))),
+            Self::Events {
+                is_complete: true, ..
+            } => Poll::Ready(None),
+            Self::Events {
+                parts, is_complete, ..
+            } => parts.as_mut().poll_next(cx).map(|part| match part {
+                Some(Part::Event(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(Part::End) => {
+                    *is_complete = true;
+                    None
+                }
+                None => Some(Err(Truncated)),
+            }),
         }
     }
 
@@ -76,3 +106,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -23,7 +23,7 @@
 
 use self::admission::Shortage;
 use crate::answer::Summary;
-use crate::body::{Body, Truncated};
+use crate::body::{Body, Part};
 use crate::clock::{self, with_timeout};
 use crate::core::Core;
 use crate::dialect::Dialect;
@@ -103,6 +103,17 @@
     }
 }
 
+/// How the relay of a stream to its client ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Relayed {
+    /// All events were relayed.
+    Complete,
+    /// The stream broke and could not be resumed.
+    Broken,
+    /// The client disconnected.
+    ClientLeft,
+}
+
 /// Online request of a client with the state of its attempts.
 pub(crate) struct Request<S: Store, D: Dialect> {
     core: Core<S, D>,
@@ -438,37 +449,32 @@
         *response.status_mut() = upstream.head.status;
         *response.headers_mut() = forwarded_headers(upstream.head.headers.clone());
         let core = self.core.clone();
-        let (sender, events) = async_channel::bounded(EVENT_BUFFER_LEN);
+        let (sender, parts) = async_channel::bounded(EVENT_BUFFER_LEN);
         let task = core.spawn(async move {
-            let is_complete = self.relay_events(slot, upstream, first, &sender).await;
-            if !is_complete {
-                self.core.metrics.request_refused(Code::StreamBroken);
-                log::request_refused(
-                    &self.id,
-                    &self.route.name,
-                    Code::StreamBroken,
-                    self.remaining(),
-                );
-                drop(sender.send(Err(Truncated)).await);
+            match self.relay_events(slot, upstream, first, &sender).await {
+                Relayed::Complete => drop(sender.send(Part::End).await),
+                Relayed::Broken => {
+                    let (id, route) = (&self.id, &self.route.name);
+                    self.core.metrics.request_refused(Code::StreamBroken);
+                    log::request_refused(id, route, Code::StreamBroken, self.remaining());
+                }
+                Relayed::ClientLeft => {}
             }
         });
-        response.map(|()| Body::Events {
-            events: Box::pin(events),
-            _task: task,
-        })
+        response.map(|()| Body::events(parts, task))
     }
 
-    /// Relays events until the stream is complete or the client disconnects;
-    /// `false` if the stream broke and could not be resumed.
+    /// Relays events until the stream is complete, the client disconnects, or the stream
+    /// breaks and cannot be resumed.
     async fn relay_events(
         &mut self,
         slot: Slot<S, D>,
         response: upstream::Response,
         first: Option<Event>,
-        sender: &Sender<Result<Bytes, Truncated>>,
-    ) -> bool {
+        sender: &Sender<Part>,
+    ) -> Relayed {
         let Some(first) = first else {
-            return true;
+            return Relayed::Complete;
         };
         self.time_to_first = clock::now().saturating_sub(self.arrived);
         let build = slot.selection.build();
@@ -480,18 +486,17 @@
         self.binding = Binding::of_stream(build);
         let (mut slot, mut response) = (slot, response);
         self.record_event();
-        if sender.send(Ok(first.bytes)).await.is_err() {
-            return true;
+        if sender.send(Part::Event(first.bytes)).await.is_err() {
+            return Relayed::ClientLeft;
         }
         loop {
             let next = with_timeout(self.idle_timeout(), response.next_event(&self.core));
             let outcome = match next.await {
                 Some(Ok(Some(event))) => {
                     self.record_event();
-                    match sender.send(Ok(event.bytes)).await {
+                    match sender.send(Part::Event(event.bytes)).await {
                         Ok(()) => continue,
-                        // The client disconnected.
-                        Err(_) => return true,
+                        Err(_) => return Relayed::ClientLeft,
                     }
                 }
                 Some(Ok(None)) => {
@@ -499,19 +504,19 @@
                     let last_event_id = self.last_event_id.unwrap_or(0);
                     self.record_answer(&slot, response.summary(last_event_id));
                     response.release_connection(&self.core);
-                    return true;
+                    return Relayed::Complete;
                 }
                 Some(Err(outcome)) => outcome,
                 None => Outcome::Silent,
             };
             drop(response);
             if self.record_failure(&slot, outcome) != Decision::Retry {
-                return false;
+                return Relayed::Broken;
             }
             drop(slot);
             match self.resume().await {
                 Some((next_slot, next_response)) => (slot, response) = (next_slot, next_response),
-                None => return false,
+                None => return Relayed::Broken,
             }
         }
     }
