platform: a route that cannot be used leaves the others in force

A manifest with one odd route either ended the task that follows the manifest (a duration too large for the conversion) or was refused as a whole, so that the daemon kept the version before.

Cause: durations were converted without a check, and one error in a route, a service or the limits was an error of the record; a number out of range, a deeply nested value or bytes that are no UTF-8 failed the parse of the whole document.

A route that cannot be used refuses its requests if its host and prefix are known, so that the route of a shorter prefix does not get them, and is left out otherwise; it has a log line of its own. Weights are summed in floating point.

--- a/crates/coordination/src/fleet/manifest.rs
+++ b/crates/coordination/src/fleet/manifest.rs
@@ -11,6 +11,9 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+/// Upper bound of the durations of a manifest. Sums of a few of them do not overflow.
+pub const MAX_DURATION: Duration = Duration::from_secs(365 * 24 * 60 * 60);
+
 /// Kind of a route: whether requests may run twice, and how they are answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
@@ -90,12 +93,34 @@
 }
 
 impl Route {
+    /// Route of which only the requests are known. It has no backend and refuses them.
+    #[must_use]
+    pub fn unusable(name: CompactString, host: CompactString, prefix: CompactString) -> Self {
+        Self {
+            name,
+            host,
+            prefix,
+            kind: Kind::Once,
+            backends: Vec::new(),
+            timeout: MAX_DURATION,
+            objective: Duration::ZERO,
+            max_attempts: 1,
+            priority: 0,
+            // Jobs accepted under an earlier version wait for a later one.
+            batch: Batch {
+                due: MAX_DURATION,
+                give_up: MAX_DURATION,
+                max_tokens: None,
+            },
+        }
+    }
+
     /// Backend for a `point` in `0..1`, chosen in proportion to the weights;
     /// `None` if the route has none.
     #[must_use]
     pub fn backend(&self, point: f64) -> Option<&Backend> {
-        let total: u32 = self.backends.iter().map(|b| b.weight).sum();
-        let mut remaining = point * f64::from(total);
+        let total: f64 = self.backends.iter().map(|b| f64::from(b.weight)).sum();
+        let mut remaining = point * total;
         self.backends
             .iter()
             .filter(|b| b.weight > 0)
--- a/crates/coordination/tests/fleet/manifest.rs
+++ b/crates/coordination/tests/fleet/manifest.rs
@@ -65,3 +65,25 @@
     assert_eq!(count, 900);
     assert_eq!(route.backend(0.0).map(|b| b.service.as_str()), Some("most"));
 }
+
+/// Guards against a sum of weights that overflows.
+#[test]
+fn backend_is_chosen_among_the_largest_weights() {
+    let backend = |service: &str| Backend {
+        service: service.into(),
+        weight: u32::MAX,
+        reserves: Duration::ZERO,
+    };
+    let route = Route {
+        backends: vec![backend("one"), backend("two")],
+        ..route(Kind::Once, 1)
+    };
+    let chosen = |point| route.backend(point).map(|b| b.service.as_str());
+    assert_eq!((chosen(0.4), chosen(0.6)), (Some("one"), Some("two")));
+}
+
+#[test]
+fn unusable_route_has_no_backend() {
+    let route = Route::unusable("r".into(), "a.example".into(), "/x/".into());
+    assert_eq!((route.backend(0.5), route.backend_of("s")), (None, None));
+}
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -82,6 +82,33 @@
     Ledger(u16),
 }
 
+/// Part of a record that cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Defect {
+    /// Name or position of the part.
+    pub entry: CompactString,
+    /// Why it cannot be used.
+    pub why: String,
+}
+
+/// Manifest as far as it can be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ParsedManifest {
+    /// Manifest without the parts that cannot be used.
+    pub manifest: Manifest,
+    /// Parts that cannot be used.
+    pub defects: Vec<Defect>,
+}
+
+impl From<Manifest> for ParsedManifest {
+    fn from(manifest: Manifest) -> Self {
+        Self {
+            manifest,
+            defects: Vec::new(),
+        }
+    }
+}
+
 /// Parser of the records of the operator and of replicas.
 pub trait RecordParser {
     /// Parses the manifest; `None` if the record is of another type.
@@ -89,7 +116,7 @@
     /// # Errors
     ///
     /// Why the record is invalid.
-    fn parse_manifest(record: &Record) -> Result<Option<Manifest>, String>;
+    fn parse_manifest(record: &Record) -> Result<Option<ParsedManifest>, String>;
 
     /// Parses a replica.
     ///
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -118,10 +118,13 @@
         read_delay: Duration::ZERO,
     };
     let on_record = |record: &Record| match S::parse_manifest(record) {
-        Ok(Some(manifest)) => {
-            let version = manifest.version;
-            if core.install_manifest(manifest) {
+        Ok(Some(parsed)) => {
+            let version = parsed.manifest.version;
+            if core.install_manifest(parsed.manifest) {
                 log::manifest_installed(version);
+                for defect in parsed.defects {
+                    log::record_invalid(&defect.entry, &defect.why);
+                }
             }
         }
         Ok(None) => {}
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::{Manifest, Replica};
-use bitterncart_gateway::store::{Failure, Page, Read, RecordParser, Store, Topic};
+use bitterncart_gateway::store::{Failure, Page, ParsedManifest, Read, RecordParser, Store, Topic};
 use bitterncart_state::ledger::Record;
 use event_listener::Event;
 
@@ -137,10 +137,10 @@
 }
 
 impl RecordParser for MemoryStore {
-    fn parse_manifest(record: &Record) -> Result<Option<Manifest>, String> {
+    fn parse_manifest(record: &Record) -> Result<Option<ParsedManifest>, String> {
         let value = record.value.as_deref().unwrap_or_default();
-        serde_json::from_slice(value)
-            .map(Some)
+        serde_json::from_slice::<Manifest>(value)
+            .map(|manifest| Some(manifest.into()))
             .map_err(|e| e.to_string())
     }
 
