state: a ledger record that cannot be decoded does not end the daemon

One record in a partition of the ledger that cannot be decoded, such as a result that is cut off or names an item that the job does not have, was a broken invariant: every daemon that loaded the shard panicked there, again after each restart. A head with 4,294,967,295 parts made the ledger list the keys of all of them. Token counts, which clients choose, overflowed in sums, so that a job could pass the quota.

Change: such a record is counted (`Ledger::invalid_records`) and ignored. That includes a submission under the id of another job, a key without its number and an event id above 2^53. Keys of parts are looked up one after the other until one is missing. Counts are added up without overflow. The invariants about the positions of results and about one result for each item stay as they are. That "a stored submission", "a stored result" and "a stored part" can be decoded is no longer asserted: other writers are outside of what the daemon guarantees, and to end is no answer to them.

The format of the records is unchanged.

--- a/crates/state/src/ledger/entry.rs
+++ b/crates/state/src/ledger/entry.rs
@@ -14,6 +14,9 @@
 use super::build::Build;
 use super::state::encode;
 
+/// Maximum id of an event in a record. Ids count from 1, so none comes near it.
+const MAX_EVENT_ID: u64 = 1 << 53;
+
 /// Record of a compacted topic.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
@@ -97,12 +100,13 @@
         value
     }
 
-    pub(super) fn decode(value: &[u8]) -> Result<Self, postcard::Error> {
-        let (mut part, rest): (Self, &[u8]) = postcard::take_from_bytes(value)?;
+    /// Decodes a record; `None` if it is invalid.
+    pub(super) fn decode(value: &[u8]) -> Option<Self> {
+        let (mut part, rest): (Self, &[u8]) = postcard::take_from_bytes(value).ok()?;
         if !rest.is_empty() {
-            part.build = Some(postcard::from_bytes(rest)?);
+            part.build = Some(postcard::from_bytes(rest).ok()?);
         }
-        Ok(part)
+        (part.last_event_id <= MAX_EVENT_ID).then_some(part)
     }
 }
 
@@ -218,6 +222,6 @@
         items
             .filter(|(_, has_result)| !**has_result)
             .map(|(item, _)| item.tokens)
-            .sum()
+            .fold(0, u64::saturating_add)
     }
 }
--- a/crates/state/src/ledger/plan.rs
+++ b/crates/state/src/ledger/plan.rs
@@ -145,11 +145,11 @@
         new: &Submission,
         quota: Option<&Quota>,
     ) -> Decision {
-        let tokens: u64 = new.items.iter().map(|item| item.tokens).sum();
-        let planned: u64 = self.accepted_tokens.values().sum();
+        let tokens = sum(new.items.iter().map(|item| item.tokens));
+        let planned = sum(self.accepted_tokens.values().copied());
         let fits = quota.is_none_or(|quota| {
             let queued = ledger.open_tokens(&quota.host, &quota.prefix);
-            quota.other_shards_tokens + queued + planned + tokens <= quota.max_tokens
+            sum([quota.other_shards_tokens, queued, planned, tokens]) <= quota.max_tokens
         });
         match () {
             () if ledger.job(&new.id).is_some() || self.accepted_tokens.contains_key(&new.id) => {
@@ -241,3 +241,8 @@
         Decision::Planned
     }
 }
+
+/// Sum of counts that clients choose.
+fn sum(counts: impl IntoIterator<Item = u64>) -> u64 {
+    counts.into_iter().fold(0, u64::saturating_add)
+}
--- a/crates/state/src/ledger/state.rs
+++ b/crates/state/src/ledger/state.rs
@@ -7,7 +7,8 @@
 //! items `p/{id}/{item}/{after}`. A partition is loaded from pages
 //! of the newest record of each key, which come in the order of keys, and then
 //! follows the log by offset. A record may be read both from a page and from
-//! the log; reading it twice does not change the jobs.
+//! the log; reading it twice does not change the jobs. A record that cannot be
+//! decoded is counted and ignored.
 
 use std::collections::HashMap;
 
@@ -32,10 +33,14 @@
     parts: u32,
 }
 
+/// Record that cannot be decoded.
+struct Invalid;
+
 /// Batch jobs of one shard.
 #[derive(Debug, Default)]
 pub struct Ledger {
     next: u64,
+    invalid_records: u64,
     jobs: SlotMap<Key, Job>,
     key_by_id: HashMap<CompactString, Key>,
     /// Heads and parts of submissions that are not complete yet, by record key.
@@ -52,6 +57,12 @@
         self.next
     }
 
+    /// Number of records that could not be decoded.
+    #[must_use]
+    pub fn invalid_records(&self) -> u64 {
+        self.invalid_records
+    }
+
     /// Sets the offset of the next record to apply, after loading pages of newest records.
     pub fn set_next(&mut self, offset: u64) {
         self.next = offset;
@@ -60,13 +71,19 @@
     /// Applies the record at an offset; records below [`Self::next`] are ignored.
     pub fn apply(&mut self, offset: u64, record: &Record) {
         if offset >= self.next {
-            self.next = offset + 1;
+            self.next = offset.saturating_add(1);
             self.apply_newest(record);
         }
     }
 
     /// Applies a record regardless of its offset, e.g. from a page of newest records.
     pub fn apply_newest(&mut self, record: &Record) {
+        if self.apply_record(record).is_err() {
+            self.invalid_records += 1;
+        }
+    }
+
+    fn apply_record(&mut self, record: &Record) -> Result<(), Invalid> {
         let mut segments = record.key.splitn(3, '/');
         let (kind, id, rest) = (
             segments.next(),
@@ -74,54 +91,49 @@
             segments.next(),
         );
         match (kind, rest, &record.value) {
-            (Some("b"), Some(_), Some(value)) => {
+            (Some("b"), Some(_), Some(value)) | (Some("j"), _, Some(value)) => {
                 self.parts.insert(record.key.clone(), value.clone());
-                self.assemble_job(id);
+                self.assemble_job(id)
             }
-            (Some("j"), _, Some(value)) => {
-                self.parts.insert(record.key.clone(), value.clone());
-                self.assemble_job(id);
+            (Some("j"), _, None) => {
+                self.remove_job(id);
+                Ok(())
             }
-            (Some("j"), _, None) => self.remove_job(id),
             (Some("r" | "f" | "c" | "p"), _, Some(value)) => {
                 let name = record.key.clone();
-                match self.key_by_id.get(id).copied() {
-                    Some(key) => self.update_job(key, &name, value),
-                    None => self
-                        .pending
-                        .entry(id.into())
-                        .or_default()
-                        .push((name, value.clone())),
+                if let Some(key) = self.key_by_id.get(id).copied() {
+                    return self.update_job(key, &name, value);
                 }
+                let pending = self.pending.entry(id.into()).or_default();
+                pending.push((name, value.clone()));
+                Ok(())
             }
-            _ => {}
+            // Other versions may write records of other kinds.
+            _ => Ok(()),
         }
     }
 
-    fn assemble_job(&mut self, id: &str) {
+    fn assemble_job(&mut self, id: &str) -> Result<(), Invalid> {
         let head_key = format_compact!("j/{id}");
         let Some(head) = self.parts.get(&head_key) else {
-            return;
-        };
-        let Ok(head) = postcard::from_bytes::<Head>(head) else {
-            return;
+            return Ok(());
         };
-        let keys: Vec<CompactString> = (0..head.parts)
-            .map(|n| format_compact!("b/{id}/{n}"))
-            .collect();
-        if self.key_by_id.contains_key(id) || !keys.iter().all(|k| self.parts.contains_key(k)) {
-            return;
+        let head = postcard::from_bytes::<Head>(head).map_err(|_| Invalid)?;
+        let keys = || (0..head.parts).map(|n| format_compact!("b/{id}/{n}"));
+        if self.key_by_id.contains_key(id) || !keys().all(|k| self.parts.contains_key(&k)) {
+            return Ok(());
         }
-        let encoded: Vec<u8> = keys
-            .iter()
-            .filter_map(|k| self.parts.remove(k))
+        let encoded: Vec<u8> = keys()
+            .filter_map(|k| self.parts.remove(&k))
             .flatten()
             .collect();
         self.parts.remove(&head_key);
-        match postcard::from_bytes::<Submission>(&encoded) {
-            Ok(submission) => self.insert_job(submission, head.parts),
-            Err(_) => invariant::check(false, "a stored submission can be decoded"),
+        let submission = postcard::from_bytes::<Submission>(&encoded).map_err(|_| Invalid)?;
+        if submission.id != id {
+            return Err(Invalid);
         }
+        self.insert_job(submission, head.parts);
+        Ok(())
     }
 
     fn insert_job(&mut self, submission: Submission, parts: u32) {
@@ -140,25 +152,27 @@
         let mut pending = self.pending.remove(&id).unwrap_or_default();
         pending.sort_by_key(|(key, _)| trailing_number(key));
         for (name, value) in pending {
-            self.update_job(key, &name, &value);
+            if self.update_job(key, &name, &value).is_err() {
+                self.invalid_records += 1;
+            }
         }
     }
 
-    fn update_job(&mut self, key: Key, name: &str, value: &[u8]) {
+    fn update_job(&mut self, key: Key, name: &str, value: &[u8]) -> Result<(), Invalid> {
         let Some(job) = self.jobs.get_mut(key) else {
-            return;
+            return Ok(());
         };
         match name.as_bytes().first() {
             Some(b'c') => job.cancelled = true,
             Some(b'f') => {
-                let count = job.failures.get_mut(trailing_number(name) as usize);
-                if let (Some(count), Some(failures)) = (count, value.first()) {
-                    *count = (*count).max(*failures);
-                }
+                let index = trailing_number(name).ok_or(Invalid)?;
+                let count = job.failures.get_mut(index as usize).ok_or(Invalid)?;
+                *count = (*count).max(*value.first().ok_or(Invalid)?);
             }
-            Some(b'p') => append_output(job, value),
-            _ => record_result(job, trailing_number(name), value),
+            Some(b'p') => append_output(job, value)?,
+            _ => record_result(job, trailing_number(name).ok_or(Invalid)?, value)?,
         }
+        Ok(())
     }
 
     fn remove_job(&mut self, id: &str) {
@@ -193,53 +207,49 @@
             .jobs
             .values()
             .filter(|job| job.matches_prefix(host, prefix));
-        matching.map(Job::open_tokens).sum()
+        matching.map(Job::open_tokens).fold(0, u64::saturating_add)
     }
 }
 
-fn append_output(job: &mut Job, value: &[u8]) {
-    match OutputPart::decode(value) {
-        Ok(part) if job.has_result.get(part.item as usize) == Some(&false) => {
-            job.progress.entry(part.item).or_default().append(&part);
-        }
+fn append_output(job: &mut Job, value: &[u8]) -> Result<(), Invalid> {
+    let part = OutputPart::decode(value).ok_or(Invalid)?;
+    match job.has_result.get(part.item as usize) {
+        Some(false) => job.progress.entry(part.item).or_default().append(&part),
         // A page may still hold parts of an item that has ended.
-        Ok(_) => {}
-        Err(_) => invariant::check(false, "a stored part of an output can be decoded"),
+        Some(true) => {}
+        None => return Err(Invalid),
     }
+    Ok(())
 }
 
-fn record_result(job: &mut Job, position: u32, value: &[u8]) {
-    let Ok(result) = postcard::from_bytes::<ItemResult>(value) else {
-        invariant::check(false, "a stored result can be decoded");
-        return;
-    };
+fn record_result(job: &mut Job, position: u32, value: &[u8]) -> Result<(), Invalid> {
+    let result = postcard::from_bytes::<ItemResult>(value).map_err(|_| Invalid)?;
     let index = result.item as usize;
+    let has_result = *job.has_result.get(index).ok_or(Invalid)?;
     if (position as usize) < job.results.len() {
         // A page of newest records and the log may both contain it.
         invariant::check(
             job.results[position as usize] == result,
             "a result keeps its position",
         );
-        return;
+        return Ok(());
     }
     invariant::check(
         position as usize == job.results.len(),
         "result positions have no gap",
     );
-    invariant::check(!job.has_result[index], "an item has one result");
+    invariant::check(!has_result, "an item has one result");
     job.has_result[index] = true;
     job.progress.remove(&result.item);
     job.submission.items[index].body = std::sync::Arc::from([]);
     job.results.push(result);
+    Ok(())
 }
 
 /// Number in the last segment of a key: the position of a result or the index of
-/// an item; 0 if there is none.
-fn trailing_number(name: &str) -> u32 {
-    name.rsplit('/')
-        .next()
-        .and_then(|n| n.parse().ok())
-        .unwrap_or(0)
+/// an item; `None` if it is no number.
+fn trailing_number(name: &str) -> Option<u32> {
+    name.rsplit('/').next()?.parse().ok()
 }
 
 /// Records of a submission: its parts, followed by its head.
