gateway: a replica whose entry cannot be read is not kept for ever

A replica that was known stayed in use without end when another writer replaced its entry by one that cannot be read, also after it had ended. Each such entry made a log line each time that it was read, and nothing counted them.

Change: the replica is kept for 4 s after the first unreadable entry, in which a replica that runs writes its own several times, and removed then. Such an entry names no replica to use (PROTOCOL.md, "Service discovery"), but removing the replica at once would let another writer take all replicas away. Invalid records of each kind are counted in `invalid_records_total`, which `Daemon::metrics_text` shows to tests. Invalid records of a shard are counted and logged, too.

`odd_records` reads entries of five kinds through a daemon, before it is ready and later: it goes on serving and following.

--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -22,6 +22,7 @@
 pub mod prompt;
 pub mod quarantine;
 pub mod rate_limit;
+pub mod reasons;
 mod recent;
 pub mod replica;
 pub mod retry;
--- a/crates/coordination/src/fleet/pool.rs
+++ b/crates/coordination/src/fleet/pool.rs
@@ -61,6 +61,10 @@
 /// an entry that expired during the outage.
 const RELIST_GRACE: Duration = Duration::from_secs(2);
 
+/// Time for which a replica is kept after its entry could not be read. A running replica
+/// writes its entry several times meanwhile.
+const UNREADABLE_GRACE: Duration = Duration::from_secs(4);
+
 /// Time for which a process that announced its departure is remembered after it
 /// was last listed, as its entry may return.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(600);
@@ -354,6 +358,16 @@
         }
     }
 
+    /// Records that the entry of a replica cannot be read, as another writer has replaced
+    /// it. The replica is kept for [`UNREADABLE_GRACE`] after the first such entry, and
+    /// longer if it is listed again.
+    pub fn record_unreadable(&mut self, now: Duration, id: &str) {
+        let key = self.by_id.get(id);
+        if let Some(entry) = key.and_then(|key| self.entries.get_mut(*key)) {
+            entry.grace_ends_at.get_or_insert(now + UNREADABLE_GRACE);
+        }
+    }
+
     /// Ids of all replicas in the pool.
     pub fn ids(&self) -> impl Iterator<Item = &CompactString> {
         self.by_id.keys()
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -14,6 +14,7 @@
 mod profile;
 mod quarantine;
 mod rate_limit;
+mod reasons;
 mod retry;
 mod schedule;
 mod streams;
--- a/crates/coordination/tests/fleet/pool.rs
+++ b/crates/coordination/tests/fleet/pool.rs
@@ -253,3 +253,35 @@
     assert_ne!(next.key, first.key);
     assert_eq!(pool.free_batch_slots(NOW, SERVICE, 0), 3 * 8 - 1);
 }
+
+/// Seconds after the first unreadable entry of a replica at which it is still used.
+fn is_used_after(pool: &mut Pool, seconds: u64) -> bool {
+    let now = NOW + Duration::from_secs(seconds);
+    pool.expire(now);
+    select(pool, now).is_some()
+}
+
+#[test]
+fn replica_whose_entry_is_unreadable_is_kept_for_a_time() {
+    let mut pool = pool(1, 8);
+    pool.record_unreadable(NOW, "i-0");
+    assert!(is_used_after(&mut pool, 3));
+    pool.record_unreadable(NOW + Duration::from_secs(3), "i-0");
+    assert!(!is_used_after(&mut pool, 4));
+    assert_eq!(pool.ids().count(), 0);
+}
+
+#[test]
+fn replica_that_is_listed_again_is_kept() {
+    let mut pool = pool(1, 8);
+    pool.record_unreadable(NOW, "i-0");
+    pool.upsert(replica(0, 8));
+    assert!(is_used_after(&mut pool, 60));
+}
+
+#[test]
+fn unreadable_entry_adds_no_replica() {
+    let mut pool = pool(0, 8);
+    pool.record_unreadable(NOW, "i-0");
+    assert!(!is_used_after(&mut pool, 0));
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -159,6 +159,12 @@
         self.core.manifest().map(|manifest| manifest.version)
     }
 
+    /// Metrics as text, one value a line.
+    #[must_use]
+    pub fn metrics_text(&self) -> String {
+        self.core.metrics.text()
+    }
+
     /// Whether the daemon owns a shard and has loaded it.
     #[must_use]
     pub fn is_serving(&self, shard: usize) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod datagram;
 mod forward;
 mod gossip;
+mod invalid;
 mod jobs;
 mod links;
 mod metrics;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -373,6 +373,10 @@
     warn!("invalid record", kv: { key, why });
 }
 
+pub(crate) fn ledger_records_invalid(shard: u16, records: u64) {
+    warn!("invalid records of a shard", kv: { shard, records });
+}
+
 pub(crate) fn datagram_error(why: &str) {
     warn!("gossip datagram error", kv: { why });
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,7 +28,11 @@
 
 impl Metrics {
     fn add(&self, name: CompactString) {
-        *lock(&self.counts).entry(name).or_default() += 1;
+        self.add_count(name, 1);
+    }
+
+    fn add_count(&self, name: CompactString, count: u64) {
+        *lock(&self.counts).entry(name).or_default() += count;
     }
 
     pub(crate) fn request_answered(
@@ -72,6 +76,12 @@
         self.add(format_compact!("store_failures_total{{call=\"{call}\"}}"));
     }
 
+    /// Records of the store that could not be used.
+    pub(crate) fn add_invalid(&self, kind: &str, count: u64) {
+        let name = format_compact!("invalid_records_total{{kind=\"{kind}\"}}");
+        self.add_count(name, count);
+    }
+
     pub(crate) fn reservation(&self, end: &str) {
         self.add(format_compact!("reservations_total{{end=\"{end}\"}}"));
     }
--- a/crates/gateway/src/shard.rs
+++ b/crates/gateway/src/shard.rs
@@ -248,8 +248,9 @@
             .unwrap_or(Err(Undecided::Unknown))
     }
 
-    /// Applies the records that follow the current state.
-    fn apply(&self, read: &Read) {
+    /// Applies the records that follow the current state. Returns the number of invalid
+    /// ones.
+    fn apply(&self, read: &Read) -> u64 {
         let now = clock::now().as_millis() as u64;
         self.read_at_ms.store(now, Ordering::Relaxed);
         let mut ledger = self.ledger();
@@ -257,16 +258,27 @@
         if read.start_offset > before {
             // The shard was reloaded during the read; the next one returns these
             // records again.
-            return;
+            return 0;
         }
+        let invalid_before = ledger.invalid_records();
         let new_records = (read.start_offset..).zip(&read.records);
         for (offset, record) in new_records {
             ledger.apply(offset, record);
         }
+        let invalid = ledger.invalid_records() - invalid_before;
         if ledger.next() != before {
             drop(ledger);
             self.changed.notify(usize::MAX);
         }
+        invalid
+    }
+
+    /// Counts and logs invalid records of the partition.
+    fn report_invalid<S: Store, D: Dialect>(&self, core: &Core<S, D>, count: u64) {
+        if count > 0 {
+            core.metrics.add_invalid("ledger", count);
+            log::ledger_records_invalid(self.number, count);
+        }
     }
 
     /// Applies all records up to the end of the partition.
@@ -290,7 +302,8 @@
             match read {
                 Ok(read) => {
                     core.record_store_success();
-                    self.apply(&read);
+                    let invalid = self.apply(&read);
+                    self.report_invalid(core, invalid);
                     if self.ledger().next() >= read.end_offset {
                         return Ok(());
                     }
@@ -337,6 +350,7 @@
             }
         }
         ledger.set_next(start_offset.unwrap_or(0));
+        self.report_invalid(core, ledger.invalid_records());
         *self.ledger() = ledger;
         let now = clock::now().as_millis() as u64;
         self.read_at_ms.store(now, Ordering::Relaxed);
@@ -510,11 +524,12 @@
             Ok(_) => {
                 core.record_store_success();
                 let _failed = shard.append_availability.record_success();
-                shard.apply(&Read {
+                let invalid = shard.apply(&Read {
                     start_offset: group.expected_end,
                     records: group.records.clone(),
                     end_offset: 0,
                 });
+                shard.report_invalid(core, invalid);
                 return true;
             }
             Err(Failure::Conflict) => {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -2,10 +2,11 @@
 //!
 //! A topic is first read as a snapshot with the newest record of each key, then
 //! record by record from the end offset of the snapshot. If records after that
-//! offset have been deleted, the snapshot is read again. Invalid records are
+//! offset have been deleted, the snapshot is read again. Invalid records are counted,
 //! logged and skipped, so that they do not hide valid ones.
 
 use std::collections::HashSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bitterncart_state::ledger::Record;
@@ -14,6 +15,7 @@
 use crate::clock;
 use crate::core::Core;
 use crate::dialect::Dialect;
+use crate::invalid::InvalidRecords;
 use crate::log;
 use crate::store::{Failure, Store, Topic};
 
@@ -117,18 +119,20 @@
         long_poll: MANIFEST_LONG_POLL,
         read_delay: Duration::ZERO,
     };
+    let invalid = InvalidRecords::new("manifest", Arc::clone(&core.metrics));
     let on_record = |record: &Record| match S::parse_manifest(record) {
         Ok(Some(parsed)) => {
             let version = parsed.manifest.version;
+            invalid.remove(&record.key);
             if core.install_manifest(parsed.manifest) {
                 log::manifest_installed(version);
                 for defect in parsed.defects {
-                    log::record_invalid(&defect.entry, &defect.why);
+                    invalid.record_part(version, &defect);
                 }
             }
         }
         Ok(None) => {}
-        Err(reason) => log::record_invalid(&record.key, &reason),
+        Err(reason) => invalid.record(&record.key, &reason),
     };
     tail.run(
         |records| records.iter().for_each(on_record),
@@ -146,7 +150,8 @@
         long_poll: REPLICAS_LONG_POLL,
         read_delay: REPLICAS_READ_DELAY,
     };
-    let on_record = |record: &Record| apply_replica(&core, record);
+    let invalid = InvalidRecords::new("replica", Arc::clone(&core.metrics));
+    let on_record = |record: &Record| apply_replica(&core, &invalid, record);
     let on_snapshot = |records: Vec<Record>| {
         let listed: HashSet<&CompactString> = records.iter().map(|r| &r.key).collect();
         let now = clock::now();
@@ -168,15 +173,27 @@
     tail.run(on_snapshot, on_record, on_current).await;
 }
 
-/// Adds, updates or removes the replica of a record in the pool.
-fn apply_replica<S: Store, D: Dialect>(core: &Core<S, D>, record: &Record) {
+/// Adds, updates or removes the replica of a record in the pool. The replica of a record
+/// that has become invalid is kept for a time.
+fn apply_replica<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    invalid: &InvalidRecords,
+    record: &Record,
+) {
     match (&record.value, S::parse_replica(record)) {
         (None, _) => {
+            invalid.remove(&record.key);
             let recovered_at = core.store_recovered_at();
             core.pool().delist(clock::now(), &record.key, recovered_at);
         }
-        (Some(_), Ok(replica)) => core.pool().upsert(replica),
-        (Some(_), Err(reason)) => log::record_invalid(&record.key, &reason),
+        (Some(_), Ok(replica)) => {
+            invalid.remove(&record.key);
+            core.pool().upsert(replica);
+        }
+        (Some(_), Err(reason)) => {
+            invalid.record(&record.key, &reason);
+            core.pool().record_unreadable(clock::now(), &record.key);
+        }
     }
 }
 
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod harness;
 mod link;
 mod links;
+mod odd_records;
 mod online;
 mod owner;
 mod pace;
--- /dev/null
+++ b/crates/gateway/tests/gateway/odd_records.rs
@@ -0,0 +1,105 @@
+//! Records of other writers beside those of the operator and the replicas.
+
+use bitterncart_gateway::store::Topic;
+use bitterncart_testing::cases;
+
+use crate::harness::{Gateway, manifest, post, status, store, wait_until};
+use crate::replica::{Action, ScriptedReplica};
+
+const OK_RESPONSE: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
+
+/// Value of a counter of the daemon; 0 if it has none.
+fn counter(gateway: &Gateway, name: &str) -> u64 {
+    let text = gateway.daemon.metrics_text();
+    let mut lines = text.lines();
+    lines
+        .find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
+        .unwrap_or(0)
+}
+
+fn invalid_replicas(gateway: &Gateway) -> u64 {
+    counter(
+        gateway,
+        "bitterncart_invalid_records_total{kind=\"replica\"}",
+    )
+}
+
+async fn is_served(gateway: &Gateway, id: &str) -> bool {
+    status(&gateway.fetch(&post("/idempotent/a", id)).await) == 200
+}
+
+/// Entry of a replica with one field changed.
+async fn odd_entry(old: &str, new: &str) -> String {
+    let replica = ScriptedReplica::start("odd", Vec::new()).await;
+    let text = serde_json::to_string(&replica.record()).expect("a replica");
+    let odd = text.replace(old, new);
+    assert_ne!(odd, text);
+    odd
+}
+
+cases! {
+    /// A daemon that reads an odd entry, before it is ready or later, goes on serving and
+    /// following the list.
+    fn odd_entry_leaves_the_daemon_serving(old: &str, new: &str) {
+        smol::block_on(async {
+            let first = ScriptedReplica::start("first", vec![vec![OK_RESPONSE; 8]; 8]).await;
+            let second = ScriptedReplica::start("second", vec![vec![OK_RESPONSE; 8]; 8]).await;
+            let odd = odd_entry(old, new).await;
+            let store = store(&[&first]);
+            store.put(Topic::Replicas, "before", &odd);
+            let gateway = Gateway::start(&store).await;
+            assert_eq!(invalid_replicas(&gateway), 1);
+            store.put(Topic::Replicas, "after", &odd);
+            wait_until("the odd entry", || invalid_replicas(&gateway) == 2).await;
+            assert!(is_served(&gateway, "one").await);
+            store.publish_replica(&second.record());
+            store.put(Topic::Replicas, "first", "");
+            store.put(Topic::Replicas, "after", &odd);
+            wait_until("the later entries", || invalid_replicas(&gateway) == 3).await;
+            assert!(is_served(&gateway, "two").await);
+        });
+    }
+    nested_entry_leaves_the_daemon_serving(
+        "\"born_ms\":",
+        &format!("\"born_ms\":{}{},\"n\":", "[".repeat(100_000), "]".repeat(100_000)),
+    );
+    number_too_large_leaves_the_daemon_serving("\"born_ms\":", "\"born_ms\":1e300,\"n\":");
+    port_out_of_range_leaves_the_daemon_serving("127.0.0.1:", "127.0.0.1:7");
+    entry_of_another_type_leaves_the_daemon_serving("{", "[{");
+    entry_that_is_cut_off_leaves_the_daemon_serving("}", "");
+}
+
+/// The entry of a replica names it no longer, but the replica may write it again.
+#[test]
+fn replica_whose_entry_becomes_odd_is_used_for_a_time() {
+    smol::block_on(async {
+        let replica = ScriptedReplica::start("r", vec![vec![OK_RESPONSE; 8]; 8]).await;
+        let store = store(&[&replica]);
+        let gateway = Gateway::start(&store).await;
+        store.put(Topic::Replicas, "r", "{}");
+        wait_until("the odd entry", || invalid_replicas(&gateway) == 1).await;
+        assert!(is_served(&gateway, "one").await);
+        smol::Timer::after(std::time::Duration::from_secs(5)).await;
+        assert!(!is_served(&gateway, "two").await);
+        store.publish_replica(&replica.record());
+        smol::Timer::after(std::time::Duration::from_secs(1)).await;
+        assert!(is_served(&gateway, "three").await);
+    });
+}
+
+#[test]
+fn odd_manifest_leaves_the_one_before_in_force() {
+    smol::block_on(async {
+        let replica = ScriptedReplica::start("r", vec![vec![OK_RESPONSE; 8]; 8]).await;
+        let store = store(&[&replica]);
+        let gateway = Gateway::start(&store).await;
+        let name = "bitterncart_invalid_records_total{kind=\"manifest\"}";
+        store.put(Topic::Operator, "manifest", "{\"version\":-1}");
+        wait_until("the odd manifest", || counter(&gateway, name) == 1).await;
+        assert!(is_served(&gateway, "one").await);
+        store.publish_manifest(&manifest(5));
+        let is_installed = || gateway.daemon.manifest_version() == Some(5);
+        wait_until("the next version", is_installed).await;
+        assert!(is_served(&gateway, "two").await);
+    });
+}
