--- a/crates/gateway/src/shard.rs
+++ b/crates/gateway/src/shard.rs
@@ -309,6 +309,11 @@
                     }
                 }
                 Err(Failure::Truncated) => self.loaded.store(false, Ordering::Release),
+                Err(e @ Failure::Undecodable(_)) => {
+                    // A read from the same offset may bring the same; pages do not.
+                    core.record_store_failure("read", &e);
+                    self.loaded.store(false, Ordering::Release);
+                }
                 Err(e) => return Err(e),
             }
         }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -45,6 +45,8 @@
     Conflict,
     /// The records at the offset have been deleted.
     Truncated,
+    /// The response cannot be decoded; the call may have taken effect.
+    Undecodable(CompactString),
     /// No valid response; the call may have taken effect or may still do so.
     OutcomeUnknown(CompactString),
 }
@@ -53,7 +55,7 @@
     /// Whether the call is known to have no effect.
     #[must_use]
     pub fn is_without_effect(&self) -> bool {
-        !matches!(self, Self::OutcomeUnknown(_))
+        !matches!(self, Self::OutcomeUnknown(_) | Self::Undecodable(_))
     }
 }
 
@@ -64,6 +66,7 @@
             Self::Refused(status) => write!(f, "refused with status {status}"),
             Self::Conflict => f.write_str("the topic ends elsewhere"),
             Self::Truncated => f.write_str("the records are deleted"),
+            Self::Undecodable(why) => write!(f, "undecodable answer: {why}"),
             Self::OutcomeUnknown(why) => write!(f, "no usable answer: {why}"),
         }
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -2,8 +2,9 @@
 //!
 //! A topic is first read as a snapshot with the newest record of each key, then
 //! record by record from the end offset of the snapshot. If records after that
-//! offset have been deleted, the snapshot is read again. Invalid records are counted,
-//! logged and skipped, so that they do not hide valid ones.
+//! offset have been deleted or cannot be decoded, the snapshot is read again.
+//! Invalid records are counted, logged and skipped, so that they do not hide valid
+//! ones.
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -33,6 +34,10 @@
 /// Delay before a failed call to the store is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Undecodable responses in a row to reads from one offset, after which the snapshot is
+/// read instead.
+const MAX_UNDECODABLE_READS: u32 = 3;
+
 /// Interval between removals of expired replicas and idle connections.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -65,6 +70,7 @@
                     continue;
                 }
             };
+            let mut undecodable = 0;
             loop {
                 match self
                     .core
@@ -74,15 +80,21 @@
                 {
                     Ok(read) => {
                         self.core.record_store_success();
+                        undecodable = 0;
                         read.records.iter().for_each(&mut on_record);
                         on_current();
-                        offset = read.start_offset + read.records.len() as u64;
+                        offset = read.start_offset.saturating_add(read.records.len() as u64);
                         smol::Timer::after(self.read_delay).await;
                     }
                     Err(Failure::Truncated) => break,
                     Err(e) => {
                         self.core.record_store_failure("read", &e);
                         smol::Timer::after(RETRY_DELAY).await;
+                        let is_undecodable = matches!(e, Failure::Undecodable(_));
+                        undecodable = if is_undecodable { undecodable + 1 } else { 0 };
+                        if undecodable >= MAX_UNDECODABLE_READS {
+                            break;
+                        }
                     }
                 }
             }
--- a/crates/gateway/tests/gateway/odd_records.rs
+++ b/crates/gateway/tests/gateway/odd_records.rs
@@ -5,6 +5,7 @@
 
 use crate::harness::{Gateway, manifest, post, status, store, wait_until};
 use crate::replica::{Action, ScriptedReplica};
+use crate::store::Fault;
 
 const OK_RESPONSE: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
 
@@ -103,3 +104,20 @@
         assert!(is_served(&gateway, "two").await);
     });
 }
+
+/// Guards against a daemon that asks for the same records forever.
+#[test]
+fn undecodable_reads_do_not_stop_the_daemon_from_following() {
+    smol::block_on(async {
+        let replica = ScriptedReplica::start("r", vec![vec![OK_RESPONSE; 8]; 8]).await;
+        let store = store(&[]);
+        store.set_fault(Fault::Undecodable);
+        let gateway = Gateway::start(&store).await;
+        store.publish_replica(&replica.record());
+        store.publish_manifest(&manifest(5));
+        let is_installed = || gateway.daemon.manifest_version() == Some(5);
+        wait_until("the next version", is_installed).await;
+        smol::Timer::after(std::time::Duration::from_secs(1)).await;
+        assert!(is_served(&gateway, "one").await);
+    });
+}
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -12,7 +12,7 @@
 
 use crate::link::Link;
 
-/// Injected fault in calls about the ledger.
+/// Injected fault in calls, about the ledger unless it says otherwise.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum Fault {
     /// No fault.
@@ -27,6 +27,9 @@
     SlowReads(Duration),
     /// Appends and reads of the newest records are refused.
     Unavailable,
+    /// Reads of other topics bring nothing that can be decoded; pages of the newest records
+    /// do.
+    Undecodable,
 }
 
 #[derive(Debug, Default)]
@@ -163,7 +166,9 @@
             _ => Fault::None,
         };
         match fault {
-            Fault::None | Fault::SlowReads(_) => self.append_now(topic, expected_end, records),
+            Fault::None | Fault::SlowReads(_) | Fault::Undecodable => {
+                self.append_now(topic, expected_end, records)
+            }
             Fault::Slow(time) => {
                 smol::Timer::after(time).await;
                 self.append_now(topic, expected_end, records)
@@ -187,6 +192,9 @@
         if let (Fault::SlowReads(time), Topic::Ledger(_)) = (fault, topic) {
             smol::Timer::after(time).await;
         }
+        if fault == Fault::Undecodable && !matches!(topic, Topic::Ledger(_)) {
+            return Err(Failure::Undecodable("a record is cut off".into()));
+        }
         let has_records = async {
             loop {
                 let changed = self.shared.changed.listen();
