coordination: numbers in the datagrams of peers are bounded

A heartbeat with a large capacity or number of waiting items overflowed in sums and products of daemons that received it; a period of 49 days kept its load in force; shards that no fleet has were kept. A reply about a token could exclude a replica for 49 days. A version in the catalog that left in the future never left.

Change: `Heartbeat::decode` lowers numbers to their bounds, drops shards out of range and refuses a sender without an address; the time of `Reply` is at most that which a daemon sends. A time in the catalog more than a minute ahead is corrected by the daemon that writes. The encoding is unchanged, and so is what daemons of the commit before send: their numbers are within the bounds.

--- a/crates/coordination/src/fleet/catalog.rs
+++ b/crates/coordination/src/fleet/catalog.rs
@@ -22,6 +22,9 @@
 /// Time after which the record of a version that has left is deleted.
 const RETENTION: Duration = Duration::from_secs(2 * MEMORY.as_secs());
 
+/// Time ahead of this daemon's clock up to which the clocks of others may be.
+const MAX_CLOCK_SKEW: Duration = Duration::from_secs(60);
+
 /// Maximum size of a key; versions with longer ones are not recorded.
 const MAX_KEY_BYTES: usize = 200;
 
@@ -112,8 +115,10 @@
             (!is_current).then(|| change(version, Some(span)))
         });
         let gone = self.spans.iter().filter(|(v, _)| !listed.contains(*v));
+        let latest_ms = now_ms.saturating_add(MAX_CLOCK_SKEW.as_millis() as u64);
         let left = gone.filter_map(|(version, span)| match span.last_ms {
-            None => {
+            // A time in the future is none: the version would never be forgotten.
+            last_ms if last_ms.is_none_or(|ms| ms > latest_ms) => {
                 let span = Span {
                     last_ms: Some(now_ms),
                     ..*span
@@ -123,7 +128,7 @@
             Some(last_ms) if now_ms.saturating_sub(last_ms) >= RETENTION.as_millis() as u64 => {
                 Some(change(version, None))
             }
-            Some(_) => None,
+            _ => None,
         });
         let changes = came.chain(left);
         changes
--- a/crates/coordination/src/fleet/peers.rs
+++ b/crates/coordination/src/fleet/peers.rs
@@ -51,6 +51,21 @@
 /// Target rate of heartbeats to all peers of other data centres together.
 const REMOTE_HEARTBEATS_PER_S: u32 = 160;
 
+/// Maximum capacity in a heartbeat, in thousandths of a core; that of the settings.
+const MAX_CAPACITY: u32 = 1_000_000;
+
+/// Maximum period in a heartbeat, in milliseconds.
+const MAX_PERIOD_MS: u32 = 60_000;
+
+/// Maximum number of waiting items in a heartbeat.
+const MAX_WAITING: u32 = 1 << 20;
+
+/// Maximum number of shards of a fleet; that of the settings.
+const MAX_SHARDS: u16 = 1024;
+
+/// Maximum number of tokens of a route in a shard. Sums over all shards do not overflow.
+const MAX_TOKENS: u64 = 1 << 48;
+
 /// Time between two heartbeats to each of `count` peers; `near` if they are in
 /// the same data centre. Grows with `count`, within 50 to 350 ms, to limit the
 /// send rate.
@@ -157,12 +172,33 @@
     }
 
     /// Decodes a datagram. One of an earlier version ends before the queue or one of
-    /// the fields that follow it.
+    /// the fields that follow it. Numbers out of range are lowered to their bounds.
     ///
     /// # Errors
     ///
-    /// If the datagram is not a heartbeat.
+    /// If the datagram is not a heartbeat, or its sender has no address.
     pub fn decode(datagram: &[u8]) -> Result<Self, postcard::Error> {
+        let heartbeat = Self::decode_fields(datagram)?;
+        let ip = heartbeat.from.ip();
+        if heartbeat.from.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+            return Err(postcard::Error::SerdeDeCustom);
+        }
+        Ok(heartbeat.bounded())
+    }
+
+    fn bounded(mut self) -> Self {
+        self.capacity = self.capacity.min(MAX_CAPACITY);
+        self.period_ms = self.period_ms.min(MAX_PERIOD_MS);
+        self.waiting = self.waiting.min(MAX_WAITING);
+        self.shards.retain(|ownership| ownership.shard < MAX_SHARDS);
+        let shards = self.shards.iter_mut();
+        for (_, tokens) in shards.flat_map(|ownership| &mut ownership.tokens) {
+            *tokens = (*tokens).min(MAX_TOKENS);
+        }
+        self
+    }
+
+    fn decode_fields(datagram: &[u8]) -> Result<Self, postcard::Error> {
         let (mut heartbeat, rest): (Self, &[u8]) = postcard::take_from_bytes(datagram)?;
         if rest.is_empty() {
             return Ok(heartbeat);
@@ -342,7 +378,7 @@
         };
         let capacities = live().map(|peer| peer.heartbeat.capacity);
         let strongest = capacities.fold(own, u32::max);
-        let strong = live().filter(|peer| peer.heartbeat.capacity * 2 >= strongest);
+        let strong = live().filter(|peer| peer.heartbeat.capacity.saturating_mul(2) >= strongest);
         let relay = |peer: &Peer| {
             let heartbeat = &peer.heartbeat;
             let report = heartbeat
@@ -371,7 +407,8 @@
     /// Batch items that all live peers together would start if slots were free.
     #[must_use]
     pub fn waiting_items(&self, now: Duration) -> u32 {
-        self.live(now).map(|heartbeat| heartbeat.waiting).sum()
+        let waiting = self.live(now).map(|heartbeat| heartbeat.waiting);
+        waiting.fold(0, u32::saturating_add)
     }
 
     /// Online requests that the live peers have queued.
--- a/crates/coordination/src/fleet/rate_limit.rs
+++ b/crates/coordination/src/fleet/rate_limit.rs
@@ -93,10 +93,18 @@
         MARK.encode(self)
     }
 
-    /// Decodes a datagram; `None` if it is no message about tokens.
+    /// Decodes a datagram; `None` if it is no message about tokens. The time after which
+    /// to ask again is bounded, as the replica is not used meanwhile.
     #[must_use]
     pub fn decode(datagram: &[u8]) -> Option<Self> {
-        MARK.decode(datagram)
+        let max_retry_ms = MAX_RETRY.as_millis() as u32;
+        match MARK.decode(datagram)? {
+            Self::Reply { id, retry_ms } => Some(Self::Reply {
+                id,
+                retry_ms: retry_ms.map(|ms| ms.min(max_retry_ms)),
+            }),
+            ask => Some(ask),
+        }
     }
 }
 
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod departure;
 mod links;
 mod manifest;
+mod odd_datagrams;
 mod ownership;
 mod pool;
 mod profile;
