--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -1,7 +1,13 @@
-//! Table-driven tests.
+//! Table-driven tests, and tests with many odd inputs.
 //!
 //! [`cases!`] generates one named `#[test]` for each row of arguments, so that the
-//! test runner reports, filters and repeats each case by its name.
+//! test runner reports, filters and repeats each case by its name. [`fuzz`] calls a test
+//! with the inputs of a strategy, [`mutation`] changes valid inputs.
+
+mod fuzz;
+pub mod mutation;
+
+pub use fuzz::fuzz;
 
 /// Generates one test for each named case of a function.
 ///
