--- a/crates/gateway/tests/gateway/odd_records.rs
+++ b/crates/gateway/tests/gateway/odd_records.rs
@@ -1,9 +1,10 @@
 //! Records of other writers beside those of the operator and the replicas.
 
+use bitterncart_coordination::fleet::{Kind, Route};
 use bitterncart_gateway::store::Topic;
 use bitterncart_testing::cases;
 
-use crate::harness::{Gateway, manifest, post, status, store, wait_until};
+use crate::harness::{Gateway, manifest, post, request, status, store, wait_until};
 use crate::replica::{Action, ScriptedReplica};
 use crate::store::Fault;
 
@@ -105,6 +106,52 @@
     });
 }
 
+/// The requests of a route that cannot be used must not go to that of a shorter prefix.
+#[test]
+fn unusable_route_refuses_its_requests() {
+    smol::block_on(async {
+        let replica = ScriptedReplica::start("r", vec![vec![OK_RESPONSE; 8]; 8]).await;
+        let store = store(&[&replica]);
+        let mut odd = manifest(5);
+        let prefix = "/idempotent/odd/";
+        let unusable = Route::unusable("odd".into(), "a.example".into(), prefix.into());
+        odd.routes.push(unusable);
+        store.publish_manifest(&odd);
+        let gateway = Gateway::start(&store).await;
+        assert!(is_served(&gateway, "one").await);
+        let response = gateway.fetch(&post("/idempotent/odd/a", "two")).await;
+        assert_eq!(status(&response), 503, "{response}");
+        let refused = "bitterncart_refused_total{code=\"no_replica\"}";
+        assert_eq!(counter(&gateway, refused), 1);
+        assert!(is_served(&gateway, "three").await);
+    });
+}
+
+/// A job that was accepted under an earlier version waits for a later one.
+#[test]
+fn job_of_a_route_that_becomes_unusable_is_not_given_up() {
+    smol::block_on(async {
+        let store = store(&[]);
+        let gateway = Gateway::start(&store).await;
+        wait_until("the shard", || gateway.daemon.is_serving(0)).await;
+        let response = gateway
+            .fetch(&request("POST", "/items/", "job", "a\nb"))
+            .await;
+        assert_eq!(status(&response), 202, "{response}");
+        let mut odd = manifest(5);
+        odd.routes.retain(|route| route.kind != Kind::Batch);
+        let unusable = Route::unusable("items".into(), "a.example".into(), "/items/".into());
+        odd.routes.push(unusable);
+        store.publish_manifest(&odd);
+        let is_installed = || gateway.daemon.manifest_version() == Some(5);
+        wait_until("the odd route", is_installed).await;
+        let replica = ScriptedReplica::start("r", vec![vec![OK_RESPONSE; 8]; 8]).await;
+        store.publish_replica(&replica.record());
+        smol::Timer::after(std::time::Duration::from_secs(3)).await;
+        assert_eq!(store.count_records("r/"), 0);
+    });
+}
+
 /// Guards against a daemon that asks for the same records forever.
 #[test]
 fn undecodable_reads_do_not_stop_the_daemon_from_following() {
