--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod datagram;
 mod forward;
 mod gossip;
+mod invalid;
 mod jobs;
 mod links;
 mod metrics;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -45,6 +45,8 @@
     Conflict,
     /// The records at the offset have been deleted.
     Truncated,
+    /// The response cannot be decoded; the call may have taken effect.
+    Undecodable(CompactString),
     /// No valid response; the call may have taken effect or may still do so.
     OutcomeUnknown(CompactString),
 }
@@ -53,7 +55,7 @@
     /// Whether the call is known to have no effect.
     #[must_use]
     pub fn is_without_effect(&self) -> bool {
-        !matches!(self, Self::OutcomeUnknown(_))
+        !matches!(self, Self::OutcomeUnknown(_) | Self::Undecodable(_))
     }
 }
 
@@ -64,6 +66,7 @@
             Self::Refused(status) => write!(f, "refused with status {status}"),
             Self::Conflict => f.write_str("the topic ends elsewhere"),
             Self::Truncated => f.write_str("the records are deleted"),
+            Self::Undecodable(why) => write!(f, "undecodable answer: {why}"),
             Self::OutcomeUnknown(why) => write!(f, "no usable answer: {why}"),
         }
     }
@@ -82,6 +85,33 @@
     Ledger(u16),
 }
 
+/// Part of a record that cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Defect {
+    /// Name or position of the part.
+    pub entry: CompactString,
+    /// Why it cannot be used.
+    pub why: String,
+}
+
+/// Manifest as far as it can be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ParsedManifest {
+    /// Manifest without the parts that cannot be used.
+    pub manifest: Manifest,
+    /// Parts that cannot be used.
+    pub defects: Vec<Defect>,
+}
+
+impl From<Manifest> for ParsedManifest {
+    fn from(manifest: Manifest) -> Self {
+        Self {
+            manifest,
+            defects: Vec::new(),
+        }
+    }
+}
+
 /// Parser of the records of the operator and of replicas.
 pub trait RecordParser {
     /// Parses the manifest; `None` if the record is of another type.
@@ -89,7 +119,7 @@
     /// # Errors
     ///
     /// Why the record is invalid.
-    fn parse_manifest(record: &Record) -> Result<Option<Manifest>, String>;
+    fn parse_manifest(record: &Record) -> Result<Option<ParsedManifest>, String>;
 
     /// Parses a replica.
     ///
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -2,10 +2,12 @@
 //!
 //! A topic is first read as a snapshot with the newest record of each key, then
 //! record by record from the end offset of the snapshot. If records after that
-//! offset have been deleted, the snapshot is read again. Invalid records are
-//! logged and skipped, so that they do not hide valid ones.
+//! offset have been deleted or cannot be decoded, the snapshot is read again.
+//! Invalid records are counted, logged and skipped, so that they do not hide valid
+//! ones.
 
 use std::collections::HashSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bitterncart_state::ledger::Record;
@@ -14,6 +16,7 @@
 use crate::clock;
 use crate::core::Core;
 use crate::dialect::Dialect;
+use crate::invalid::InvalidRecords;
 use crate::log;
 use crate::store::{Failure, Store, Topic};
 
@@ -31,6 +34,10 @@
 /// Delay before a failed call to the store is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Undecodable responses in a row to reads from one offset, after which the snapshot is
+/// read instead.
+const MAX_UNDECODABLE_READS: u32 = 3;
+
 /// Interval between removals of expired replicas and idle connections.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -63,6 +70,7 @@
                     continue;
                 }
             };
+            let mut undecodable = 0;
             loop {
                 match self
                     .core
@@ -72,15 +80,21 @@
                 {
                     Ok(read) => {
                         self.core.record_store_success();
+                        undecodable = 0;
                         read.records.iter().for_each(&mut on_record);
                         on_current();
-                        offset = read.start_offset + read.records.len() as u64;
+                        offset = read.start_offset.saturating_add(read.records.len() as u64);
                         smol::Timer::after(self.read_delay).await;
                     }
                     Err(Failure::Truncated) => break,
                     Err(e) => {
                         self.core.record_store_failure("read", &e);
                         smol::Timer::after(RETRY_DELAY).await;
+                        let is_undecodable = matches!(e, Failure::Undecodable(_));
+                        undecodable = if is_undecodable { undecodable + 1 } else { 0 };
+                        if undecodable >= MAX_UNDECODABLE_READS {
+                            break;
+                        }
                     }
                 }
             }
@@ -117,15 +131,20 @@
         long_poll: MANIFEST_LONG_POLL,
         read_delay: Duration::ZERO,
     };
+    let invalid = InvalidRecords::new("manifest", Arc::clone(&core.metrics));
     let on_record = |record: &Record| match S::parse_manifest(record) {
-        Ok(Some(manifest)) => {
-            let version = manifest.version;
-            if core.install_manifest(manifest) {
+        Ok(Some(parsed)) => {
+            let version = parsed.manifest.version;
+            invalid.remove(&record.key);
+            if core.install_manifest(parsed.manifest) {
                 log::manifest_installed(version);
+                for defect in parsed.defects {
+                    invalid.record_part(version, &defect);
+                }
             }
         }
         Ok(None) => {}
-        Err(reason) => log::record_invalid(&record.key, &reason),
+        Err(reason) => invalid.record(&record.key, &reason),
     };
     tail.run(
         |records| records.iter().for_each(on_record),
@@ -143,7 +162,8 @@
         long_poll: REPLICAS_LONG_POLL,
         read_delay: REPLICAS_READ_DELAY,
     };
-    let on_record = |record: &Record| apply_replica(&core, record);
+    let invalid = InvalidRecords::new("replica", Arc::clone(&core.metrics));
+    let on_record = |record: &Record| apply_replica(&core, &invalid, record);
     let on_snapshot = |records: Vec<Record>| {
         let listed: HashSet<&CompactString> = records.iter().map(|r| &r.key).collect();
         let now = clock::now();
@@ -165,15 +185,27 @@
     tail.run(on_snapshot, on_record, on_current).await;
 }
 
-/// Adds, updates or removes the replica of a record in the pool.
-fn apply_replica<S: Store, D: Dialect>(core: &Core<S, D>, record: &Record) {
+/// Adds, updates or removes the replica of a record in the pool. The replica of a record
+/// that has become invalid is kept for a time.
+fn apply_replica<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    invalid: &InvalidRecords,
+    record: &Record,
+) {
     match (&record.value, S::parse_replica(record)) {
         (None, _) => {
+            invalid.remove(&record.key);
             let recovered_at = core.store_recovered_at();
             core.pool().delist(clock::now(), &record.key, recovered_at);
         }
-        (Some(_), Ok(replica)) => core.pool().upsert(replica),
-        (Some(_), Err(reason)) => log::record_invalid(&record.key, &reason),
+        (Some(_), Ok(replica)) => {
+            invalid.remove(&record.key);
+            core.pool().upsert(replica);
+        }
+        (Some(_), Err(reason)) => {
+            invalid.record(&record.key, &reason);
+            core.pool().record_unreadable(clock::now(), &record.key);
+        }
     }
 }
 
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod harness;
 mod link;
 mod links;
+mod odd_records;
 mod online;
 mod owner;
 mod pace;
