gateway: an owner decides a job only by a manifest that the asker has

On a route that was split off an online one, the owner sent the submission to a replica as an ordinary request, and its 200 was passed on. The reverse also held: an owner with a newer manifest refused with 404, or ran, a job of a daemon that had not read that manifest yet; and an owner with a smaller body limit answered 413.

Cause: the call that submits a job for another daemon was the client's request as it came. The owner looked its route up again in its own manifest and dispatched it as whatever that said; each answer but 503 was final.

Change: the call has a path of its own (`/submit` on the port for peers) and names the host and path of the job and the version of the asker's manifest. The owner decides only with that version or a later one, and only if it finds a batch route too; else it answers 412 with the version that it has. The asker then decides by its own manifest, as when the owner does not answer. If the owner's manifest is later, the asker waits up to 0.7 s for it and starts again, or answers 503: nothing was accepted. Nothing that comes in on the port for peers is handled as an online request any longer. Only the statuses that a decision can have are passed on.

Builds side by side: an owner of the commit before finds no route for the new call, which has no Host, and answers 404; the asker decides. An asker of the commit before sends the client's request; it is accepted if the route is a batch route here, else answered 503, upon which that asker decides. Reads and cancellations are unchanged on the wire.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -22,7 +22,7 @@
 use smol::{Executor, Task};
 
 use crate::availability::Availability;
-use crate::clock;
+use crate::clock::{self, with_timeout};
 use crate::connection::Connector;
 use crate::crash;
 use crate::datagram::Socket;
@@ -348,6 +348,22 @@
         }
     }
 
+    /// Waits until the manifest has a version or a later one; `false` if it has not
+    /// within `timeout`.
+    pub(crate) async fn wait_for_manifest(&self, version: u64, timeout: Duration) -> bool {
+        let installed = async {
+            loop {
+                let configured = self.configured.listen();
+                let manifest = self.manifest();
+                if manifest.is_some_and(|manifest| manifest.version >= version) {
+                    return;
+                }
+                configured.await;
+            }
+        };
+        with_timeout(timeout, installed).await.is_some()
+    }
+
     pub(crate) fn set_replicas_known(&self) {
         self.replicas_known.store(true, Ordering::Relaxed);
         self.configured.notify(usize::MAX);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -90,7 +90,10 @@
 fn means_not_applied(status: StatusCode) -> bool {
     matches!(
         status,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::PRECONDITION_FAILED
+            | StatusCode::PAYLOAD_TOO_LARGE
     )
 }
 
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -1,12 +1,13 @@
 //! Handles calls about batch jobs: submit, read results and bodies, cancel.
 //!
 //! A call is forwarded to the owner of the job's shard. If the owner cannot be
-//! reached or is unavailable, this daemon handles the call itself; that is safe,
-//! as every append to the ledger is conditional. A submission is reported as
-//! refused only if it certainly has no effect; otherwise the response says that
-//! the outcome is unknown. All calls can be repeated.
+//! reached, is unavailable or has an older manifest, this daemon handles the call
+//! itself; that is safe, as every append to the ledger is conditional. A submission
+//! is reported as refused only if it certainly has no effect; otherwise the response
+//! says that the outcome is unknown. All calls can be repeated.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::{Manifest, Route};
@@ -15,7 +16,8 @@
 use bitterncart_state::ledger::{Decision, Job, Op, Quota, Submission};
 use bytes::Bytes;
 use compact_str::CompactString;
-use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
 
 use crate::body::Body;
 use crate::clock::{self, with_timeout};
@@ -25,10 +27,11 @@
 use crate::log;
 use crate::online::error_response;
 use crate::ownership;
-use crate::server::Endpoint;
+use crate::server::{self, Endpoint};
 use crate::shard::{Shard, Undecided};
 use crate::store::Store;
-use crate::upstream::Message;
+use crate::submission::{self, Reply};
+use crate::upstream::{Message, strip_hop_by_hop_headers};
 
 /// Timeout of a ledger write.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -90,37 +93,104 @@
     }))
 }
 
-/// Submits a job to the owner of its shard, or to the ledger if that fails.
+/// The owner of a job's shard has a later manifest, in which the job has no batch route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Outdated {
+    /// Version of that manifest.
+    pub version: u64,
+}
+
+/// Submits a job to the owner of its shard, or to the ledger if that fails. `route` is
+/// that of the manifest with `version`.
+///
+/// # Errors
+///
+/// If the job has no batch route in a later manifest. It was not accepted.
 pub(crate) async fn submit<S: Store, D: Dialect>(
     core: &Core<S, D>,
     route: &Route,
-    message: Message,
+    version: u64,
+    message: &Message,
     endpoint: Endpoint,
-) -> Response<Body> {
-    let header_names = core.dialect.header_names();
-    let id = message.headers.get(&header_names.attempt_id);
-    let id: CompactString = id.and_then(|id| id.to_str().ok()).unwrap_or("").into();
-    if id.is_empty() || id.len() > MAX_JOB_ID_BYTES || id.contains('/') {
-        return reject(core, &id, Code::BadHeader);
-    }
-    let shard = shard_of(core, &id);
+) -> Result<Response<Body>, Outdated> {
+    let Some(id) = job_id(core, message) else {
+        return Ok(reject(core, "", Code::BadHeader));
+    };
+    let owner = forward_target(core, shard_of(core, &id), endpoint);
     let mut is_certain = true;
-    if let Some(owner) = forward_target(core, shard, endpoint) {
-        match forward::call(core, owner, &message, Duration::ZERO).await {
-            Ok(response) if response.status() != StatusCode::SERVICE_UNAVAILABLE => {
-                return response;
-            }
-            Ok(_) | Err(Failure::NotSent) => {}
+    if let (Some(owner), Some(call)) = (owner, submission::Submission::call(message, version)) {
+        match forward::call(core, owner, &call, Duration::ZERO).await {
+            Ok(response) => match Reply::of(&response) {
+                Reply::Decided => return Ok(response),
+                Reply::NotDecided(Some(later)) if later > version => {
+                    core.metrics.owner_call("later_manifest");
+                    return Err(Outdated { version: later });
+                }
+                Reply::NotDecided(_) => core.metrics.owner_call("not_decided"),
+                Reply::Unknown => is_certain = false,
+            },
+            Err(Failure::NotSent) => {}
             Err(Failure::Unknown) => is_certain = false,
         }
     }
-    let code = match accept(core, route, &message, shard, id.clone()).await {
+    Ok(decide(core, route, message, &id, is_certain).await)
+}
+
+/// Handles a submission of a peer to this daemon as the owner of the job's shard.
+pub(crate) async fn submit_for_peer<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let (mut head, mut body) = request.into_parts();
+    let submission = submission::Submission::parse(&head.headers);
+    let route = submission.as_ref().and_then(|job| job.route(core));
+    let (Some(submission), Some(route)) = (submission, route) else {
+        server::discard_body(body).await;
+        return submission::not_decided(core);
+    };
+    let body = match server::read_body(core, &mut body).await {
+        Ok(body) => body,
+        Err(code) => return reject(core, "", code),
+    };
+    strip_hop_by_hop_headers(&mut head.headers);
+    head.headers.insert(header::HOST, submission.host);
+    let message = Message {
+        profile: Arc::default(),
+        method: head.method,
+        uri: submission.uri,
+        headers: head.headers,
+        body,
+    };
+    match job_id(core, &message) {
+        Some(id) => decide(core, &route, &message, &id, true).await,
+        None => reject(core, "", Code::BadHeader),
+    }
+}
+
+/// Id of the job in a submission; `None` if it is invalid.
+fn job_id<S: Store, D: Dialect>(core: &Core<S, D>, message: &Message) -> Option<CompactString> {
+    let id = message.headers.get(&core.dialect.header_names().attempt_id);
+    let id = id?.to_str().ok()?;
+    let is_valid = !id.is_empty() && id.len() <= MAX_JOB_ID_BYTES && !id.contains('/');
+    is_valid.then(|| id.into())
+}
+
+/// Accepts or rejects a job at this daemon. If it is not `is_certain` that the owner has
+/// not accepted the job, it is not reported as refused.
+async fn decide<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    route: &Route,
+    message: &Message,
+    id: &CompactString,
+    is_certain: bool,
+) -> Response<Body> {
+    let code = match accept(core, route, message, id).await {
         Ok(()) => return empty_response(StatusCode::ACCEPTED),
         // The owner may still accept the job.
         Err(code) if !is_certain && code.ran() == Ran::NotRun => Code::AppendUnknown,
         Err(code) => code,
     };
-    reject(core, &id, code)
+    reject(core, id, code)
 }
 
 /// Accepts a job at this daemon.
@@ -128,17 +198,17 @@
     core: &Core<S, D>,
     route: &Route,
     message: &Message,
-    shard: &Shard,
-    id: CompactString,
+    id: &CompactString,
 ) -> Result<(), Code> {
-    if shard.ledger().job(&id).is_some() {
+    let shard = shard_of(core, id);
+    if shard.ledger().job(id).is_some() {
         return Ok(());
     }
     if core.is_store_unavailable(clock::now()) || !shard.wait_until_loaded(LOAD_TIMEOUT).await {
         return Err(Code::LogUnavailable);
     }
     let items = core.dialect.parse_items(&message.body).map_err(|reason| {
-        log::record_invalid(&id, &reason);
+        log::record_invalid(id, &reason);
         Code::MalformedJson
     })?;
     let submission = Submission {
@@ -152,7 +222,7 @@
     match shard.submit(op, clock::now() + WRITE_TIMEOUT).await {
         Ok(Decision::QuotaExceeded) => Err(Code::TokenLimited),
         Ok(_) => {
-            log::job_accepted(&id, &route.name, shard.number());
+            log::job_accepted(id, &route.name, shard.number());
             Ok(())
         }
         Err(Undecided::NotApplied) => Err(Code::LogUnavailable),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod shard;
 mod sse;
 mod streams;
+mod submission;
 mod tokens;
 mod upstream;
 mod watch;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -14,7 +14,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bitterncart_coordination::fleet::{Kind, Manifest};
+use bitterncart_coordination::fleet::{Kind, Manifest, Route};
 use bitterncart_protocol::Code;
 use bytes::{Bytes, BytesMut};
 use futures_lite::future;
@@ -31,11 +31,12 @@
 use crate::connection::configure_socket;
 use crate::core::Core;
 use crate::dialect::Dialect;
-use crate::jobs;
+use crate::jobs::{self, Outdated};
 use crate::log;
 use crate::online::{self, error_response};
 use crate::relay;
 use crate::store::Store;
+use crate::submission;
 use crate::upstream::{Message, strip_hop_by_hop_headers};
 
 /// Maximum number of open connections; further ones are closed immediately.
@@ -57,6 +58,9 @@
 /// change while the connection is open.
 const IDLE_TIMEOUT_FACTOR: u32 = 2;
 
+/// Time for which a job waits for a manifest that the owner of its shard has.
+const MANIFEST_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Number of open connections.
 pub(crate) type ConnectionCount = Arc<AtomicUsize>;
 
@@ -175,6 +179,9 @@
         Endpoint::Peers if request.uri().path() == relay::PATH => {
             return relay::serve(core, request).await;
         }
+        Endpoint::Peers if request.uri().path() == submission::PATH => {
+            jobs::submit_for_peer(core, request).await
+        }
         Endpoint::Clients | Endpoint::Peers => dispatch(core, request, arrived, endpoint).await,
         Endpoint::Ready => readiness(core),
         Endpoint::Metrics => Response::new(Body::full(core.metrics.text().into())),
@@ -201,18 +208,16 @@
     arrived: Duration,
     endpoint: Endpoint,
 ) -> Response<Body> {
-    let manifest = core.manifest();
-    let max_body = manifest
-        .as_ref()
-        .map_or(DEFAULT_MAX_BODY_BYTES, |m| m.limits.max_body);
-    let (mut head, body) = request.into_parts();
-    let body = match with_timeout(BODY_TIMEOUT, read_body(body, max_body)).await {
-        Some(Ok(body)) => body,
-        Some(Err(code)) => return reject(core, code),
-        None => return reject(core, Code::SlowSender),
+    let (mut head, mut incoming) = request.into_parts();
+    let body = match read_body(core, &mut incoming).await {
+        Ok(body) => body,
+        // The peer has read it within its own limits.
+        Err(_) if endpoint == Endpoint::Peers => {
+            discard_body(incoming).await;
+            return reject(core, Code::OwnerUnreachable);
+        }
+        Err(code) => return reject(core, code),
     };
-    let call = core.dialect.parse_call(&head.method, &head.uri);
-    let route = manifest.as_ref().and_then(|m| find_route(m, &head));
     strip_hop_by_hop_headers(&mut head.headers);
     let message = Message {
         profile: Arc::default(),
@@ -221,28 +226,36 @@
         headers: head.headers,
         body,
     };
-    if let Some(call) = call {
+    if let Some(call) = core.dialect.parse_call(&message.method, &message.uri) {
         return jobs::handle_call(core, call, message, endpoint).await;
     }
-    let route = match route {
-        Some(route) => route,
-        None if manifest.is_none() => return reject(core, Code::NoConfiguration),
-        None => return reject(core, Code::NotFound),
-    };
-    if route.kind == Kind::Batch {
-        return jobs::submit(core, &route, message, endpoint).await;
+    loop {
+        let Some(manifest) = core.manifest() else {
+            return reject(core, Code::NoConfiguration);
+        };
+        let route = match find_route(&manifest, &message) {
+            Some(route) if route.kind == Kind::Batch => route,
+            // A daemon of an earlier build submits a job; it has another manifest and
+            // decides by that.
+            _ if endpoint == Endpoint::Peers => return reject(core, Code::OwnerUnreachable),
+            Some(route) => {
+                let request = online::Request::new(core, route.clone(), message, arrived);
+                return request.serve().await;
+            }
+            None => return reject(core, Code::NotFound),
+        };
+        match jobs::submit(core, route, manifest.version, &message, endpoint).await {
+            Ok(response) => return response,
+            Err(Outdated { version })
+                if core.wait_for_manifest(version, MANIFEST_TIMEOUT).await => {}
+            Err(_) => return reject(core, Code::NoConfiguration),
+        }
     }
-    online::Request::new(core, route, message, arrived)
-        .serve()
-        .await
 }
 
-fn find_route(
-    manifest: &Manifest,
-    head: &http::request::Parts,
-) -> Option<bitterncart_coordination::fleet::Route> {
-    let host = head.headers.get(header::HOST)?.to_str().ok()?;
-    manifest.route(host, head.uri.path()).cloned()
+fn find_route<'a>(manifest: &'a Manifest, message: &Message) -> Option<&'a Route> {
+    let host = message.headers.get(header::HOST)?.to_str().ok()?;
+    manifest.route(host, message.uri.path())
 }
 
 fn reject<S: Store, D: Dialect>(core: &Core<S, D>, code: Code) -> Response<Body> {
@@ -251,7 +264,31 @@
     error_response(core, code)
 }
 
-async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, Code> {
+/// Reads a request body.
+///
+/// # Errors
+///
+/// If it is too large, or does not end in time.
+pub(crate) async fn read_body<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    body: &mut Incoming,
+) -> Result<Bytes, Code> {
+    let limits = core.manifest().map(|manifest| manifest.limits);
+    let max_bytes = limits.map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.max_body);
+    with_timeout(BODY_TIMEOUT, collect_body(body, max_bytes))
+        .await
+        .unwrap_or(Err(Code::SlowSender))
+}
+
+/// Reads the rest of a request body and discards it, as a response before the end of the
+/// request may be lost with the connection.
+pub(crate) async fn discard_body(mut body: Incoming) {
+    let discarded = async { while let Some(Ok(_)) = body.frame().await {} };
+    // The rest is of no use either.
+    let _end = with_timeout(BODY_TIMEOUT, discarded).await;
+}
+
+async fn collect_body(body: &mut Incoming, max_bytes: usize) -> Result<Bytes, Code> {
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Code::MalformedRequest)?;
--- /dev/null
+++ b/crates/gateway/tests/gateway/behind.rs
@@ -0,0 +1,234 @@
+//! Calls about jobs between daemons of which one has an older manifest, or comes from
+//! an earlier build.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bitterncart_coordination::fleet::{Kind, Manifest};
+use bitterncart_testing::cases;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use smol::net::TcpStream;
+
+use crate::harness::{Gateway, manifest, request, route, status, store, wait_until};
+use crate::owner::send_heartbeats_as_owner;
+use crate::replica::{Action, ScriptedReplica};
+use crate::store::MemoryStore;
+
+const OK_RESPONSE: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
+const EVENTS: &str = "signature: s\r\ncontent-type: text/event-stream\r\nconnection: close\r\n";
+const COMPLETE: Action = Action::Respond(200, EVENTS, "id: 1\ndata: a\n\n");
+
+/// Completes items, and answers all other requests at once.
+fn script(head: &str) -> Vec<Action> {
+    match head {
+        _ if head.starts_with("POST /items/run ") => vec![COMPLETE, Action::Close],
+        _ => vec![OK_RESPONSE],
+    }
+}
+
+/// Manifest with two more batch routes; one of them is split off an online route.
+fn with_more_batch_routes(version: u64) -> Manifest {
+    let mut manifest = manifest(version);
+    manifest.routes.push(route("/more/", Kind::Batch, 3));
+    manifest
+        .routes
+        .push(route("/idempotent/lots/", Kind::Batch, 3));
+    manifest
+}
+
+/// Manifest in which a route is of another kind; without it if there is none.
+fn with_route(version: u64, prefix: &str, kind: Option<Kind>) -> Manifest {
+    let mut manifest = manifest(version);
+    manifest.routes.retain(|route| route.prefix != prefix);
+    manifest
+        .routes
+        .extend(kind.map(|kind| route(prefix, kind, 2)));
+    manifest
+}
+
+fn submit(path: &str, id: &str) -> String {
+    request("POST", path, id, "one\n")
+}
+
+/// Daemon with its own view of the store.
+struct Member {
+    gateway: Gateway,
+    view: MemoryStore,
+}
+
+impl Member {
+    async fn start(store: &MemoryStore) -> Self {
+        let view = store.separate_view();
+        Self {
+            gateway: Gateway::start(&view).await,
+            view,
+        }
+    }
+
+    async fn wait_for_manifest(&self, version: u64) {
+        let has_version = || self.gateway.daemon.manifest_version() == Some(version);
+        wait_until("the manifest", has_version).await;
+    }
+}
+
+/// Two daemons that agree on the owner of the only shard, the owner first.
+async fn owner_and_other(store: &MemoryStore) -> (Member, Member) {
+    let (one, two) = (Member::start(store).await, Member::start(store).await);
+    let is_owner = |member: &Member| member.gateway.daemon.is_serving(0);
+    wait_until("an owner", || is_owner(&one) != is_owner(&two)).await;
+    if is_owner(&one) {
+        (one, two)
+    } else {
+        (two, one)
+    }
+}
+
+/// Request lines that a replica got, but those of items.
+fn online_requests(replica: &ScriptedReplica) -> Vec<String> {
+    let heads = replica.requests().into_iter();
+    heads
+        .filter_map(|head| head.lines().next().map(str::to_owned))
+        .filter(|line| !line.starts_with("POST /items/run "))
+        .collect()
+}
+
+cases! {
+    /// Guards against a job on a route that the owner does not know yet: it was refused
+    /// with the owner's 404, or run by a replica of the route that had its path before.
+    fn job_on_a_route_that_the_owner_does_not_know_is_accepted(path: &str) {
+        smol::block_on(async {
+            let replica = ScriptedReplica::start_with("r", script).await;
+            let store = store(&[&replica]);
+            let (owner, other) = owner_and_other(&store).await;
+            owner.view.hold_manifests();
+            store.publish_manifest(&with_more_batch_routes(2));
+            other.wait_for_manifest(2).await;
+            let response = other.gateway.fetch(&submit(path, "job")).await;
+            assert_eq!(status(&response), 202, "{response}");
+            assert_eq!(online_requests(&replica), Vec::<String>::new());
+            assert_eq!(store.count_records("j/job"), 1);
+        });
+    }
+    route_that_was_added("/more/");
+    route_that_was_split_off("/idempotent/lots/");
+}
+
+/// Guards against a job that is refused with 413 as the owner has an older limit.
+#[test]
+fn job_beyond_the_older_limit_of_the_owner_is_accepted() {
+    smol::block_on(async {
+        let store = store(&[]);
+        let (owner, other) = owner_and_other(&store).await;
+        owner.view.hold_manifests();
+        let mut manifest = manifest(2);
+        let body = "x".repeat(manifest.limits.max_body + 1);
+        manifest.limits.max_body *= 2;
+        store.publish_manifest(&manifest);
+        other.wait_for_manifest(2).await;
+        let job = request("POST", "/items/", "job", &body);
+        let response = other.gateway.fetch(&job).await;
+        assert_eq!(status(&response), 202, "{response}");
+    });
+}
+
+cases! {
+    /// Guards against a job that the owner, which has a newer manifest, runs as an online
+    /// request or refuses with 404 for a daemon that does not know that manifest yet.
+    fn job_on_a_route_that_only_the_owner_knows_to_be_gone(kind: Option<Kind>, expected: u16) {
+        smol::block_on(async {
+            let replica = ScriptedReplica::start_with("r", script).await;
+            let store = store(&[&replica]);
+            let (owner, other) = owner_and_other(&store).await;
+            other.view.hold_manifests();
+            store.publish_manifest(&with_route(2, "/items/", kind));
+            owner.wait_for_manifest(2).await;
+            let response = other.gateway.fetch(&submit("/items/", "held")).await;
+            assert_eq!(status(&response), 503, "{response}");
+            assert_eq!(online_requests(&replica), Vec::<String>::new());
+            let release = async {
+                smol::Timer::after(Duration::from_millis(100)).await;
+                other.view.release_manifests();
+            };
+            let job = submit("/items/", "job");
+            let (response, ()) = future::zip(other.gateway.fetch(&job), release).await;
+            assert_eq!(status(&response), expected, "{response}");
+            assert_eq!(store.count_records("j/"), 0);
+        });
+    }
+    route_that_was_removed(None, 404);
+    route_that_is_online_now(Some(Kind::Idempotent), 200);
+}
+
+/// Sends bytes to the port for peers, and reads the response until the connection is
+/// closed.
+async fn fetch_as_peer(peer: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(peer).await.expect("a connection");
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let mut response = String::new();
+    let read = stream.read_to_string(&mut response).await;
+    read.expect("a response");
+    response
+}
+
+cases! {
+    /// A daemon of an earlier build forwards the call of the client as it is. It decides
+    /// the call itself if it gets 503.
+    fn call_of_an_earlier_build(method: &str, path: &str, body: &str, expected: u16) {
+        smol::block_on(async {
+            let replica = ScriptedReplica::start_with("r", script).await;
+            let store = store(&[&replica]);
+            let gateway = Gateway::start(&store).await;
+            wait_until("the shard", || gateway.daemon.is_serving(0)).await;
+            let call = format!(
+                "{method} {path} HTTP/1.1\r\nhost: a.example\r\nattempt: job\r\n\
+                 deadline: 3000\r\nwait: 0\r\nconnection: close\r\n\
+                 content-length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            let response = fetch_as_peer(store.registered_daemons()[0], &call).await;
+            assert_eq!(status(&response), expected, "{response}");
+            assert_eq!(online_requests(&replica), Vec::<String>::new());
+        });
+    }
+    earlier_build_submits_a_job("POST", "/items/", "one\n", 202);
+    earlier_build_submits_a_job_on_a_route_that_is_online_here("POST", "/idempotent/a", "one\n", 503);
+    earlier_build_submits_a_job_on_a_route_that_is_unknown_here("POST", "/more/", "one\n", 503);
+    earlier_build_submits_a_job_beyond_the_limit_here(
+        "POST", "/items/", &"x".repeat(2 << 20), 503
+    );
+    earlier_build_reads_a_job("GET", "/jobs/none", "", 404);
+    earlier_build_cancels_a_job("DELETE", "/jobs/none", "", 404);
+}
+
+/// An owner of an earlier build does not know the call that submits a job for another
+/// daemon, and answers it as a request without a host.
+#[test]
+fn owner_of_an_earlier_build_gets_no_job_as_a_request() {
+    smol::block_on(async {
+        let owner = ScriptedReplica::start_with("owner", |head| {
+            let is_read = head.starts_with("GET /jobs/");
+            vec![if is_read {
+                Action::Respond(200, "content-length: 2\r\n", "ok")
+            } else {
+                Action::Respond(404, "content-length: 0\r\n", "")
+            }]
+        })
+        .await;
+        let store = store(&[]);
+        let gateway = Gateway::start(&store).await;
+        wait_until("the shard", || gateway.daemon.is_serving(0)).await;
+        let _heartbeats = send_heartbeats_as_owner(&store, owner.address).await;
+        wait_until("the other owner", || !gateway.daemon.is_serving(0)).await;
+        let response = gateway.fetch(&submit("/items/", "job")).await;
+        assert_eq!(status(&response), 202, "{response}");
+        let response = gateway.fetch(&request("GET", "/jobs/job", "r", "")).await;
+        assert!(response.ends_with("ok"), "{response}");
+        let heads = owner.requests();
+        assert!(
+            heads[0].starts_with("POST /submit HTTP/1.1\r\n"),
+            "{heads:?}"
+        );
+        assert!(!heads[0].contains("\r\nhost: "), "{heads:?}");
+        assert!(heads[1].starts_with("GET /jobs/job "), "{heads:?}");
+    });
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod batch;
+mod behind;
 mod crash;
 mod departure;
 mod discovery;
--- a/crates/gateway/tests/gateway/owner.rs
+++ b/crates/gateway/tests/gateway/owner.rs
@@ -21,7 +21,7 @@
 
 /// Sends gossip to a daemon that names `owner` as the owner of its only shard.
 /// The owner is lost when the task is dropped.
-async fn send_heartbeats_as_owner(store: &MemoryStore, owner: SocketAddr) -> Task<()> {
+pub(crate) async fn send_heartbeats_as_owner(store: &MemoryStore, owner: SocketAddr) -> Task<()> {
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
     let daemon = store.registered_daemons()[0];
     let heartbeats = async move {
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -43,9 +43,32 @@
     /// Addresses of replicas, each with that of the link over which the holder of this
     /// handle reaches it.
     links: Vec<(SocketAddr, SocketAddr)>,
+    /// Number of the operator's records that the holder of this handle sees, while
+    /// later ones are held back.
+    visible_manifests: Arc<Mutex<Option<usize>>>,
 }
 
 impl MemoryStore {
+    /// The same store for one daemon, from which manifests can be held back.
+    pub(crate) fn separate_view(&self) -> Self {
+        Self {
+            visible_manifests: Arc::default(),
+            ..self.clone()
+        }
+    }
+
+    /// Holds back the manifests that are published from now on.
+    pub(crate) fn hold_manifests(&self) {
+        let count = self.records(Topic::Operator).len();
+        *self.visible_manifests.lock().expect("lock") = Some(count);
+    }
+
+    /// Shows the manifests that were held back.
+    pub(crate) fn release_manifests(&self) {
+        *self.visible_manifests.lock().expect("lock") = None;
+        self.shared.changed.notify(usize::MAX);
+    }
+
     pub(crate) fn set_fault(&self, fault: Fault) {
         *self.shared.fault.lock().expect("lock") = fault;
     }
@@ -113,6 +136,10 @@
         let records = records.unwrap_or_default().into_iter();
         match topic {
             Topic::Replicas => records.map(|record| self.over_link(record)).collect(),
+            Topic::Operator => {
+                let visible = *self.visible_manifests.lock().expect("lock");
+                records.take(visible.unwrap_or(usize::MAX)).collect()
+            }
             _ => records.collect(),
         }
     }
