gateway: items wait until their owner knows the job's batch route

What callers saw: the owner of a shard may read a job in the ledger before it reads the manifest with the job's route (cut off from the operator's topic, or just back from a freeze). Where an online route had the path before, it ran the items at that route's service and recorded what came as their results; or, with no replica there, gave the items up after 3 s, as an online route has no give-up time. Both stand in the ledger for good.

Cause: the route of a job was looked up by host and path alone.

Change: `jobs::route_of` finds batch routes only; without one the items wait, as they do for a job without any route.

Not covered: a batch route that moves to another service. An owner with an older manifest runs items at the service before, as it must within `config_ms`.

--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bitterncart_coordination::fleet::{Manifest, Route};
+use bitterncart_coordination::fleet::{Kind, Manifest, Route};
 use bitterncart_protocol::code::Ran;
 use bitterncart_protocol::{Code, hash};
 use bitterncart_state::ledger::{Decision, Job, Op, Quota, Submission};
@@ -407,7 +407,10 @@
     }
 }
 
-/// Route of a job in a manifest.
+/// Batch route of a job in a manifest; `None` if the job has no route there, or one of
+/// another kind, as in a manifest from before the route was split off.
 pub(crate) fn route_of<'a>(manifest: &'a Manifest, job: &Submission) -> Option<&'a Route> {
-    manifest.route(&job.host, &job.path)
+    manifest
+        .route(&job.host, &job.path)
+        .filter(|route| route.kind == Kind::Batch)
 }
--- a/crates/gateway/tests/gateway/behind.rs
+++ b/crates/gateway/tests/gateway/behind.rs
@@ -4,11 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bitterncart_coordination::fleet::{Kind, Manifest};
+use bitterncart_coordination::fleet::{Batch, Kind, Manifest, Replica};
 use bitterncart_testing::cases;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use smol::net::TcpStream;
 
+use crate::batch::results;
 use crate::harness::{Gateway, manifest, request, route, status, store, wait_until};
 use crate::owner::send_heartbeats_as_owner;
 use crate::replica::{Action, ScriptedReplica};
@@ -18,6 +19,9 @@
 const EVENTS: &str = "signature: s\r\ncontent-type: text/event-stream\r\nconnection: close\r\n";
 const COMPLETE: Action = Action::Respond(200, EVENTS, "id: 1\ndata: a\n\n");
 
+/// Time beyond its give-up time after which an item is given up.
+const GIVE_UP_MARGIN: Duration = Duration::from_secs(3);
+
 /// Completes items, and answers all other requests at once.
 fn script(head: &str) -> Vec<Action> {
     match head {
@@ -46,6 +50,21 @@
     manifest
 }
 
+/// Manifest with an online route without settings for batch jobs, off which a batch
+/// route to the service `t` may be split.
+fn split_to_another_service(version: u64, is_split: bool) -> Manifest {
+    let mut manifest = manifest(version);
+    let mut routes = manifest.routes.iter_mut();
+    let online = routes.find(|route| route.prefix == "/idempotent/");
+    online.expect("a route").batch = Batch::default();
+    if is_split {
+        let mut batch = route("/idempotent/lots/", Kind::Batch, 3);
+        batch.backends[0].service = "t".into();
+        manifest.routes.push(batch);
+    }
+    manifest
+}
+
 fn submit(path: &str, id: &str) -> String {
     request("POST", path, id, "one\n")
 }
@@ -159,6 +178,40 @@
     route_that_is_online_now(Some(Kind::Idempotent), 200);
 }
 
+cases! {
+    /// Guards against an owner that reads a job of a batch route which it does not know
+    /// yet, and runs its items at the service that had the path before, or gives them up
+    /// by the settings of that route.
+    fn item_waits_until_its_owner_knows_the_route(has_replica: bool) {
+        smol::block_on(async {
+            let online = ScriptedReplica::start_with("online", script).await;
+            let batch = ScriptedReplica::start_with("batch", script).await;
+            let store = if has_replica { store(&[&online]) } else { store(&[]) };
+            store.publish_replica(&Replica {
+                service: "t".into(),
+                ..batch.record()
+            });
+            let (owner, other) = owner_and_other(&store).await;
+            store.publish_manifest(&split_to_another_service(2, false));
+            owner.wait_for_manifest(2).await;
+            owner.view.hold_manifests();
+            store.publish_manifest(&split_to_another_service(3, true));
+            other.wait_for_manifest(3).await;
+            let job = submit("/idempotent/lots/", "job");
+            let response = other.gateway.fetch(&job).await;
+            assert_eq!(status(&response), 202, "{response}");
+            smol::Timer::after(GIVE_UP_MARGIN + Duration::from_millis(1500)).await;
+            assert_eq!(store.count_records("r/job"), 0);
+            assert_eq!(online.requests(), Vec::<String>::new());
+            owner.view.release_manifests();
+            assert_eq!(results(&other.gateway, "job", 1).await, ["0 one a"]);
+            assert_eq!(online.requests(), Vec::<String>::new());
+        });
+    }
+    no_item_runs_by_an_online_route(true);
+    no_item_is_given_up_by_an_online_route(false);
+}
+
 /// Sends bytes to the port for peers, and reads the response until the connection is
 /// closed.
 async fn fetch_as_peer(peer: SocketAddr, request: &str) -> String {
