gateway: an owner that was suspended serves no shard before it has read on

What callers saw: a daemon that owned a shard and was suspended for seconds (frozen and woken) counted as serving it at once again, also in its heartbeats, so that the others forwarded reads to it. Until its next read of the ledger it answered 200 without results that the owner in between had recorded and clients had read.

Cause: the owner has to have read the shard since it took it over; nothing asked for that after a suspension. Besides, the state counted as known at the time at which an answer of the store was handled, also if the daemon had been suspended since it asked.

Change: the state is known as of the start of a read or append. A gap in the heartbeat loop that shows a suspension requires a read before any shard is served. Reads of results do not trust the ownership in the moment in which that loop has not run yet, and refresh old state for all positions, not only beyond the last known one.

Evidence: suspended_owner_is_asked_by_a_client and _by_a_peer, before: "200 OK" with content-length 0 though the other owner had given "0 one a".

--- a/crates/coordination/src/fleet/peers.rs
+++ b/crates/coordination/src/fleet/peers.rs
@@ -261,8 +261,9 @@
 
     /// Records that this daemon is running. To be called periodically: after a
     /// start, or a gap between two calls that shows a suspension, heartbeats may
-    /// have been missed, so stability is delayed by [`FAILURE_TIMEOUT`].
-    pub fn tick(&mut self, now: Duration) {
+    /// have been missed, so stability is delayed by [`FAILURE_TIMEOUT`]. Returns
+    /// whether that is so.
+    pub fn tick(&mut self, now: Duration) -> bool {
         let was_suspended = self
             .last_tick
             .is_none_or(|last| now.saturating_sub(last) > SUSPENSION_THRESHOLD);
@@ -273,6 +274,7 @@
         self.started_at.get_or_insert(now);
         self.recently_stopped
             .retain(|_, at| now.saturating_sub(*at) < STOPPED_RETENTION);
+        was_suspended
     }
 
     /// Items that a peer ran until recently, with the time of its first
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -135,7 +135,9 @@
     for seq in 1_u64.. {
         smol::Timer::after(CHECK_INTERVAL).await;
         let now = clock::now();
-        core.peers().tick(now);
+        if core.peers().tick(now) {
+            core.shards.iter().for_each(|shard| shard.require_read(now));
+        }
         ownership::update(&core, now);
         let heartbeat = build_heartbeat(&core, born_us, seq, now);
         let (local_peers, remote_peers) = live_peers(&core, now);
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -39,8 +39,8 @@
 /// Timeout of reading the ledger to its end.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Age above which the state of a shard that this daemon does not own is
-/// refreshed when a read finds no new results.
+/// Age above which the state of a shard that this daemon does not serve as its owner
+/// is refreshed before results are read.
 const MAX_STALENESS: Duration = Duration::from_millis(500);
 
 /// Timeout of loading a shard for a call.
@@ -342,8 +342,10 @@
     };
     let shard = shard_of(core, id);
     let (mut count, is_open) = counts;
-    let is_stale = !shard.is_serving() && shard.staleness() > MAX_STALENESS;
-    if after > count || (after == count && is_open && is_stale) {
+    // A suspension that has just ended may not have been noticed yet.
+    let is_served = shard.is_serving() && core.peers().is_stable(clock::now());
+    let is_stale = !is_served && shard.staleness() > MAX_STALENESS;
+    if after > count || (is_open && is_stale) {
         // Another daemon may have recorded more results, which the client may know.
         match with_timeout(CATCH_UP_TIMEOUT, shard.catch_up(core)).await {
             Some(Ok(())) => {}
--- a/crates/gateway/src/shard.rs
+++ b/crates/gateway/src/shard.rs
@@ -100,8 +100,10 @@
     ledger: Mutex<Ledger>,
     loaded: AtomicBool,
     owned: AtomicBool,
-    /// Time from which this daemon owns the shard, in milliseconds of the boot clock.
-    owned_since_ms: AtomicU64,
+    /// Time after which an owner has to have read the shard before it serves it, in
+    /// milliseconds of the boot clock: that at which it became the owner, or last found
+    /// that it had been suspended.
+    read_required_ms: AtomicU64,
     /// Time of the last call about the shard at this daemon, in milliseconds of
     /// the boot clock; 0 for none.
     last_used_ms: AtomicU64,
@@ -124,7 +126,7 @@
             ledger: Mutex::default(),
             loaded: AtomicBool::new(false),
             owned: AtomicBool::new(false),
-            owned_since_ms: AtomicU64::new(0),
+            read_required_ms: AtomicU64::new(0),
             last_used_ms: AtomicU64::new(0),
             load_requested: Event::new(),
             append_availability: Availability::default(),
@@ -152,24 +154,29 @@
         self.owned.load(Ordering::Relaxed)
     }
 
-    /// Whether this daemon owns the shard and has read it since it became the owner.
-    /// The shard may have been loaded before, and another daemon may have appended to
-    /// it meanwhile.
+    /// Whether this daemon owns the shard and has read it since it became the owner or
+    /// was suspended. The shard may have been loaded before, and another daemon may have
+    /// appended to it meanwhile.
     pub(crate) fn is_serving(&self) -> bool {
-        let owned_since = self.owned_since_ms.load(Ordering::Relaxed);
-        let is_current = self.read_at_ms.load(Ordering::Relaxed) >= owned_since;
+        let required = self.read_required_ms.load(Ordering::Relaxed);
+        let is_current = self.read_at_ms.load(Ordering::Relaxed) >= required;
         self.is_owned() && self.is_loaded() && is_current
     }
 
     /// Sets whether this daemon owns the shard; an owner starts to load it, or to read
     /// on.
     pub(crate) fn set_owned(&self, owned: bool) {
-        let now = clock::now().as_millis() as u64;
-        self.owned_since_ms.store(now, Ordering::Relaxed);
+        self.require_read(clock::now());
         self.owned.store(owned, Ordering::Relaxed);
         self.load_requested.notify(usize::MAX);
     }
 
+    /// Requires the shard to be read after `now` before it is served.
+    pub(crate) fn require_read(&self, now: Duration) {
+        let now = now.as_millis() as u64;
+        self.read_required_ms.store(now, Ordering::Relaxed);
+    }
+
     /// Waits until the shard is loaded, and starts to load it if necessary;
     /// `false` if it is not loaded within `timeout`.
     pub(crate) async fn wait_until_loaded(&self, timeout: Duration) -> bool {
@@ -215,7 +222,7 @@
         clock::now().saturating_sub(self.read_at())
     }
 
-    /// Time at which records were last applied, also if there were none.
+    /// Time as of which the state is known: the start of the last read or append.
     pub(crate) fn read_at(&self) -> Duration {
         Duration::from_millis(self.read_at_ms.load(Ordering::Relaxed))
     }
@@ -248,10 +255,11 @@
             .unwrap_or(Err(Undecided::Unknown))
     }
 
-    /// Applies the records that follow the current state.
-    fn apply(&self, read: &Read) {
-        let now = clock::now().as_millis() as u64;
-        self.read_at_ms.store(now, Ordering::Relaxed);
+    /// Applies the records that follow the current state, from a read or append that
+    /// began at `started`. The daemon may have been suspended since.
+    fn apply(&self, read: &Read, started: Duration) {
+        let started = started.as_millis() as u64;
+        self.read_at_ms.fetch_max(started, Ordering::Relaxed);
         let mut ledger = self.ledger();
         let before = ledger.next();
         if read.start_offset > before {
@@ -283,6 +291,7 @@
                 return Err(Failure::Truncated);
             }
             let start_offset = self.ledger().next();
+            let started = clock::now();
             let read = core
                 .store
                 .read(self.topic(), start_offset, Duration::ZERO)
@@ -290,7 +299,7 @@
             match read {
                 Ok(read) => {
                     core.record_store_success();
-                    self.apply(&read);
+                    self.apply(&read, started);
                     if self.ledger().next() >= read.end_offset {
                         return Ok(());
                     }
@@ -306,6 +315,7 @@
     /// shards at the same time and share the read capacity of the store.
     async fn load<S: Store, D: Dialect>(&self, core: &Core<S, D>) {
         let _loading = core.load_lock.lock().await;
+        let started = clock::now();
         let mut ledger = Ledger::default();
         let mut after: Option<String> = None;
         let mut start_offset = None;
@@ -338,8 +348,8 @@
         }
         ledger.set_next(start_offset.unwrap_or(0));
         *self.ledger() = ledger;
-        let now = clock::now().as_millis() as u64;
-        self.read_at_ms.store(now, Ordering::Relaxed);
+        let started = started.as_millis() as u64;
+        self.read_at_ms.store(started, Ordering::Relaxed);
         self.loaded.store(true, Ordering::Release);
         self.changed.notify(usize::MAX);
         log::shard_loaded(self.number, start_offset.unwrap_or(0));
@@ -497,6 +507,7 @@
 ) -> bool {
     let mut outcome_unknown = false;
     loop {
+        let started = clock::now();
         match core
             .store
             .append(
@@ -510,11 +521,12 @@
             Ok(_) => {
                 core.record_store_success();
                 let _failed = shard.append_availability.record_success();
-                shard.apply(&Read {
+                let appended = Read {
                     start_offset: group.expected_end,
                     records: group.records.clone(),
                     end_offset: 0,
-                });
+                };
+                shard.apply(&appended, started);
                 return true;
             }
             Err(Failure::Conflict) => {
--- a/crates/gateway/tests/gateway/behind.rs
+++ b/crates/gateway/tests/gateway/behind.rs
@@ -11,9 +11,9 @@
 
 use crate::batch::results;
 use crate::harness::{Gateway, manifest, request, route, status, store, wait_until};
-use crate::owner::send_heartbeats_as_owner;
+use crate::owner::{record_result, send_heartbeats_as_owner};
 use crate::replica::{Action, ScriptedReplica};
-use crate::store::MemoryStore;
+use crate::store::{Fault, MemoryStore};
 
 const OK_RESPONSE: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
 const EVENTS: &str = "signature: s\r\ncontent-type: text/event-stream\r\nconnection: close\r\n";
@@ -212,6 +212,39 @@
     no_item_is_given_up_by_an_online_route(false);
 }
 
+/// Time for which a daemon is suspended; another one takes its shards over meanwhile.
+const FREEZE: Duration = Duration::from_secs(4);
+
+cases! {
+    /// Guards against an owner that has been suspended and answers from what it knew
+    /// before, without a result that another owner recorded and a client has read.
+    fn owner_that_was_suspended_answers_from_no_outdated_state(at_owner: bool) {
+        smol::block_on(async {
+            let store = store(&[]);
+            let (owner, other) = owner_and_other(&store).await;
+            let job = request("POST", "/items/", "job", "one\ntwo\n");
+            assert_eq!(status(&owner.gateway.fetch(&job).await), 202);
+            owner.gateway.freeze(FREEZE);
+            let frozen_at = std::time::Instant::now();
+            wait_until("the other owner", || other.gateway.daemon.is_serving(0)).await;
+            record_result(&store, "job");
+            assert_eq!(results(&other.gateway, "job", 1).await, ["0 one a"]);
+            smol::Timer::at(frozen_at + FREEZE - Duration::from_millis(500)).await;
+            store.set_fault(Fault::SlowReads(Duration::from_secs(20)));
+            let member = if at_owner { &owner } else { &other };
+            let read = request("GET", "/jobs/job", "r", "");
+            while frozen_at.elapsed() < FREEZE + Duration::from_secs(3) {
+                let response = member.gateway.fetch(&read).await;
+                let is_outdated = status(&response) == 200 && !response.contains("0 one a");
+                assert!(!is_outdated, "{response}");
+                smol::Timer::after(Duration::from_millis(10)).await;
+            }
+        });
+    }
+    suspended_owner_is_asked_by_a_client(true);
+    suspended_owner_is_asked_by_a_peer(false);
+}
+
 /// Sends bytes to the port for peers, and reads the response until the connection is
 /// closed.
 async fn fetch_as_peer(peer: SocketAddr, request: &str) -> String {
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -157,7 +157,7 @@
 /// Daemon with its own executor; dropping it kills the daemon.
 pub(crate) struct Gateway {
     pub daemon: Daemon<MemoryStore, LineDialect>,
-    _executor: Arc<Executor<'static>>,
+    executor: Arc<Executor<'static>>,
     _stop: async_channel::Sender<()>,
 }
 
@@ -206,11 +206,17 @@
         }
         Self {
             daemon: started.expect("daemon starts"),
-            _executor: executor,
+            executor,
             _stop: stop,
         }
     }
 
+    /// Stops all tasks of the daemon for a time, as when its process is suspended.
+    pub(crate) fn freeze(&self, time: Duration) {
+        let sleep = async move { std::thread::sleep(time) };
+        self.executor.spawn(sleep).detach();
+    }
+
     /// Sends a request and reads the response until the connection is closed.
     pub(crate) async fn fetch(&self, request: &str) -> String {
         let mut stream = self.send(request).await;
--- a/crates/gateway/tests/gateway/owner.rs
+++ b/crates/gateway/tests/gateway/owner.rs
@@ -84,7 +84,7 @@
 }
 
 /// Appends the result of the first item of a job, as another daemon does.
-fn record_result(store: &MemoryStore, job: &str) {
+pub(crate) fn record_result(store: &MemoryStore, job: &str) {
     let mut ledger = Ledger::default();
     for (offset, record) in (0..).zip(&store.records(Topic::Ledger(0))) {
         ledger.apply(offset, record);
