gateway: the latest answer decides about the tokens of a limited replica

What callers saw: the daemon that has the token bucket of a replica granted tokens at the rate that the asking daemon named. One that knew only an older, higher limit (suspended while the replica lowered it, its heartbeats lost) got tokens at that rate, whatever the holder and all others knew.

Cause: the ask carries a limit without its age, and the bucket took it.

Change: the age of the answer that named the limit follows the ask in its datagram. The holder takes the limit of the latest answer, its own or that of the ask; it tells the others in its heartbeats as before.

Builds side by side: a datagram may end behind the message or have more there; both builds decode both forms (asks_of_two_versions_are_decoded holds the bytes of the version before). An ask without an age does not outweigh a limit that the holder knows.

--- a/crates/coordination/src/fleet/pool/shortage.rs
+++ b/crates/coordination/src/fleet/pool/shortage.rs
@@ -85,6 +85,18 @@
         self.limits.reports(now)
     }
 
+    /// Rate limit of a process, as the latest answer that is known here named it.
+    #[must_use]
+    pub fn limit_of(&self, process: u32) -> Option<f64> {
+        self.limits.get(process)
+    }
+
+    /// Time since that answer.
+    #[must_use]
+    pub fn limit_age(&self, now: Duration, process: u32) -> Option<Duration> {
+        self.limits.age(now, process)
+    }
+
     fn update_limits(&mut self) {
         for entry in self.entries.values_mut() {
             entry.limit = self.limits.get(entry.process_hash);
--- a/crates/coordination/src/fleet/rate_limit.rs
+++ b/crates/coordination/src/fleet/rate_limit.rs
@@ -93,11 +93,42 @@
         MARK.encode(self)
     }
 
+    /// Encodes an ask with the age of the answer that named the limit, which follows the
+    /// message in the datagram, where daemons of earlier versions do not expect it.
+    ///
+    /// # Errors
+    ///
+    /// If a field cannot be serialized.
+    pub fn encode_ask(&self, age: Duration) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_extend(&(age.as_millis() as u32), self.encode()?)
+    }
+
     /// Decodes a datagram; `None` if it is no message about tokens.
     #[must_use]
     pub fn decode(datagram: &[u8]) -> Option<Self> {
         MARK.decode(datagram)
     }
+
+    /// Limit that the datagram of an ask reports; `None` if it is no ask, or one of an
+    /// earlier version.
+    #[must_use]
+    pub fn decode_report(datagram: &[u8]) -> Option<Report> {
+        match MARK.decode::<(Self, u32)>(datagram)? {
+            (
+                Self::Ask {
+                    process,
+                    per_1000_s,
+                    ..
+                },
+                age_ms,
+            ) => Some(Report {
+                process,
+                per_1000_s: Some(per_1000_s),
+                age_ms,
+            }),
+            (Self::Reply { .. }, _) => None,
+        }
+    }
 }
 
 /// Limit as named in an answer, or its absence.
@@ -147,6 +178,13 @@
         self.observations.get(&process)?.per_s
     }
 
+    /// Time since the answer that named the limit of a process, or none.
+    #[must_use]
+    pub fn age(&self, now: Duration, process: u32) -> Option<Duration> {
+        let observation = self.observations.get(&process)?;
+        Some(now.saturating_sub(observation.at))
+    }
+
     /// Latest observations, for the peers.
     #[must_use]
     pub fn reports(&self, now: Duration) -> Vec<Report> {
--- a/crates/coordination/tests/fleet/rate_limit.rs
+++ b/crates/coordination/tests/fleet/rate_limit.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::pool::{Class, Pool, Selection};
-use bitterncart_coordination::fleet::rate_limit::{Buckets, Limits, Message, holder};
+use bitterncart_coordination::fleet::rate_limit::{Buckets, Limits, Message, Report, holder};
 use bitterncart_coordination::fleet::{Group, Queued};
 use bitterncart_testing::cases;
 use rand::rngs::StdRng;
@@ -212,6 +212,36 @@
     assert_eq!(Message::decode(&[0, 1, 2]), None, "a heartbeat");
 }
 
+/// The age of the limit follows the message, so that an earlier version reads the ask.
+#[test]
+fn asks_of_two_versions_are_decoded() {
+    let ask = Message::Ask {
+        id: 1,
+        process: PROCESS,
+        per_1000_s: 2300,
+        is_batch: true,
+    };
+    // As the version before encodes it.
+    let earlier = [0xa5, 0, 1, 5, 0xfc, 0x11, 1];
+    assert_eq!(ask.encode().expect("encodes"), earlier);
+    assert_eq!(Message::decode(&earlier), Some(ask));
+    assert_eq!(Message::decode_report(&earlier), None);
+    let datagram = ask.encode_ask(ms(300)).expect("encodes");
+    assert_eq!(Message::decode(&datagram), Some(ask));
+    let report = Report {
+        process: PROCESS,
+        per_1000_s: Some(2300),
+        age_ms: 300,
+    };
+    assert_eq!(Message::decode_report(&datagram), Some(report));
+    let reply = Message::Reply {
+        id: 1,
+        retry_ms: Some(7),
+    };
+    let reply = reply.encode().expect("encodes");
+    assert_eq!(Message::decode_report(&reply), None);
+}
+
 /// Pool with replicas 0 and 1, of which 0 has named a limit.
 fn limited_pool() -> (Pool, Selection) {
     let mut pool = Pool::new("here".into(), "d".into());
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -26,6 +26,7 @@
 use crate::shard::Shard;
 use crate::store::Store;
 use crate::streams;
+use crate::tokens;
 
 /// Interval between checks for heartbeats to send, and delay after a receive error.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -45,7 +46,8 @@
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((size, from)) if let Some(message) = Message::decode(&buffer[..size]) => {
-                core.tokens.handle(message, from).await;
+                let report = Message::decode_report(&buffer[..size]);
+                tokens::handle(&core, message, report, from).await;
             }
             Ok((size, from)) if let Some(message) = StreamMessage::decode(&buffer[..size]) => {
                 streams::handle(&core, message, from).await;
--- a/crates/gateway/src/tokens.rs
+++ b/crates/gateway/src/tokens.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::pool::{Class, Selection};
-use bitterncart_coordination::fleet::rate_limit::{Buckets, Message, holder, per_1000_s};
+use bitterncart_coordination::fleet::rate_limit::{Buckets, Message, Report, holder, per_1000_s};
 
 use crate::clock::{self, with_timeout};
 use crate::core::Core;
@@ -55,36 +55,14 @@
         self.buckets().take(clock::now(), process, per_s, class)
     }
 
-    /// Handles a message of another daemon.
-    pub(crate) async fn handle(&self, message: Message, from: SocketAddr) {
-        match message {
-            Message::Ask {
-                id,
-                process,
-                per_1000_s,
-                is_batch,
-            } => {
-                let class = if is_batch {
-                    Class::Batch
-                } else {
-                    Class::Online
-                };
-                let answer = self.take(process, f64::from(per_1000_s) / 1000.0, class);
-                let retry_ms = answer.err().map(|retry| retry.as_millis() as u32);
-                let reply = Message::Reply { id, retry_ms };
-                self.socket.send(reply.encode(), from).await;
-            }
-            Message::Reply { id, retry_ms } => {
-                let answer = match retry_ms {
-                    None => Ok(()),
-                    Some(ms) => Err(Duration::from_millis(u64::from(ms))),
-                };
-                self.asks.reply(id, answer);
-            }
-        }
-    }
-
-    async fn ask(&self, to: SocketAddr, process: u32, per_s: f64, class: Class) -> Answer {
+    /// Asks a daemon for a token, by a limit that an answer of `age` named.
+    async fn ask(
+        &self,
+        to: SocketAddr,
+        process: u32,
+        (per_s, age): (f64, Duration),
+        class: Class,
+    ) -> Answer {
         let ask = self.asks.register(1);
         let message = Message::Ask {
             id: ask.id,
@@ -92,7 +70,7 @@
             per_1000_s: per_1000_s(per_s),
             is_batch: class == Class::Batch,
         };
-        self.socket.send(message.encode(), to).await;
+        self.socket.send(message.encode_ask(age), to).await;
         match with_timeout(REPLY_TIMEOUT, ask.replies.recv()).await {
             Some(Ok(answer)) => answer,
             _ => Err(RETRY_AFTER_SILENCE),
@@ -100,6 +78,62 @@
     }
 }
 
+/// Handles a message of another daemon. The limit in an ask counts only if it comes from
+/// a later answer than the one that is known here.
+pub(crate) async fn handle<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    message: Message,
+    report: Option<Report>,
+    from: SocketAddr,
+) {
+    let tokens = &core.tokens;
+    match message {
+        Message::Ask {
+            id,
+            process,
+            per_1000_s,
+            is_batch,
+        } => {
+            let class = if is_batch {
+                Class::Batch
+            } else {
+                Class::Online
+            };
+            let per_s = latest_limit(core, process, per_1000_s, report);
+            let answer = tokens.take(process, per_s, class);
+            let retry_ms = answer.err().map(|retry| retry.as_millis() as u32);
+            let reply = Message::Reply { id, retry_ms };
+            tokens.socket.send(reply.encode(), from).await;
+        }
+        Message::Reply { id, retry_ms } => {
+            let answer = match retry_ms {
+                None => Ok(()),
+                Some(ms) => Err(Duration::from_millis(u64::from(ms))),
+            };
+            tokens.asks.reply(id, answer);
+        }
+    }
+}
+
+/// Limit of a process in requests a second by the latest answer: that in an ask, or the
+/// one that is known here.
+fn latest_limit<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    process: u32,
+    per_1000_s: u32,
+    report: Option<Report>,
+) -> f64 {
+    let asked = f64::from(per_1000_s) / 1000.0;
+    let mut pool = core.pool();
+    match (pool.limit_of(process), report) {
+        (Some(known), _) if known == asked => return asked,
+        (_, Some(report)) => pool.merge_limits(clock::now(), &[report]),
+        (_, None) => {}
+    }
+    // An asker that does not know yet that the limit has ended keeps to it.
+    pool.limit_of(process).unwrap_or(asked)
+}
+
 /// Acquires a token of a replica that limits its rate.
 ///
 /// # Errors
@@ -121,7 +155,9 @@
     };
     match holder {
         Some(holder) if holder != own_address => {
-            core.tokens.ask(holder, process, per_s, class).await
+            let age = core.pool().limit_age(clock::now(), process);
+            let limit = (per_s, age.unwrap_or_default());
+            core.tokens.ask(holder, process, limit, class).await
         }
         _ => core.tokens.take(process, per_s, class),
     }
--- a/crates/gateway/tests/gateway/rate_limit.rs
+++ b/crates/gateway/tests/gateway/rate_limit.rs
@@ -3,8 +3,14 @@
 
 use std::time::{Duration, Instant};
 
+use bitterncart_coordination::fleet::rate_limit::Message;
+use bitterncart_testing::cases;
+use futures_lite::future;
+use smol::net::UdpSocket;
+
 use crate::harness::{Gateway, post, status, store, wait_until};
 use crate::replica::{Action, ScriptedReplica};
+use crate::store::MemoryStore;
 
 /// Limit that the limited replica names, in requests a second.
 const LIMIT_PER_S: usize = 2;
@@ -104,3 +110,63 @@
         assert!(refused_early.get() >= 16, "{}", refused_early.get());
     });
 }
+
+/// Limit in the asks of another daemon, in requests a second.
+const ASKED_PER_S: u32 = 50;
+
+/// Asks for a token, 20 ms apart; returns how many were granted.
+async fn ask(gateway: &Gateway, store: &MemoryStore, process: u32, age: Option<Duration>) -> u32 {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    let holder = store.registered_daemons()[0];
+    assert!(gateway.daemon.is_ready());
+    let mut granted = 0;
+    for id in 0..100 {
+        let ask = Message::Ask {
+            id,
+            process,
+            per_1000_s: ASKED_PER_S * 1000,
+            is_batch: false,
+        };
+        let datagram = match age {
+            Some(age) => ask.encode_ask(age),
+            None => ask.encode(),
+        };
+        let sent = socket.send_to(&datagram.expect("a message"), holder).await;
+        sent.expect("sent");
+        let mut buffer = [0; 64];
+        let reply = async { socket.recv(&mut buffer).await.ok() };
+        let timer = async {
+            smol::Timer::after(Duration::from_millis(200)).await;
+            None
+        };
+        let size = future::or(reply, timer).await.expect("a reply");
+        match Message::decode(&buffer[..size]) {
+            Some(Message::Reply { retry_ms, .. }) => granted += u32::from(retry_ms.is_none()),
+            other => panic!("{other:?}"),
+        }
+        smol::Timer::after(Duration::from_millis(20)).await;
+    }
+    granted
+}
+
+cases! {
+    /// Guards against a daemon with an older limit of a replica that gets tokens by it from
+    /// a holder that knows a later one.
+    fn latest_limit_decides_about_tokens(age: Option<Duration>, granted: std::ops::Range<u32>) {
+        smol::block_on(async {
+            let limited = ScriptedReplica::start_with("limited", |_| vec![LIMITED]).await;
+            let store = store(&[&limited]);
+            let gateway = Gateway::start(&store).await;
+            wait_until("the daemon to be registered", || !store.registered_daemons().is_empty()).await;
+            let response = gateway.fetch(&post("/once/a", "first")).await;
+            assert_eq!(status(&response), 200, "{response}");
+            smol::Timer::after(Duration::from_millis(50)).await;
+            let process = limited.record().process().short_hash();
+            let count = ask(&gateway, &store, process, age).await;
+            assert!(granted.contains(&count), "{count} of {granted:?}");
+        });
+    }
+    asker_has_an_older_limit(Some(Duration::from_secs(10)), 2..13);
+    asker_has_a_later_limit(Some(Duration::ZERO), 50..101);
+    asker_is_of_an_earlier_build(None, 2..13);
+}
