--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -26,6 +26,7 @@
 use crate::shard::Shard;
 use crate::store::Store;
 use crate::streams;
+use crate::tokens;
 
 /// Interval between checks for heartbeats to send, and delay after a receive error.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -45,7 +46,8 @@
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((size, from)) if let Some(message) = Message::decode(&buffer[..size]) => {
-                core.tokens.handle(message, from).await;
+                let report = Message::decode_report(&buffer[..size]);
+                tokens::handle(&core, message, report, from).await;
             }
             Ok((size, from)) if let Some(message) = StreamMessage::decode(&buffer[..size]) => {
                 streams::handle(&core, message, from).await;
@@ -135,7 +137,9 @@
     for seq in 1_u64.. {
         smol::Timer::after(CHECK_INTERVAL).await;
         let now = clock::now();
-        core.peers().tick(now);
+        if core.peers().tick(now) {
+            core.shards.iter().for_each(|shard| shard.require_read(now));
+        }
         ownership::update(&core, now);
         let heartbeat = build_heartbeat(&core, born_us, seq, now);
         let (local_peers, remote_peers) = live_peers(&core, now);
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -1,21 +1,23 @@
 //! Handles calls about batch jobs: submit, read results and bodies, cancel.
 //!
 //! A call is forwarded to the owner of the job's shard. If the owner cannot be
-//! reached or is unavailable, this daemon handles the call itself; that is safe,
-//! as every append to the ledger is conditional. A submission is reported as
-//! refused only if it certainly has no effect; otherwise the response says that
-//! the outcome is unknown. All calls can be repeated.
+//! reached, is unavailable or has an older manifest, this daemon handles the call
+//! itself; that is safe, as every append to the ledger is conditional. A submission
+//! is reported as refused only if it certainly has no effect; otherwise the response
+//! says that the outcome is unknown. All calls can be repeated.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use bitterncart_coordination::fleet::{Manifest, Route};
+use bitterncart_coordination::fleet::{Kind, Manifest, Route};
 use bitterncart_protocol::code::Ran;
 use bitterncart_protocol::{Code, hash};
 use bitterncart_state::ledger::{Decision, Job, Op, Quota, Submission};
 use bytes::Bytes;
 use compact_str::CompactString;
-use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
 
 use crate::body::Body;
 use crate::clock::{self, with_timeout};
@@ -25,10 +27,11 @@
 use crate::log;
 use crate::online::error_response;
 use crate::ownership;
-use crate::server::Endpoint;
+use crate::server::{self, Endpoint};
 use crate::shard::{Shard, Undecided};
 use crate::store::Store;
-use crate::upstream::Message;
+use crate::submission::{self, Reply};
+use crate::upstream::{Message, strip_hop_by_hop_headers};
 
 /// Timeout of a ledger write.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -36,8 +39,8 @@
 /// Timeout of reading the ledger to its end.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Age above which the state of a shard that this daemon does not own is
-/// refreshed when a read finds no new results.
+/// Age above which the state of a shard that this daemon does not serve as its owner
+/// is refreshed before results are read.
 const MAX_STALENESS: Duration = Duration::from_millis(500);
 
 /// Timeout of loading a shard for a call.
@@ -71,11 +74,14 @@
     };
     let route_hash = ownership::route_hash(route);
     let tokens = |shard: &Shard| {
+        let is_loaded = shard.is_loaded();
+        let read = is_loaded.then(|| shard.ledger().open_tokens(&route.host, &route.prefix));
         if shard.is_serving() {
-            Some(shard.ledger().open_tokens(&route.host, &route.prefix))
-        } else {
-            core.peers().unfinished_tokens(shard.number(), route_hash)
+            return read;
         }
+        // An owner that has not read on does not report the jobs accepted here for it.
+        let reported = core.peers().unfinished_tokens(shard.number(), route_hash);
+        reported.max(read)
     };
     let others = core
         .shards
@@ -90,37 +96,104 @@
     }))
 }
 
-/// Submits a job to the owner of its shard, or to the ledger if that fails.
+/// The owner of a job's shard has a later manifest, in which the job has no batch route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Outdated {
+    /// Version of that manifest.
+    pub version: u64,
+}
+
+/// Submits a job to the owner of its shard, or to the ledger if that fails. `route` is
+/// that of the manifest with `version`.
+///
+/// # Errors
+///
+/// If the job has no batch route in a later manifest. It was not accepted.
 pub(crate) async fn submit<S: Store, D: Dialect>(
     core: &Core<S, D>,
     route: &Route,
-    message: Message,
+    version: u64,
+    message: &Message,
     endpoint: Endpoint,
-) -> Response<Body> {
-    let header_names = core.dialect.header_names();
-    let id = message.headers.get(&header_names.attempt_id);
-    let id: CompactString = id.and_then(|id| id.to_str().ok()).unwrap_or("").into();
-    if id.is_empty() || id.len() > MAX_JOB_ID_BYTES || id.contains('/') {
-        return reject(core, &id, Code::BadHeader);
-    }
-    let shard = shard_of(core, &id);
+) -> Result<Response<Body>, Outdated> {
+    let Some(id) = job_id(core, message) else {
+        return Ok(reject(core, "", Code::BadHeader));
+    };
+    let owner = forward_target(core, shard_of(core, &id), endpoint);
     let mut is_certain = true;
-    if let Some(owner) = forward_target(core, shard, endpoint) {
-        match forward::call(core, owner, &message, Duration::ZERO).await {
-            Ok(response) if response.status() != StatusCode::SERVICE_UNAVAILABLE => {
-                return response;
-            }
-            Ok(_) | Err(Failure::NotSent) => {}
+    if let (Some(owner), Some(call)) = (owner, submission::Submission::call(message, version)) {
+        match forward::call(core, owner, &call, Duration::ZERO).await {
+            Ok(response) => match Reply::of(&response) {
+                Reply::Decided => return Ok(response),
+                Reply::NotDecided(Some(later)) if later > version => {
+                    core.metrics.owner_call("later_manifest");
+                    return Err(Outdated { version: later });
+                }
+                Reply::NotDecided(_) => core.metrics.owner_call("not_decided"),
+                Reply::Unknown => is_certain = false,
+            },
+            Err(Failure::NotSent) => {}
             Err(Failure::Unknown) => is_certain = false,
         }
     }
-    let code = match accept(core, route, &message, shard, id.clone()).await {
+    Ok(decide(core, route, message, &id, is_certain).await)
+}
+
+/// Handles a submission of a peer to this daemon as the owner of the job's shard.
+pub(crate) async fn submit_for_peer<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let (mut head, mut body) = request.into_parts();
+    let submission = submission::Submission::parse(&head.headers);
+    let route = submission.as_ref().and_then(|job| job.route(core));
+    let (Some(submission), Some(route)) = (submission, route) else {
+        server::discard_body(body).await;
+        return submission::not_decided(core);
+    };
+    let body = match server::read_body(core, &mut body).await {
+        Ok(body) => body,
+        Err(code) => return reject(core, "", code),
+    };
+    strip_hop_by_hop_headers(&mut head.headers);
+    head.headers.insert(header::HOST, submission.host);
+    let message = Message {
+        profile: Arc::default(),
+        method: head.method,
+        uri: submission.uri,
+        headers: head.headers,
+        body,
+    };
+    match job_id(core, &message) {
+        Some(id) => decide(core, &route, &message, &id, true).await,
+        None => reject(core, "", Code::BadHeader),
+    }
+}
+
+/// Id of the job in a submission; `None` if it is invalid.
+fn job_id<S: Store, D: Dialect>(core: &Core<S, D>, message: &Message) -> Option<CompactString> {
+    let id = message.headers.get(&core.dialect.header_names().attempt_id);
+    let id = id?.to_str().ok()?;
+    let is_valid = !id.is_empty() && id.len() <= MAX_JOB_ID_BYTES && !id.contains('/');
+    is_valid.then(|| id.into())
+}
+
+/// Accepts or rejects a job at this daemon. If it is not `is_certain` that the owner has
+/// not accepted the job, it is not reported as refused.
+async fn decide<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    route: &Route,
+    message: &Message,
+    id: &CompactString,
+    is_certain: bool,
+) -> Response<Body> {
+    let code = match accept(core, route, message, id).await {
         Ok(()) => return empty_response(StatusCode::ACCEPTED),
         // The owner may still accept the job.
         Err(code) if !is_certain && code.ran() == Ran::NotRun => Code::AppendUnknown,
         Err(code) => code,
     };
-    reject(core, &id, code)
+    reject(core, id, code)
 }
 
 /// Accepts a job at this daemon.
@@ -128,17 +201,17 @@
     core: &Core<S, D>,
     route: &Route,
     message: &Message,
-    shard: &Shard,
-    id: CompactString,
+    id: &CompactString,
 ) -> Result<(), Code> {
-    if shard.ledger().job(&id).is_some() {
+    let shard = shard_of(core, id);
+    if shard.ledger().job(id).is_some() {
         return Ok(());
     }
     if core.is_store_unavailable(clock::now()) || !shard.wait_until_loaded(LOAD_TIMEOUT).await {
         return Err(Code::LogUnavailable);
     }
     let items = core.dialect.parse_items(&message.body).map_err(|reason| {
-        log::record_invalid(&id, &reason);
+        log::record_invalid(id, &reason);
         Code::MalformedJson
     })?;
     let submission = Submission {
@@ -152,7 +225,7 @@
     match shard.submit(op, clock::now() + WRITE_TIMEOUT).await {
         Ok(Decision::QuotaExceeded) => Err(Code::TokenLimited),
         Ok(_) => {
-            log::job_accepted(&id, &route.name, shard.number());
+            log::job_accepted(id, &route.name, shard.number());
             Ok(())
         }
         Err(Undecided::NotApplied) => Err(Code::LogUnavailable),
@@ -272,8 +345,10 @@
     };
     let shard = shard_of(core, id);
     let (mut count, is_open) = counts;
-    let is_stale = !shard.is_serving() && shard.staleness() > MAX_STALENESS;
-    if after > count || (after == count && is_open && is_stale) {
+    // A suspension that has just ended may not have been noticed yet.
+    let is_served = shard.is_serving() && core.peers().is_stable(clock::now());
+    let is_stale = !is_served && shard.staleness() > MAX_STALENESS;
+    if after > count || (is_open && is_stale) {
         // Another daemon may have recorded more results, which the client may know.
         match with_timeout(CATCH_UP_TIMEOUT, shard.catch_up(core)).await {
             Some(Ok(())) => {}
@@ -337,7 +412,10 @@
     }
 }
 
-/// Route of a job in a manifest.
+/// Batch route of a job in a manifest; `None` if the job has no route there, or one of
+/// another kind, as in a manifest from before the route was split off.
 pub(crate) fn route_of<'a>(manifest: &'a Manifest, job: &Submission) -> Option<&'a Route> {
-    manifest.route(&job.host, &job.path)
+    manifest
+        .route(&job.host, &job.path)
+        .filter(|route| route.kind == Kind::Batch)
 }
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -157,7 +157,7 @@
 /// Daemon with its own executor; dropping it kills the daemon.
 pub(crate) struct Gateway {
     pub daemon: Daemon<MemoryStore, LineDialect>,
-    _executor: Arc<Executor<'static>>,
+    executor: Arc<Executor<'static>>,
     _stop: async_channel::Sender<()>,
 }
 
@@ -170,10 +170,15 @@
     }
 
     pub(crate) async fn start_without_waiting(store: &MemoryStore) -> Self {
+        Self::start_with_shards(store, 1).await
+    }
+
+    /// Starts a daemon of a fleet whose ledger has a number of shards.
+    pub(crate) async fn start_with_shards(store: &MemoryStore, shards: u16) -> Self {
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
         let text = format!(
             r#"{{"name": "d", "data_centre": "here", "clients": "{any}", "ready": "{any}",
-                "peers": "{any}", "store": "{any}", "shards": 1}}"#
+                "peers": "{any}", "store": "{any}", "shards": {shards}}}"#
         );
         let settings = Settings::parse(&text).expect("settings");
         let executor = Arc::new(Executor::new());
@@ -206,11 +211,17 @@
         }
         Self {
             daemon: started.expect("daemon starts"),
-            _executor: executor,
+            executor,
             _stop: stop,
         }
     }
 
+    /// Stops all tasks of the daemon for a time, as when its process is suspended.
+    pub(crate) fn freeze(&self, time: Duration) {
+        let sleep = async move { std::thread::sleep(time) };
+        self.executor.spawn(sleep).detach();
+    }
+
     /// Sends a request and reads the response until the connection is closed.
     pub(crate) async fn fetch(&self, request: &str) -> String {
         let mut stream = self.send(request).await;
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod batch;
+mod behind;
 mod crash;
 mod departure;
 mod discovery;
@@ -13,6 +14,7 @@
 mod online;
 mod owner;
 mod pace;
+mod quota;
 mod rate_limit;
 mod relay;
 mod replica;
