gateway: reads are bounded beneath the HTTP library

A replica that sends the heads of interim answers without end held its daemon for as long as the bytes came: no request, heartbeat or readiness check was answered, and the time limit of the attempt did not end it.

The HTTP library reads on within one poll as long as the socket has bytes, and skips interim heads without a limit, so no timer or other task of the thread had a turn.

`Bounded` wraps each connection to a replica, peer, the store or a client: after 64 KB it yields to the executor. From a request until the head of its response, a connection takes 256 KB at most; then the read fails, and the attempt ends as broken (`head_too_large` in the log and in connections_failed_total). A relay copies through the same bound. The loops that accept connections and receive datagrams yield after 32.

Before, seven tests failed: `endless_interim_heads_of_a_call`, `.._of_a_stream` and `.._after_a_reservation` with "assertion failed: started.elapsed() < Duration::from_millis(4500)", `.._of_a_reservation` with "the connection stays open", `item_whose_heads_never_end_runs_again`, `other_requests_are_answered_while_interim_heads_come` ("request 0", left: 0, right: 200) and `relayed_interim_heads_without_end_hold_no_daemon` (the same). `turn_is_bounded` and `head_is_bounded` test the new type alone.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -26,6 +26,7 @@
 use smol_hyper::rt::FuturesIo;
 use socket2::{SockRef, TcpKeepalive};
 
+use crate::bounded::{Bounded, HeadLimit, MAX_HEAD_BYTES};
 use crate::clock::{self, with_timeout};
 use crate::links::AnswerTime;
 use crate::relay;
@@ -61,6 +62,8 @@
     /// The connection was given up, as the link brings no answers; data may have been
     /// sent.
     LinkLost,
+    /// The head of the response exceeds [`MAX_HEAD_BYTES`].
+    HeadTooLarge,
 }
 
 impl Error {
@@ -76,6 +79,7 @@
             },
             Self::Broken(_) => "broken",
             Self::LinkLost => "link_lost",
+            Self::HeadTooLarge => "head_too_large",
         }
     }
 
@@ -95,6 +99,10 @@
             Self::NotSent(e) => e.fmt(f),
             Self::Broken(reason) => f.write_str(reason),
             Self::LinkLost => f.write_str("the link brings no answers"),
+            Self::HeadTooLarge => write!(
+                f,
+                "the head of the response exceeds {MAX_HEAD_BYTES} bytes; the connection is closed"
+            ),
         }
     }
 }
@@ -128,6 +136,7 @@
     // Dropping the task closes the connection.
     _driver: Task<()>,
     fate: Arc<Fate>,
+    head: Arc<HeadLimit>,
     /// Relay through which it leads.
     relay: Option<SocketAddr>,
     /// Where its answers are recorded.
@@ -148,15 +157,15 @@
         request: http::Request<Full<Bytes>>,
     ) -> Result<http::Response<Incoming>, Error> {
         self.sender.ready().await.map_err(not_sent)?;
-        let response = self.sender.send_request(request).await.map_err(|e| {
-            if self.is_aborted() {
-                Error::LinkLost
-            } else if e.is_canceled() {
-                not_sent(e)
-            } else {
-                Error::Broken(e.to_string())
-            }
+        self.head.start();
+        let response = self.sender.send_request(request).await;
+        let response = response.map_err(|e| match e {
+            _ if self.is_aborted() => Error::LinkLost,
+            _ if self.head.is_exceeded() => Error::HeadTooLarge,
+            e if e.is_canceled() => not_sent(e),
+            e => Error::Broken(e.to_string()),
         })?;
+        self.head.end();
         self.idle_timeout =
             advertised_idle_timeout(response.headers()).unwrap_or(self.idle_timeout);
         self.record_answer();
@@ -296,6 +305,8 @@
         stream: TcpStream,
         address: SocketAddr,
     ) -> Result<Connection, Error> {
+        let head = Arc::<HeadLimit>::default();
+        let stream = Bounded::new(stream).with_head_limit(Arc::clone(&head));
         let (sender, driver) = http1::handshake(FuturesIo::new(stream))
             .await
             .map_err(not_sent)?;
@@ -311,6 +322,7 @@
             sender,
             _driver: driver,
             fate,
+            head,
             relay: None,
             answered: None,
             idle_since: Duration::ZERO,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -16,6 +16,7 @@
 use bitterncart_coordination::fleet::rate_limit::{self, Message};
 use bitterncart_coordination::fleet::streams::Message as StreamMessage;
 use bitterncart_coordination::fleet::{Group, Heartbeat, Kind, Queued, Route};
+use futures_lite::future;
 use smol::net::UdpSocket;
 
 use crate::clock;
@@ -39,10 +40,16 @@
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 8192;
 
+/// Datagrams that are received before other tasks have their turn.
+const DATAGRAMS_PER_TURN: usize = 32;
+
 /// Receives the heartbeats of peers.
 pub(crate) async fn receive<S: Store, D: Dialect>(core: Core<S, D>, socket: UdpSocket) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    loop {
+    for number in (0..DATAGRAMS_PER_TURN).cycle() {
+        if number == 0 {
+            future::yield_now().await;
+        }
         match socket.recv_from(&mut buffer).await {
             Ok((size, from)) if let Some(message) = Message::decode(&buffer[..size]) => {
                 core.tokens.handle(message, from).await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod availability;
 mod body;
+pub mod bounded;
 mod catalog;
 mod checkpoint;
 mod clock;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,6 +22,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::body::Body;
+use crate::bounded::Bounded;
 use crate::clock::{self, with_timeout};
 use crate::connection::{Connection, Connector, Error, connect};
 use crate::core::Core;
@@ -88,12 +89,13 @@
         let upgraded = hyper::upgrade::on(response).await;
         let stream = upgraded
             .map_err(|e| Error::Broken(e.to_string()))?
-            .downcast::<FuturesIo<TcpStream>>()
+            .downcast::<FuturesIo<Bounded<TcpStream>>>()
             .map_err(|_| Error::Broken("upgrade of another kind".into()))?;
         if !stream.read_buf.is_empty() {
             return Err(Error::Broken("bytes before a request".into()));
         }
-        let connection = connector.handshake(stream.io.into_inner(), replica).await?;
+        let stream = stream.io.into_inner().into_inner();
+        let connection = connector.handshake(stream, replica).await?;
         Ok(Ok(connection.over_relay(relay)))
     };
     match with_timeout(CONNECT_TIMEOUT + RELAY_TIMEOUT, opened).await {
@@ -169,10 +171,10 @@
     let relay = async move {
         let _relayed = relayed;
         let upgraded = hyper::upgrade::on(request).await;
-        let stream = upgraded.map(Upgraded::downcast::<FuturesIo<TcpStream>>);
+        let stream = upgraded.map(Upgraded::downcast::<FuturesIo<Bounded<TcpStream>>>);
         // A peer that has left needs no relay.
         if let Ok(Ok(peer)) = stream {
-            copy_both(peer.io.into_inner(), &peer.read_buf, replica).await;
+            copy_both(peer.io.into_inner().into_inner(), &peer.read_buf, replica).await;
         }
     };
     core.spawn(relay).detach();
@@ -202,7 +204,8 @@
     future::or(requests, answers).await;
 }
 
-async fn copy(mut from: TcpStream, mut to: TcpStream) {
+async fn copy(from: TcpStream, mut to: TcpStream) {
+    let mut from = Bounded::new(from);
     let mut buffer = [0; COPY_BUFFER_BYTES];
     while let Ok(count @ 1..) = from.read(&mut buffer).await {
         if to.write_all(&buffer[..count]).await.is_err() {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -27,6 +27,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::body::Body;
+use crate::bounded::Bounded;
 use crate::clock::{self, with_timeout};
 use crate::connection::configure_socket;
 use crate::core::Core;
@@ -44,6 +45,9 @@
 /// Delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Connections that are accepted before other tasks have their turn.
+const ACCEPTS_PER_TURN: usize = 32;
+
 /// Timeout of reading a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -89,7 +93,10 @@
     endpoint: Endpoint,
     open_connections: ConnectionCount,
 ) {
-    loop {
+    for number in (0..ACCEPTS_PER_TURN).cycle() {
+        if number == 0 {
+            future::yield_now().await;
+        }
         let close_requested = core.close_requested.listen();
         if core.is_closing() && !endpoint.stays_open() {
             return;
@@ -148,7 +155,7 @@
         http1::Builder::new()
             .timer(SmolTimer::new())
             .header_read_timeout(idle_timeout)
-            .serve_connection(FuturesIo::new(stream), service)
+            .serve_connection(FuturesIo::new(Bounded::new(stream)), service)
             .with_upgrades()
     );
     let closed = future::or(async { Some(connection.as_mut().await) }, async {
--- a/crates/gateway/tests/gateway/answers.rs
+++ b/crates/gateway/tests/gateway/answers.rs
@@ -4,7 +4,8 @@
 
 use bitterncart_testing::cases;
 
-use crate::harness::{Gateway, post, status, store, wait_until};
+use crate::batch::results;
+use crate::harness::{Gateway, post, request, status, store, wait_until};
 use crate::replica::{Action, ScriptedReplica};
 
 /// Head of an answer that ends with its connection.
@@ -15,6 +16,9 @@
 /// Most bytes of one endless answer that are taken, with those in socket buffers.
 const MAX_TAKEN_BYTES: usize = 24 << 20;
 
+/// Requests that are sent while an endless answer comes.
+const MEANWHILE: usize = 20;
+
 fn sized(path: &str) -> String {
     post(path, "id").replacen("\r\n", "\r\nsize: 1\r\n", 1)
 }
@@ -77,6 +81,9 @@
     Action::SendForever("aaaaaaaa"),
 ];
 
+/// Heads of interim answers, which the HTTP library skips.
+const INTERIM_HEADS: Action = Action::SendForever("HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n");
+
 fn endless_body(head: Action) -> Vec<Action> {
     vec![head, Action::SendForever("aaaaaaaa")]
 }
@@ -111,6 +118,12 @@
         Action::Respond(200, "signature: s\r\n", ""),
         Action::SendForever("x: y\r\n")
     ]);
+    endless_interim_heads_of_a_call(post("/once/a", "id"), |_| vec![INTERIM_HEADS]);
+    endless_interim_heads_of_a_stream(post("/stream/a", "id"), |_| vec![INTERIM_HEADS]);
+    endless_interim_heads_after_a_reservation(
+        sized("/once/a"),
+        |head| after_reservation(head, vec![INTERIM_HEADS])
+    );
     endless_body_of_a_call(post("/once/a", "id"), |_| endless_body(UNFRAMED));
     endless_body_of_a_stream(post("/stream/a", "id"), |_| endless_body(UNFRAMED));
     endless_head_after_a_reservation(
@@ -137,8 +150,55 @@
         });
     }
     endless_head_of_a_reservation(|_| ENDLESS_HEAD.to_vec());
+    endless_interim_heads_of_a_reservation(|_| vec![INTERIM_HEADS]);
     endless_body_of_a_reservation(|_| endless_body(Action::Respond(200, "", "")));
 }
 
+/// Guards against a daemon that does nothing else while the heads of one answer come.
+#[test]
+fn other_requests_are_answered_while_interim_heads_come() {
+    smol::block_on(async {
+        let replica = ScriptedReplica::start_with("r", |head| match head {
+            _ if head.contains("/endless ") => vec![INTERIM_HEADS],
+            _ => vec![Action::Respond(
+                200,
+                "signature: s\r\ncontent-length: 2\r\n",
+                "ok",
+            )],
+        });
+        let replica = replica.await;
+        let gateway = Gateway::start(&store(&[&replica])).await;
+        let _endless = gateway.send(&post("/once/endless", "e")).await;
+        wait_until("the endless heads", || replica.endless_bytes() > 0).await;
+        for n in 0..MEANWHILE {
+            let started = Instant::now();
+            let response = gateway.fetch(&post("/once/a", &format!("id{n}"))).await;
+            assert_eq!(status(&response), 200, "request {n}: {response}");
+            let took = started.elapsed();
+            assert!(took < Duration::from_secs(1), "request {n}: {took:?}");
+        }
+        wait_until("the end of the connection", || replica.disconnects() > 0).await;
+    });
+}
+
+/// Guards against an item whose attempt holds its daemon for as long as heads come.
+#[test]
+fn item_whose_heads_never_end_runs_again() {
+    smol::block_on(async {
+        let complete = Action::Respond(
+            200,
+            "signature: s\r\nconnection: close\r\n",
+            "id: 1\ndata: a\n\n",
+        );
+        let scripts = vec![vec![INTERIM_HEADS], vec![complete, Action::Close]];
+        let replica = ScriptedReplica::start("r", scripts).await;
+        let gateway = Gateway::start(&store(&[&replica])).await;
+        let job = request("POST", "/items/", "job", "one\n");
+        assert_eq!(status(&gateway.fetch(&job).await), 202);
+        assert_eq!(results(&gateway, "job", 1).await, ["0 one a"]);
+        assert_eq!(replica.disconnects(), 1);
+    });
+}
+
 /// Most bytes of one endless answer to a reservation, with those in socket buffers.
 const MAX_RESERVATION_BYTES: usize = 8 << 20;
--- a/crates/gateway/tests/gateway/links.rs
+++ b/crates/gateway/tests/gateway/links.rs
@@ -1,6 +1,6 @@
 //! A daemon that loses its links to all replicas, beside one that keeps them.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bitterncart_coordination::fleet::Replica;
 use bitterncart_testing::cases;
@@ -42,6 +42,9 @@
             vec![FIRST_EVENT, pause, second(), Action::Close]
         }
         _ if head.contains("/hangs ") => vec![Action::AwaitDisconnect],
+        _ if head.contains("/endless ") => {
+            vec![Action::SendForever("HTTP/1.1 103 Early Hints\r\n\r\n")]
+        }
         _ if head.starts_with("POST /items/") => vec![FIRST_EVENT, second(), Action::Close],
         _ if head.starts_with("POST /reserve ") => vec![RESERVED],
         _ if head.contains("/close ") => vec![OK_AND_CLOSE, Action::Close],
@@ -281,3 +284,29 @@
         assert!(!sound.requests().is_empty());
     });
 }
+
+/// Guards against an endless answer that holds the thread of the relay, or of the daemon
+/// behind it.
+#[test]
+fn relayed_interim_heads_without_end_hold_no_daemon() {
+    smol::block_on(async {
+        let fleet = Fleet::start_cut_off(1).await;
+        let _endless = fleet.cut_off.send(&post("/once/endless", "e")).await;
+        let endless_bytes = || fleet.replicas.iter().map(ScriptedReplica::endless_bytes);
+        wait_until("the endless heads", || endless_bytes().sum::<usize>() > 0).await;
+        for n in 0..REQUESTS {
+            for gateway in [&fleet.cut_off, &fleet.linked[0]] {
+                let started = Instant::now();
+                let response = gateway.fetch(&post("/idempotent/a", "id")).await;
+                assert_eq!(status(&response), 200, "request {n}: {response}");
+                let took = started.elapsed();
+                assert!(took < Duration::from_secs(1), "request {n}: {took:?}");
+            }
+        }
+        let disconnects = || fleet.replicas.iter().map(ScriptedReplica::disconnects);
+        wait_until("the end of the connection", || {
+            disconnects().sum::<usize>() > 0
+        })
+        .await;
+    });
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,8 @@
 
 mod answers;
 mod batch;
+mod bounded;
+
 mod crash;
 mod departure;
 mod discovery;
