--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -157,7 +157,7 @@
 /// Daemon with its own executor; dropping it kills the daemon.
 pub(crate) struct Gateway {
     pub daemon: Daemon<MemoryStore, LineDialect>,
-    _executor: Arc<Executor<'static>>,
+    executor: Arc<Executor<'static>>,
     _stop: async_channel::Sender<()>,
 }
 
@@ -206,11 +206,20 @@
         }
         Self {
             daemon: started.expect("daemon starts"),
-            _executor: executor,
+            executor,
             _stop: stop,
         }
     }
 
+    /// Processor time of the daemon's thread.
+    pub(crate) async fn processor_time(&self) -> Duration {
+        let read = async {
+            let time = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
+            Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+        };
+        self.executor.spawn(read).await
+    }
+
     /// Sends a request and reads the response until the connection is closed.
     pub(crate) async fn fetch(&self, request: &str) -> String {
         let mut stream = self.send(request).await;
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod owner;
 mod pace;
 mod rate_limit;
+mod relay_cost;
 mod replica;
 mod reservation;
 mod sockets;
