gateway: the cost of splitting events is linear

Line feeds without end in the answer to an item, in large chunks, made its daemon hang for seconds at a time.

Each event, also an empty one, cost two searches of all that was buffered, and each piece of an event searched the event anew. `Splitter` now remembers where its search ended, and finds the ends of lines in one pass. An empty line that follows no other line is ignored, as in the standard of event streams, so that it is no event. A line may end in either form, also the empty one (`\n\r\n`).

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,7 +33,6 @@
 mod runner;
 mod server;
 mod shard;
-mod sse;
 mod streams;
 mod tokens;
 mod upstream;
@@ -42,6 +41,7 @@
 pub mod dialect;
 pub mod log;
 pub mod settings;
+pub mod sse;
 pub mod store;
 
 pub use connection::Connector;
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -4,13 +4,14 @@
 //! are parsed.
 
 use bytes::{Bytes, BytesMut};
+use memchr::memchr;
 
 /// Maximum size of one event.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Event {
+pub struct Event {
     /// Raw bytes, including the empty line that ends the event.
     pub bytes: Bytes,
     /// Value of the `id` field, if it is a number.
@@ -25,7 +26,8 @@
     }
 
     /// Values of the `data` fields, joined by newlines.
-    pub(crate) fn data(&self) -> String {
+    #[must_use]
+    pub fn data(&self) -> String {
         let mut data = String::new();
         for (n, value) in fields(&self.bytes, b"data").enumerate() {
             if n > 0 {
@@ -51,43 +53,54 @@
 }
 
 /// Buffer that splits a byte stream into events.
+///
+/// An empty line ends an event; lines end with a line feed, or with a carriage return
+/// and one. Empty lines that follow no other line are ignored, as in the standard. The
+/// cost is linear in the bytes, in whatever pieces they arrive.
 #[derive(Debug, Default)]
-pub(crate) struct Splitter {
+pub struct Splitter {
     buffer: BytesMut,
+    /// Start of the last line, which has no end yet.
+    line_start: usize,
+    /// Bytes in which ends of lines were searched.
+    searched: usize,
 }
 
 impl Splitter {
     /// Appends bytes to the buffer.
-    pub(crate) fn push(&mut self, bytes: &[u8]) {
+    pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
     }
 
     /// Removes the next complete event from the buffer.
-    pub(crate) fn next(&mut self) -> Option<Event> {
-        let lf = self
-            .buffer
-            .windows(2)
-            .position(|w| w == b"\n\n")
-            .map(|at| at + 2);
-        let crlf = self
-            .buffer
-            .windows(4)
-            .position(|w| w == b"\r\n\r\n")
-            .map(|at| at + 4);
-        let end = match (lf, crlf) {
-            (Some(a), Some(b)) => a.min(b),
-            (a, b) => a.or(b)?,
-        };
-        Some(Event::new(self.buffer.split_to(end).freeze()))
+    pub fn next_event(&mut self) -> Option<Event> {
+        while let Some(at) = memchr(b'\n', &self.buffer[self.searched..]) {
+            let line_end = self.searched + at;
+            let line = &self.buffer[self.line_start..line_end];
+            let is_empty = matches!(line, b"" | b"\r");
+            let (first, next) = (self.line_start == 0, line_end + 1);
+            (self.line_start, self.searched) = (next, next);
+            if is_empty {
+                (self.line_start, self.searched) = (0, 0);
+                let bytes = self.buffer.split_to(next);
+                if !first {
+                    return Some(Event::new(bytes.freeze()));
+                }
+            }
+        }
+        self.searched = self.buffer.len();
+        None
     }
 
     /// Whether the buffer holds an incomplete event.
-    pub(crate) fn has_partial_event(&self) -> bool {
+    #[must_use]
+    pub fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
     }
 
     /// Whether the incomplete event exceeds [`MAX_EVENT_BYTES`].
-    pub(crate) fn is_oversized(&self) -> bool {
+    #[must_use]
+    pub fn is_oversized(&self) -> bool {
         self.buffer.len() > MAX_EVENT_BYTES
     }
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -480,7 +480,7 @@
     /// Waits for the next event.
     pub(crate) async fn next_event(&mut self) -> Received {
         loop {
-            if let Some(event) = self.splitter.next() {
+            if let Some(event) = self.splitter.next_event() {
                 self.watch.record_event();
                 return Received::Event(event);
             }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -18,5 +18,6 @@
 mod replica;
 mod reservation;
 mod sockets;
+mod sse;
 mod store;
 mod versions;
