gateway: outputs of items are bounded

A replica that did not end the answer to one item, but sent further events, made the daemon keep all of it: it exceeded its memory within a second and was killed, with all requests that it had at other replicas.

Only a pause ended the attempt, and nothing limited the sum of the events. An output now takes what one record of the store holds at most (`record_bytes` in the settings, 256 KB by default, less 1 KB), and 65,536 events. An attempt beyond that ends as broken and counts against its replica; it is logged, and counted in answers_too_large_total. The item begins anew, and doesn't go on behind the stored output at this daemon, as its own events can't be told from those that followed.

Before, `item_whose_output_is_too_large_begins_anew` failed with left: ["0 one given up"], right: ["0 one a,b"]. `item_whose_output_is_always_too_large_is_given_up` guards the end of such an item; it passed before. Gateway tests after: all passed.

--- a/crates/coordination/src/fleet/checkpoint.rs
+++ b/crates/coordination/src/fleet/checkpoint.rs
@@ -15,6 +15,9 @@
 /// daemon costs an item at most.
 pub const INTERVAL: Duration = Duration::from_secs(1);
 
+/// Maximum number of events of an output.
+pub const MAX_EVENTS: u64 = 65_536;
+
 /// Output of an item, as far as it was received.
 #[derive(Clone, Debug, Default)]
 pub struct Output {
@@ -70,6 +73,14 @@
         self.last_event_id
     }
 
+    /// Whether the next event fits: the text takes `max_bytes` at most, and there are
+    /// [`MAX_EVENTS`] at most.
+    #[must_use]
+    pub fn fits(&self, data: &str, max_bytes: usize) -> bool {
+        let separator = usize::from(self.last_event_id > 0);
+        self.text.len() + separator + data.len() <= max_bytes && self.last_event_id < MAX_EVENTS
+    }
+
     /// Adds the data of the next event.
     pub fn push(&mut self, data: &str) {
         if self.last_event_id > 0 {
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -207,6 +207,16 @@
     info!("run of an item ended", kv: { job, index, end });
 }
 
+pub(crate) fn output_too_large(job: &str, index: u32, selection: &Selection, max_bytes: usize) {
+    if !rate_limit::try_acquire() {
+        return;
+    }
+    let (replica, born_ms) = (selection.id.as_str(), selection.born_ms);
+    warn!("output of an item is too large; it begins anew", kv: {
+        job, index, replica, born_ms, max_bytes
+    });
+}
+
 pub(crate) fn store_call_failed(call: &str, error: &Failure) {
     warn!("call to the store failed", kv: { call, why: = error });
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -117,6 +117,13 @@
         self.add(format_compact!("batch_runs_total{{end=\"{why}\"}}"));
     }
 
+    /// Answer, or output of an item, that passed a bound.
+    pub(crate) fn answer_too_large(&self, kind: &str) {
+        self.add(format_compact!(
+            "answers_too_large_total{{kind=\"{kind}\"}}"
+        ));
+    }
+
     /// Renders all metrics as text, one value a line.
     pub(crate) fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -57,6 +57,9 @@
 /// Delay before an item or a ledger write is retried after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Maximum number of doublings of [`RETRY_DELAY`], one for each output that was too large.
+const MAX_RETRY_DOUBLINGS: u32 = 6;
+
 /// Delay before it is checked again whether an item with a quarantined prompt part
 /// may start. It ends with its give-up time at the latest.
 const QUARANTINE_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -90,6 +93,9 @@
     /// A part of the output is being stored.
     checkpointing: bool,
     failures: u8,
+    /// Number of outputs that were too large. The stored one may be the beginning of such
+    /// an output, and is not resumed here.
+    oversized: u32,
     /// Time before which the item is not started again.
     retry_at: Duration,
     /// Time from which it has waited for a slot at the build that wrote its output.
@@ -435,6 +441,7 @@
     } = &mut *runs;
     let run = runs.entry(candidate.id.clone()).or_default();
     let stored = job.progress.get(&candidate.id.1);
+    let stored = stored.filter(|_| run.oversized == 0);
     let selected = select_replica(core, route, backend, reserve, (run, estimator), stored);
     let Some((selection, output)) = selected else {
         return false;
@@ -676,7 +683,15 @@
                         drop(runs);
                         return self.record_broken(Outcome::Broken);
                     }
-                    run.output.push(&event.data());
+                    let data = event.data();
+                    if !run
+                        .output
+                        .fits(&data, self.core.settings.max_output_bytes())
+                    {
+                        drop(runs);
+                        return self.record_too_large();
+                    }
+                    run.output.push(&data);
                 }
                 Some(Received::End) => {
                     response.release_connection(&self.core);
@@ -744,6 +759,20 @@
         self.schedule_retry();
     }
 
+    /// Records an attempt whose output exceeds its bound. The item begins anew, as the
+    /// events of the item cannot be told from those that follow them.
+    fn record_too_large(self) {
+        let max_bytes = self.core.settings.max_output_bytes();
+        let (job, index) = &self.id;
+        log::output_too_large(job, *index, &self.slot.selection, max_bytes);
+        self.core.metrics.answer_too_large("item");
+        if let Some(run) = self.core.runs().runs.get_mut(&self.id) {
+            run.output = Output::default();
+            run.oversized = run.oversized.saturating_add(1);
+        }
+        self.record_broken(Outcome::Broken);
+    }
+
     /// Records an attempt that ended without a response or with a broken stream.
     fn record_broken(self, outcome: Outcome) {
         let mut pool = self.core.pool();
@@ -764,7 +793,8 @@
     fn schedule_retry(&self) {
         let mut runs = self.core.runs();
         if let Some(run) = runs.runs.get_mut(&self.id) {
-            run.retry_at = clock::now() + RETRY_DELAY;
+            let doublings = run.oversized.min(MAX_RETRY_DOUBLINGS);
+            run.retry_at = clock::now() + RETRY_DELAY * (1 << doublings);
             run.replica = None;
             // This is called from the task itself, which is about to end.
             if let Some(task) = run.task.take() {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -11,6 +11,10 @@
 /// Pattern of an IP address with a port; host names are not resolved.
 const ADDRESS: &str = r"^([0-9]{1,3}(\.[0-9]{1,3}){3}|\[[0-9A-Fa-f:.]+\]):[0-9]{1,5}$";
 
+/// Bytes of a record beside the output of an item: key, ids, and the name and version of
+/// a service.
+const RECORD_OVERHEAD_BYTES: usize = 1024;
+
 /// Settings of a daemon.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 pub struct Settings {
@@ -58,6 +62,10 @@
     #[serde(default = "Settings::default_keep_s")]
     #[schemars(range(min = 1.0, max = 31_536_000.0))]
     pub keep_s: f64,
+    /// Maximum size of a record of the store, with its key, in bytes.
+    #[serde(default = "Settings::default_record_bytes")]
+    #[schemars(range(min = 4096))]
+    pub record_bytes: usize,
     /// Time from the start of a shutdown until the process is killed, in seconds.
     #[serde(default = "Settings::default_stop_s")]
     #[schemars(range(min = 1.0, max = 600.0))]
@@ -81,6 +89,10 @@
         3600.0
     }
 
+    fn default_record_bytes() -> usize {
+        256 << 10
+    }
+
     fn default_stop_s() -> f64 {
         8.0
     }
@@ -103,6 +115,13 @@
         Duration::from_secs_f64(self.keep_s)
     }
 
+    /// Maximum size of the output of an item, in bytes: with its key it fits in one record
+    /// of the store.
+    #[must_use]
+    pub fn max_output_bytes(&self) -> usize {
+        self.record_bytes - RECORD_OVERHEAD_BYTES
+    }
+
     /// Names of the settings that differ in `new` and take effect only after a
     /// restart, as sockets and shards are created once.
     #[must_use]
@@ -117,6 +136,7 @@
             ("metrics", self.metrics != new.metrics),
             ("partitions", self.partitions != new.partitions),
             ("shards", self.shards != new.shards),
+            ("record_bytes", self.record_bytes != new.record_bytes),
         ];
         let changed = settings.into_iter().filter(|(_, differs)| *differs);
         changed.map(|(name, _)| name).collect()
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod link;
 mod links;
 mod online;
+mod oversized;
 mod owner;
 mod pace;
 mod rate_limit;
--- /dev/null
+++ b/crates/gateway/tests/gateway/oversized.rs
@@ -0,0 +1,82 @@
+//! Answers to items that are larger than what may be kept and stored of them.
+
+use std::time::Duration;
+
+use bitterncart_coordination::fleet::{Batch, Kind};
+
+use crate::batch::results;
+use crate::harness::{Gateway, manifest, post, request, status, store, wait_until};
+use crate::replica::{Action, ScriptedReplica, header};
+
+const EVENTS: &str = "signature: s\r\ncontent-type: text/event-stream\r\nconnection: close\r\n";
+const COMPLETE: Action = Action::Respond(200, EVENTS, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+
+/// Bytes of an answer that no record of the store holds.
+const OVERSIZED_BYTES: usize = 1 << 20;
+
+/// Events of an item, and further ones behind the last one.
+fn oversized() -> Vec<Action> {
+    let data = "x".repeat(OVERSIZED_BYTES / 100);
+    let further = (3..103).map(|id| format!("id: {id}\ndata: {data}\n\n"));
+    let further = Action::Send(further.collect());
+    vec![COMPLETE, further, Action::AwaitDisconnect]
+}
+
+fn job() -> String {
+    request("POST", "/items/", "job", "one\n")
+}
+
+/// Guards against an item that keeps what follows its last event: the run that goes on
+/// behind it would end as complete, with the text of both.
+#[test]
+fn item_whose_output_is_too_large_begins_anew() {
+    smol::block_on(async {
+        let scripts = vec![oversized(), vec![COMPLETE, Action::Close]];
+        let replica = ScriptedReplica::start("r", scripts).await;
+        let gateway = Gateway::start(&store(&[&replica])).await;
+        assert_eq!(status(&gateway.fetch(&job()).await), 202);
+        wait_until("the end of the answer", || replica.disconnects() == 1).await;
+        assert_eq!(results(&gateway, "job", 1).await, ["0 one a,b"]);
+        for head in replica.requests() {
+            assert_eq!(header(&head, "last-event"), None, "{head}");
+        }
+    });
+}
+
+/// An item whose output is too large in each run is given up in the end, and runs less
+/// and less often until then. Other requests are served meanwhile.
+#[test]
+fn item_whose_output_is_always_too_large_is_given_up() {
+    smol::block_on(async {
+        let replica = ScriptedReplica::start_with("r", |head| match head {
+            _ if head.starts_with("POST /items/") => oversized(),
+            _ => vec![Action::Respond(
+                200,
+                "signature: s\r\ncontent-length: 2\r\n",
+                "ok",
+            )],
+        });
+        let replica = replica.await;
+        let store = store(&[&replica]);
+        let mut manifest = manifest(2);
+        for route in manifest.routes.iter_mut().filter(|r| r.kind == Kind::Batch) {
+            route.batch = Batch {
+                give_up: Duration::from_millis(1500),
+                ..route.batch
+            };
+        }
+        store.publish_manifest(&manifest);
+        let gateway = Gateway::start(&store).await;
+        assert_eq!(status(&gateway.fetch(&job()).await), 202);
+        wait_until("a run that ends", || replica.disconnects() > 0).await;
+        let response = gateway.fetch(&post("/once/a", "id")).await;
+        assert_eq!(status(&response), 200, "{response}");
+        assert_eq!(results(&gateway, "job", 1).await, ["0 one given up"]);
+        let items = replica.requests();
+        let runs = items
+            .iter()
+            .filter(|head| head.starts_with("POST /items/"))
+            .count();
+        assert!((2..=6).contains(&runs), "{runs} runs");
+    });
+}
