gateway: answers that are kept have one bound together

Bodies that are being read, events that wait for slow clients and outputs of items had a bound each (8 MB, 1 MB, one record), but none together: enough of them at once pass the memory of the process, which is then killed with all its requests.

`Budget` holds a quarter of the memory of the process (`memory_mb`, new in the settings, 256 by default). Each answer may keep 64 KB in any case; one that keeps more while the budget is spent ends as broken. So a few large answers end none of the small ones. Events and bodies count until the client has them. What ends so is counted in answers_too_large_total, by event, body or item.

With the bound taken out, `large_answers_at_once_are_bounded_together` failed with "4 whole answers", where two fit.

--- a/crates/coordination/src/fleet/checkpoint.rs
+++ b/crates/coordination/src/fleet/checkpoint.rs
@@ -73,6 +73,12 @@
         self.last_event_id
     }
 
+    /// Bytes in memory, with those of the copy that is stored in the end.
+    #[must_use]
+    pub fn kept_bytes(&self) -> usize {
+        2 * self.text.len() + size_of_val(self.lengths.as_slice())
+    }
+
     /// Whether the next event fits: the text takes `max_bytes` at most, and there are
     /// [`MAX_EVENTS`] at most.
     #[must_use]
--- /dev/null
+++ b/crates/gateway/src/budget.rs
@@ -0,0 +1,127 @@
+//! Memory for answers of replicas that a daemon keeps: bodies that are being read, events
+//! that wait for slow clients, and outputs of items.
+//!
+//! An answer may always keep a small part, so that a few large ones do not end the
+//! others. What it keeps beyond that counts against one budget of the daemon.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use bytes::Bytes;
+
+/// Bytes that one answer may keep although the budget is spent.
+pub const GUARANTEED_BYTES: usize = 64 << 10;
+
+/// Bytes from which an event that waits for a client is counted by itself.
+const LARGE_EVENT_BYTES: usize = 4 << 10;
+
+/// Share of the memory of the process that answers may take: one in this many bytes.
+const MEMORY_DIVISOR: usize = 4;
+
+/// Memory that the answers of one daemon may take together.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    kept: Arc<AtomicUsize>,
+    max_bytes: usize,
+}
+
+impl Budget {
+    /// Budget of a process with a limit of its memory, in bytes.
+    #[must_use]
+    pub fn of_memory(memory_bytes: usize) -> Self {
+        Self {
+            kept: Arc::default(),
+            max_bytes: memory_bytes / MEMORY_DIVISOR,
+        }
+    }
+
+    /// Bytes kept now.
+    #[must_use]
+    pub fn kept(&self) -> usize {
+        self.kept.load(Ordering::Relaxed)
+    }
+
+    /// Maximum number of bytes that answers keep beyond [`GUARANTEED_BYTES`] each.
+    #[must_use]
+    pub fn max_bytes(&self) -> usize {
+        self.max_bytes
+    }
+
+    /// Share of an answer that keeps nothing yet.
+    #[must_use]
+    pub fn share(&self) -> Share {
+        Share {
+            budget: self.clone(),
+            bytes: 0,
+        }
+    }
+}
+
+/// What one answer keeps; it is given back on drop.
+#[derive(Debug)]
+pub struct Share {
+    budget: Budget,
+    bytes: usize,
+}
+
+impl Share {
+    /// Sets what the answer keeps; `false` if the budget is spent. The bytes count in
+    /// both cases, until the caller drops them with this share.
+    pub fn resize(&mut self, bytes: usize) -> bool {
+        let kept = &self.budget.kept;
+        if bytes <= self.bytes {
+            kept.fetch_sub(self.bytes - bytes, Ordering::Relaxed);
+            self.bytes = bytes;
+            return true;
+        }
+        let before = kept.fetch_add(bytes - self.bytes, Ordering::Relaxed);
+        let all = before + bytes - self.bytes;
+        self.bytes = bytes;
+        bytes <= GUARANTEED_BYTES || all <= self.budget.max_bytes
+    }
+
+    /// Counts an event that leaves the buffer of its answer until its last use.
+    #[must_use]
+    pub fn hold(&self, bytes: Bytes) -> Bytes {
+        if bytes.len() < LARGE_EVENT_BYTES {
+            return bytes;
+        }
+        let mut share = self.budget.share();
+        // It was counted as a part of the buffer before.
+        let _is_within = share.resize(bytes.len());
+        Bytes::from_owner(Held {
+            bytes,
+            _share: share,
+        })
+    }
+
+    /// Counts a complete body until its last use.
+    #[must_use]
+    pub fn into_held(self, bytes: Bytes) -> Bytes {
+        if bytes.len() < LARGE_EVENT_BYTES {
+            return bytes;
+        }
+        Bytes::from_owner(Held {
+            bytes,
+            _share: self,
+        })
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        self.budget.kept.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// Bytes with their share.
+struct Held {
+    bytes: Bytes,
+    _share: Share,
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -22,6 +22,7 @@
 use smol::{Executor, Task};
 
 use crate::availability::Availability;
+use crate::budget::Budget;
 use crate::clock;
 use crate::connection::Connector;
 use crate::crash;
@@ -57,6 +58,8 @@
     pub tokens: Tokens,
     pub streams: streams::Registry,
     pub metrics: Arc<Metrics>,
+    /// Memory for the answers that are kept.
+    pub budget: Budget,
     /// Links to the replicas.
     pub links: links::Monitor,
     pub shards: Vec<Shard>,
@@ -126,7 +129,6 @@
         });
         Self(Arc::new(State {
             current_settings: RwLock::new(settings.clone()),
-            settings,
             store,
             dialect,
             tokens: Tokens::new(Arc::clone(&socket)),
@@ -141,6 +143,8 @@
             executor,
             connector,
             metrics,
+            budget: Budget::of_memory(settings.memory_bytes()),
+            settings,
             links,
             shards,
             close_requested: Event::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod availability;
 mod body;
 pub mod bounded;
+pub mod budget;
 mod catalog;
 mod checkpoint;
 mod clock;
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -28,6 +28,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use smol::Task;
 
+use crate::budget::Share;
 use crate::checkpoint;
 use crate::clock::{self, with_timeout};
 use crate::core::Core;
@@ -90,6 +91,8 @@
 struct Run {
     /// Output received so far.
     output: Output,
+    /// What it takes of the memory for answers.
+    share: Option<Share>,
     /// A part of the output is being stored.
     checkpointing: bool,
     failures: u8,
@@ -692,6 +695,11 @@
                         return self.record_too_large();
                     }
                     run.output.push(&data);
+                    let share = run.share.get_or_insert_with(|| self.core.budget.share());
+                    if !share.resize(run.output.kept_bytes()) {
+                        drop(runs);
+                        return self.record_too_large();
+                    }
                 }
                 Some(Received::End) => {
                     response.release_connection(&self.core);
@@ -768,6 +776,7 @@
         self.core.metrics.answer_too_large("item");
         if let Some(run) = self.core.runs().runs.get_mut(&self.id) {
             run.output = Output::default();
+            run.share = None;
             run.oversized = run.oversized.saturating_add(1);
         }
         self.record_broken(Outcome::Broken);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -62,6 +62,10 @@
     #[serde(default = "Settings::default_keep_s")]
     #[schemars(range(min = 1.0, max = 31_536_000.0))]
     pub keep_s: f64,
+    /// Memory of the process beyond which it is killed, in megabytes.
+    #[serde(default = "Settings::default_memory_mb")]
+    #[schemars(range(min = 1.0, max = 1_000_000.0))]
+    pub memory_mb: f64,
     /// Maximum size of a record of the store, with its key, in bytes.
     #[serde(default = "Settings::default_record_bytes")]
     #[schemars(range(min = 4096))]
@@ -89,6 +93,10 @@
         3600.0
     }
 
+    fn default_memory_mb() -> f64 {
+        256.0
+    }
+
     fn default_record_bytes() -> usize {
         256 << 10
     }
@@ -115,6 +123,12 @@
         Duration::from_secs_f64(self.keep_s)
     }
 
+    /// Memory of the process beyond which it is killed, in bytes.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        (self.memory_mb * f64::from(1 << 20)) as usize
+    }
+
     /// Maximum size of the output of an item, in bytes: with its key it fits in one record
     /// of the store.
     #[must_use]
@@ -136,6 +150,7 @@
             ("metrics", self.metrics != new.metrics),
             ("partitions", self.partitions != new.partitions),
             ("shards", self.shards != new.shards),
+            ("memory_mb", self.memory_mb != new.memory_mb),
             ("record_bytes", self.record_bytes != new.record_bytes),
         ];
         let changed = settings.into_iter().filter(|(_, differs)| *differs);
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -6,6 +6,8 @@
 use bytes::{Bytes, BytesMut};
 use memchr::memchr;
 
+use crate::budget::Share;
+
 /// Maximum size of one event.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -57,9 +59,12 @@
 /// An empty line ends an event; lines end with a line feed, or with a carriage return
 /// and one. Empty lines that follow no other line are ignored, as in the standard. The
 /// cost is linear in the bytes, in whatever pieces they arrive.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Splitter {
     buffer: BytesMut,
+    /// What the buffer takes of the memory for answers.
+    share: Share,
+    is_within_budget: bool,
     /// Start of the last line, which has no end yet.
     line_start: usize,
     /// Bytes in which ends of lines were searched.
@@ -67,9 +72,22 @@
 }
 
 impl Splitter {
+    /// Empty buffer of one answer.
+    #[must_use]
+    pub fn new(share: Share) -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            share,
+            is_within_budget: true,
+            line_start: 0,
+            searched: 0,
+        }
+    }
+
     /// Appends bytes to the buffer.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
+        self.is_within_budget = self.share.resize(self.buffer.len());
     }
 
     /// Removes the next complete event from the buffer.
@@ -84,7 +102,7 @@
                 (self.line_start, self.searched) = (0, 0);
                 let bytes = self.buffer.split_to(next);
                 if !first {
-                    return Some(Event::new(bytes.freeze()));
+                    return Some(Event::new(self.share.hold(bytes.freeze())));
                 }
             }
         }
@@ -98,9 +116,10 @@
         !self.buffer.is_empty()
     }
 
-    /// Whether the incomplete event exceeds [`MAX_EVENT_BYTES`].
+    /// Whether the incomplete event exceeds [`MAX_EVENT_BYTES`], or the memory for answers
+    /// is spent.
     #[must_use]
     pub fn is_oversized(&self) -> bool {
-        self.buffer.len() > MAX_EVENT_BYTES
+        self.buffer.len() > MAX_EVENT_BYTES || !self.is_within_budget
     }
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -22,6 +22,7 @@
 use crate::crash::Watch;
 use crate::dialect::{Dialect, HeaderNames};
 use crate::log;
+use crate::metrics::Metrics;
 use crate::sse::{Event, Splitter};
 use crate::store::Store;
 use crate::tokens;
@@ -158,6 +159,7 @@
     body: Incoming,
     connection: Connection,
     splitter: Splitter,
+    metrics: Arc<Metrics>,
     watch: Watch,
     /// Whether the stream may be complete without an event. One that ends with its
     /// connection may be that of a replica that ended.
@@ -362,7 +364,8 @@
             head,
             body,
             connection,
-            splitter: Splitter::default(),
+            splitter: Splitter::new(core.budget.share()),
+            metrics: Arc::clone(&core.metrics),
             watch,
         }),
     }
@@ -446,12 +449,13 @@
     /// # Errors
     ///
     /// If the connection broke or was given up, or the body exceeds
-    /// [`MAX_RESPONSE_BYTES`].
+    /// [`MAX_RESPONSE_BYTES`] or what is left of the memory for answers.
     pub(crate) async fn read_to_end<S: Store, D: Dialect>(
         mut self,
         core: &Core<S, D>,
     ) -> Result<(response::Parts, Bytes), Outcome> {
         let mut bytes = BytesMut::new();
+        let mut share = core.budget.share();
         while let Some(frame) = self.body.frame().await {
             match frame.map(http_body::Frame::into_data) {
                 Ok(Ok(data)) => {
@@ -466,7 +470,8 @@
                     return Err(Outcome::Broken);
                 }
             }
-            if bytes.len() > MAX_RESPONSE_BYTES {
+            if bytes.len() > MAX_RESPONSE_BYTES || !share.resize(bytes.len()) {
+                self.metrics.answer_too_large("body");
                 return Err(Outcome::Broken);
             }
         }
@@ -474,7 +479,7 @@
             self.watch.record_complete();
         }
         core.connector.release(self.connection);
-        Ok((self.head, bytes.freeze()))
+        Ok((self.head, share.into_held(bytes.freeze())))
     }
 
     /// Waits for the next event.
@@ -500,6 +505,7 @@
                         self.splitter.push(data);
                     }
                     if self.splitter.is_oversized() {
+                        self.metrics.answer_too_large("event");
                         return Received::Broken;
                     }
                 }
--- /dev/null
+++ b/crates/gateway/tests/gateway/budget.rs
@@ -0,0 +1,119 @@
+//! Memory for the answers that a daemon keeps.
+
+use std::time::Duration;
+
+use bitterncart_gateway::budget::{Budget, GUARANTEED_BYTES};
+use bitterncart_testing::cases;
+use bytes::Bytes;
+use futures_lite::future;
+
+use crate::harness::{Gateway, post, status, store, wait_until};
+use crate::replica::{Action, ScriptedReplica};
+
+const MB: usize = 1 << 20;
+
+/// Budget of 2 MB.
+fn budget() -> Budget {
+    Budget::of_memory(8 * MB)
+}
+
+cases! {
+    /// One answer passes beside what others keep, if it is small or the sum is.
+    fn answer_is_within(others: usize, bytes: usize, expected: bool) {
+        let budget = budget();
+        let mut other = budget.share();
+        other.resize(others);
+        let mut share = budget.share();
+        assert_eq!(share.resize(bytes), expected);
+        assert_eq!(budget.kept(), others + bytes);
+        drop((share, other));
+        assert_eq!(budget.kept(), 0);
+    }
+    large_answer_alone(0, 2 * MB, true);
+    too_large_answer(0, 2 * MB + 1, false);
+    large_answer_beside_another(MB, MB, true);
+    too_large_answer_beside_another(MB, MB + 1, false);
+    small_answer_when_all_is_spent(3 * MB, GUARANTEED_BYTES, true);
+    larger_answer_when_all_is_spent(3 * MB, GUARANTEED_BYTES + 1, false);
+}
+
+#[test]
+fn smaller_answer_gives_back() {
+    let budget = budget();
+    let mut share = budget.share();
+    assert!(!share.resize(3 * MB));
+    assert!(share.resize(MB));
+    assert_eq!(budget.kept(), MB);
+}
+
+/// Events and bodies that wait for a slow client count until they have been sent.
+#[test]
+fn bytes_count_until_their_last_use() {
+    let budget = budget();
+    let event = budget.share().hold(Bytes::from(vec![0; MB]));
+    let copy = event.clone();
+    drop(event);
+    assert_eq!(budget.kept(), MB);
+    drop(copy);
+    assert_eq!(budget.kept(), 0);
+    let mut share = budget.share();
+    share.resize(MB);
+    let body = share.into_held(Bytes::from(vec![0; MB]));
+    assert_eq!(budget.kept(), MB);
+    drop(body);
+    assert_eq!(budget.kept(), 0);
+}
+
+/// Guards against a daemon that exceeds its memory by many large answers at once, none of
+/// which is too large by itself. Small answers are read meanwhile.
+#[test]
+fn large_answers_at_once_are_bounded_together() {
+    smol::block_on(async {
+        let replica = ScriptedReplica::start_with("r", |head| match head {
+            _ if head.contains("/large ") => vec![
+                Action::Respond(200, "signature: s\r\nconnection: close\r\n", ""),
+                Action::Send("x".repeat(MB - 1)),
+                Action::Wait(Duration::from_secs(1)),
+                Action::Send("x".into()),
+                Action::Close,
+            ],
+            _ => vec![Action::Respond(
+                200,
+                "signature: s\r\ncontent-length: 2\r\n",
+                "ok",
+            )],
+        });
+        let mut replicas = vec![replica.await];
+        let more = ScriptedReplica::start(
+            "other",
+            vec![vec![Action::Respond(
+                200,
+                "signature: s\r\ncontent-length: 2\r\n",
+                "ok",
+            )]],
+        );
+        replicas.push(more.await);
+        let store = store(&[&replicas[0]]);
+        let gateway = Gateway::start_with(&store, r#""memory_mb": 8,"#).await;
+        wait_until("the daemon to be ready", || gateway.daemon.is_ready()).await;
+        let requests: Vec<String> = (0..4)
+            .map(|n| post("/once/large", &format!("l{n}")))
+            .collect();
+        let large = |n: usize| gateway.fetch(&requests[n]);
+        let large = future::zip(
+            future::zip(large(0), large(1)),
+            future::zip(large(2), large(3)),
+        );
+        let small = async {
+            wait_until("the large answers", || replicas[0].requests().len() == 4).await;
+            store.publish_replica(&replicas[1].record());
+            for n in 0..10 {
+                let response = gateway.fetch(&post("/once/a", &format!("s{n}"))).await;
+                assert_eq!(status(&response), 200, "request {n}: {response}");
+            }
+        };
+        let (((a, b), (c, d)), ()) = future::zip(large, small).await;
+        let whole = [a, b, c, d].iter().filter(|r| status(r) == 200).count();
+        assert!((1..=2).contains(&whole), "{whole} whole answers");
+    });
+}
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -170,10 +170,15 @@
     }
 
     pub(crate) async fn start_without_waiting(store: &MemoryStore) -> Self {
+        Self::start_with(store, "").await
+    }
+
+    /// Starts a daemon with further settings.
+    pub(crate) async fn start_with(store: &MemoryStore, settings: &str) -> Self {
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
         let text = format!(
             r#"{{"name": "d", "data_centre": "here", "clients": "{any}", "ready": "{any}",
-                "peers": "{any}", "store": "{any}", "shards": 1}}"#
+                "peers": "{any}", "store": "{any}", {settings} "shards": 1}}"#
         );
         let settings = Settings::parse(&text).expect("settings");
         let executor = Arc::new(Executor::new());
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod batch;
 mod bounded;
+mod budget;
 
 mod crash;
 mod departure;
--- a/crates/gateway/tests/gateway/sse.rs
+++ b/crates/gateway/tests/gateway/sse.rs
@@ -1,5 +1,6 @@
 //! Events in a byte stream, in whatever pieces it arrives.
 
+use bitterncart_gateway::budget::Budget;
 use bitterncart_gateway::sse::{Event, MAX_EVENT_BYTES, Splitter};
 use bitterncart_testing::cases;
 
@@ -7,6 +8,11 @@
 /// piece or line would go on for minutes.
 const LONG_BYTES: usize = 4 << 20;
 
+/// Splitter with enough memory.
+fn splitter() -> Splitter {
+    Splitter::new(Budget::of_memory(64 << 20).share())
+}
+
 /// Events of a stream that arrives in pieces.
 fn split<'a>(splitter: &mut Splitter, pieces: impl IntoIterator<Item = &'a [u8]>) -> Vec<Event> {
     let mut events = Vec::new();
@@ -24,7 +30,7 @@
         for first in 0..=stream.len() {
             for second in first..=stream.len() {
                 let pieces = [&stream[..first], &stream[first..second], &stream[second..]];
-                let mut splitter = Splitter::default();
+                let mut splitter = splitter();
                 let events = split(&mut splitter, pieces);
                 let texts: Vec<_> = events.iter().map(|e| String::from_utf8_lossy(&e.bytes)).collect();
                 assert_eq!(texts, expected, "pieces end at {first} and {second}");
@@ -48,7 +54,7 @@
     /// a search of all that is buffered.
     fn cost_is_linear(unit: &str, piece_bytes: usize, expected_events: usize) {
         let stream = unit.repeat(LONG_BYTES / unit.len());
-        let mut splitter = Splitter::default();
+        let mut splitter = splitter();
         let mut count = 0;
         for piece in stream.as_bytes().chunks(piece_bytes) {
             count += split(&mut splitter, [piece]).len();
@@ -70,7 +76,7 @@
 /// The partial event alone counts, not the events before it.
 #[test]
 fn partial_event_is_bounded() {
-    let mut splitter = Splitter::default();
+    let mut splitter = splitter();
     let event = format!("data: {}\n\n", "a".repeat(MAX_EVENT_BYTES / 2));
     for _ in 0..4 {
         assert_eq!(split(&mut splitter, [event.as_bytes()]).len(), 1);
