gateway: no record or call exceeds the limits of the store

Results that exceed `call_bytes` together were refused by the store each time, and their items never listed; a job beyond it was answered with 503 each time it came.

`Ledger::plan_within` now takes the first operations whose records fit in one call; the others follow in the next. The limits are in the settings (`record_bytes`, `call_bytes`); the forms of records and messages stay the same. The store of the gateway's tests refuses what exceeds them.

With the limits taken out, `results_too_large_for_one_call_are_all_recorded` failed with left: 0, right: 3 after 8 s, and `job_too_large_for_one_call_is_refused` with 503 in place of 413.

--- a/crates/gateway/src/checkpoint.rs
+++ b/crates/gateway/src/checkpoint.rs
@@ -44,6 +44,7 @@
     let stored = shard.submit(op, clock::now() + TIMEOUT).await;
     core.metrics.checkpoint(match stored {
         Ok(Decision::Planned) => "stored",
+        Ok(Decision::TooLarge) => "too_large",
         Ok(_) => "superseded",
         Err(Undecided::NotApplied) => "failed",
         Err(Undecided::Unknown) => "unknown",
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -151,6 +151,7 @@
     let op = Op::Accept(submission, quota(core, route, shard)?);
     match shard.submit(op, clock::now() + WRITE_TIMEOUT).await {
         Ok(Decision::QuotaExceeded) => Err(Code::TokenLimited),
+        Ok(Decision::TooLarge) => Err(Code::BodyTooLarge),
         Ok(_) => {
             log::job_accepted(&id, &route.name, shard.number());
             Ok(())
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -22,7 +22,7 @@
 use bitterncart_coordination::fleet::{
     Eligibility, Estimator, Fingerprint, Manifest, Outcome, Profile, Route, proportional_share,
 };
-use bitterncart_state::ledger::{self, Job, Op, OutputPart, Progress, Submission};
+use bitterncart_state::ledger::{self, Decision, Job, Op, OutputPart, Progress, Submission};
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
@@ -114,6 +114,20 @@
     finishing: bool,
 }
 
+impl Run {
+    /// Drops an output that is too large.
+    fn restart(&mut self) {
+        self.output = Output::default();
+        self.share = None;
+        self.oversized = self.oversized.saturating_add(1);
+    }
+
+    /// Delay before the next attempt.
+    fn retry_delay(&self) -> Duration {
+        RETRY_DELAY * (1 << self.oversized.min(MAX_RETRY_DOUBLINGS))
+    }
+}
+
 /// Runs of one daemon.
 #[derive(Debug, Default)]
 pub(crate) struct Runs {
@@ -591,6 +605,9 @@
                 .submit(op.clone(), clock::now() + LEDGER_TIMEOUT)
                 .await
             {
+                Ok(Decision::TooLarge) => {
+                    return restart_item(&core, &id);
+                }
                 Ok(_) => break,
                 Err(Undecided::NotApplied | Undecided::Unknown) => {
                     smol::Timer::after(RETRY_DELAY).await;
@@ -601,6 +618,18 @@
     executor.spawn(write).detach();
 }
 
+/// Begins an item anew whose result no record of the store can hold.
+fn restart_item<S: Store, D: Dialect>(core: &Core<S, D>, id: &ItemId) {
+    core.metrics.answer_too_large("result");
+    log::item_run_ended(&id.0, id.1, "result_too_large");
+    if let Some(run) = core.runs().runs.get_mut(id) {
+        run.restart();
+        run.finishing = false;
+        run.task = None;
+        run.retry_at = clock::now() + run.retry_delay();
+    }
+}
+
 /// Attempt to run an item at a replica.
 struct Attempt<S: Store, D: Dialect> {
     core: Core<S, D>,
@@ -775,9 +804,7 @@
         log::output_too_large(job, *index, &self.slot.selection, max_bytes);
         self.core.metrics.answer_too_large("item");
         if let Some(run) = self.core.runs().runs.get_mut(&self.id) {
-            run.output = Output::default();
-            run.share = None;
-            run.oversized = run.oversized.saturating_add(1);
+            run.restart();
         }
         self.record_broken(Outcome::Broken);
     }
@@ -802,8 +829,7 @@
     fn schedule_retry(&self) {
         let mut runs = self.core.runs();
         if let Some(run) = runs.runs.get_mut(&self.id) {
-            let doublings = run.oversized.min(MAX_RETRY_DOUBLINGS);
-            run.retry_at = clock::now() + RETRY_DELAY * (1 << doublings);
+            run.retry_at = clock::now() + run.retry_delay();
             run.replica = None;
             // This is called from the task itself, which is about to end.
             if let Some(task) = run.task.take() {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bitterncart_protocol::jsonc::{self, Problem};
+use bitterncart_state::ledger::Limits;
 use compact_str::CompactString;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -70,6 +71,10 @@
     #[serde(default = "Settings::default_record_bytes")]
     #[schemars(range(min = 4096))]
     pub record_bytes: usize,
+    /// Maximum size of the records of one call to the store, in bytes.
+    #[serde(default = "Settings::default_call_bytes")]
+    #[schemars(range(min = 4096))]
+    pub call_bytes: usize,
     /// Time from the start of a shutdown until the process is killed, in seconds.
     #[serde(default = "Settings::default_stop_s")]
     #[schemars(range(min = 1.0, max = 600.0))]
@@ -101,6 +106,10 @@
         256 << 10
     }
 
+    fn default_call_bytes() -> usize {
+        2 << 20
+    }
+
     fn default_stop_s() -> f64 {
         8.0
     }
@@ -123,6 +132,15 @@
         Duration::from_secs_f64(self.keep_s)
     }
 
+    /// Sizes of records and calls that the store accepts.
+    #[must_use]
+    pub fn store_limits(&self) -> Limits {
+        Limits {
+            record_bytes: self.record_bytes,
+            call_bytes: self.call_bytes,
+        }
+    }
+
     /// Memory of the process beyond which it is killed, in bytes.
     #[must_use]
     pub fn memory_bytes(&self) -> usize {
@@ -133,7 +151,7 @@
     /// of the store.
     #[must_use]
     pub fn max_output_bytes(&self) -> usize {
-        self.record_bytes - RECORD_OVERHEAD_BYTES
+        self.record_bytes.min(self.call_bytes) - RECORD_OVERHEAD_BYTES
     }
 
     /// Names of the settings that differ in `new` and take effect only after a
@@ -151,6 +169,7 @@
             ("partitions", self.partitions != new.partitions),
             ("shards", self.shards != new.shards),
             ("memory_mb", self.memory_mb != new.memory_mb),
+            ("call_bytes", self.call_bytes != new.call_bytes),
             ("record_bytes", self.record_bytes != new.record_bytes),
         ];
         let changed = settings.into_iter().filter(|(_, differs)| *differs);
--- a/crates/gateway/src/shard.rs
+++ b/crates/gateway/src/shard.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use bitterncart_state::ledger::{Decision, Ledger, Op, Record};
+use bitterncart_state::ledger::{Decision, Ledger, Limits, Op, Record};
 use event_listener::Event;
 
 use crate::availability::Availability;
@@ -388,7 +388,7 @@
     }
 }
 
-/// Planned append of a group of operations.
+/// Planned append of the first of the pending operations, one for each decision.
 struct Group {
     /// Offset at which the partition must end.
     expected_end: u64,
@@ -397,9 +397,10 @@
 }
 
 impl Group {
-    fn plan(shard: &Shard, pending: &[PendingOp]) -> Self {
+    fn plan(shard: &Shard, pending: &[PendingOp], limits: &Limits) -> Self {
         let ledger = shard.ledger();
-        let plan = ledger.plan(pending.iter().map(|op| &op.op));
+        let ops: Vec<&Op> = pending.iter().map(|op| &op.op).collect();
+        let plan = ledger.plan_within(&ops, limits);
         Self {
             expected_end: ledger.next(),
             records: plan.records,
@@ -411,6 +412,7 @@
 /// Writer of a shard: appends the operations that this daemon submits.
 pub(crate) async fn run_writer<S: Store, D: Dialect>(core: Core<S, D>, number: usize) {
     let shard = &core.shards[number];
+    let limits = core.settings.store_limits();
     let mut pending: Vec<PendingOp> = Vec::new();
     let mut conflicts = 0;
     loop {
@@ -437,7 +439,7 @@
             }
             continue;
         }
-        let mut group = Group::plan(shard, &pending);
+        let mut group = Group::plan(shard, &pending, &limits);
         // The append condition validates every decision except `UnknownJob`, which is
         // only as reliable as the state is recent.
         if group.decisions.contains(&Decision::UnknownJob) && shard.staleness() > MAX_STATE_AGE {
@@ -447,10 +449,11 @@
                 smol::Timer::after(RETRY_DELAY).await;
                 continue;
             }
-            group = Group::plan(shard, &pending);
+            group = Group::plan(shard, &pending, &limits);
         }
         if group.records.is_empty() || append(&core, shard, &group, &mut pending, conflicts).await {
-            for (op, decision) in pending.drain(..).zip(group.decisions) {
+            let planned = pending.drain(..group.decisions.len());
+            for (op, decision) in planned.zip(group.decisions) {
                 op.reply(Ok(decision));
             }
         } else {
@@ -532,7 +535,7 @@
                     smol::Timer::after(RETRY_DELAY).await;
                     return false;
                 }
-                for op in pending.iter_mut() {
+                for op in pending.iter_mut().take(group.decisions.len()) {
                     op.sent = true;
                 }
                 // Callers get their reply in time, but the outcome of the group
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -17,7 +17,7 @@
 use smol::net::TcpStream;
 
 use crate::replica::ScriptedReplica;
-use crate::store::MemoryStore;
+use crate::store::{CALL_BYTES, MemoryStore};
 
 /// Timeout of every wait in a test.
 pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(8);
@@ -178,7 +178,8 @@
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
         let text = format!(
             r#"{{"name": "d", "data_centre": "here", "clients": "{any}", "ready": "{any}",
-                "peers": "{any}", "store": "{any}", {settings} "shards": 1}}"#
+                "peers": "{any}", "store": "{any}", {settings} "shards": 1,
+                "call_bytes": {CALL_BYTES}}}"#
         );
         let settings = Settings::parse(&text).expect("settings");
         let executor = Arc::new(Executor::new());
--- a/crates/gateway/tests/gateway/oversized.rs
+++ b/crates/gateway/tests/gateway/oversized.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::{Batch, Kind};
+use futures_lite::future;
 
 use crate::batch::results;
-use crate::harness::{Gateway, manifest, post, request, status, store, wait_until};
+use crate::harness::{Gateway, WAIT_TIMEOUT, manifest, post, request, status, store, wait_until};
 use crate::replica::{Action, ScriptedReplica, header};
+use crate::store::{CALL_BYTES, Fault};
 
 const EVENTS: &str = "signature: s\r\ncontent-type: text/event-stream\r\nconnection: close\r\n";
 const COMPLETE: Action = Action::Respond(200, EVENTS, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
@@ -80,3 +82,50 @@
         assert!((2..=6).contains(&runs), "{runs} runs");
     });
 }
+
+/// Guards against results that are never recorded, as the store refuses the call that
+/// holds all of them.
+#[test]
+fn results_too_large_for_one_call_are_all_recorded() {
+    smol::block_on(async {
+        let data = "x".repeat(CALL_BYTES / 2);
+        let answer = Action::Send(format!("id: 1\ndata: {data}\n\n"));
+        let script = vec![Action::Respond(200, EVENTS, ""), answer, Action::Close];
+        let replica = ScriptedReplica::start("r", vec![script]).await;
+        let store = store(&[&replica]);
+        let gateway = Gateway::start(&store).await;
+        // The results wait for the append before them, and come in one group.
+        store.set_fault(Fault::Slow(Duration::from_millis(300)));
+        let job = request("POST", "/items/", "job", "one\ntwo\nthree\n");
+        assert_eq!(status(&gateway.fetch(&job).await), 202);
+        let recorded = results(&gateway, "job", 3);
+        let timer = async {
+            smol::Timer::after(WAIT_TIMEOUT).await;
+            Vec::new()
+        };
+        assert_eq!(future::or(recorded, timer).await.len(), 3);
+        assert_eq!(replica.requests().len(), 3);
+    });
+}
+
+/// Guards against a job that is answered with 503 each time it comes, and makes the jobs
+/// beside it wait.
+#[test]
+fn job_too_large_for_one_call_is_refused() {
+    smol::block_on(async {
+        let replica = ScriptedReplica::start("r", vec![vec![COMPLETE, Action::Close]]).await;
+        let gateway = Gateway::start(&store(&[&replica])).await;
+        let items = |count: usize| {
+            let id = |n: usize| format!("{n:04}{}\n", "x".repeat(1000));
+            (0..count).map(id).collect::<String>()
+        };
+        let large = request("POST", "/items/", "large", &items(200));
+        let small = request("POST", "/items/", "small", &items(100));
+        let (large, small) = future::zip(gateway.fetch(&large), gateway.fetch(&small)).await;
+        assert_eq!(status(&large), 413, "{large}");
+        assert!(large.contains("body_too_large"), "{large}");
+        assert_eq!(status(&small), 202, "{small}");
+        let unknown = gateway.fetch(&request("GET", "/jobs/large", "r", "")).await;
+        assert_eq!(status(&unknown), 404, "{unknown}");
+    });
+}
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -29,6 +29,15 @@
     Unavailable,
 }
 
+/// Maximum size of a record, in bytes.
+const RECORD_BYTES: usize = 256 << 10;
+
+/// Maximum size of the records of one append, in bytes.
+pub(crate) const CALL_BYTES: usize = 300_000;
+
+/// Bytes of the framing of a record.
+const FRAME_BYTES: usize = 5;
+
 #[derive(Debug, Default)]
 struct Shared {
     topics: Mutex<HashMap<String, Vec<Record>>>,
@@ -123,6 +132,11 @@
         expected_end: Option<u64>,
         records: &[Record],
     ) -> Result<u64, Failure> {
+        let size = |r: &Record| FRAME_BYTES + r.key.len() + r.value.as_ref().map_or(0, Vec::len);
+        let sizes = || records.iter().map(size);
+        if sizes().any(|size| size > RECORD_BYTES) || sizes().sum::<usize>() > CALL_BYTES {
+            return Err(Failure::Refused(413));
+        }
         let mut topics = self.shared.topics.lock().expect("lock");
         let all = topics.entry(format!("{topic:?}")).or_default();
         if expected_end.is_some_and(|end| all.len() as u64 != end) {
--- a/crates/state/src/ledger/mod.rs
+++ b/crates/state/src/ledger/mod.rs
@@ -11,10 +11,12 @@
 
 mod build;
 mod entry;
+mod limits;
 mod plan;
 mod state;
 
 pub use build::Build;
 pub use entry::{Item, ItemResult, Job, Outcome, OutputPart, Progress, Record, Submission};
+pub use limits::Limits;
 pub use plan::{Decision, Op, Plan, Quota};
 pub use state::{Key, Ledger};
--- a/crates/state/src/ledger/plan.rs
+++ b/crates/state/src/ledger/plan.rs
@@ -10,6 +10,7 @@
 use compact_str::{CompactString, format_compact};
 
 use super::entry::{ItemResult, Job, Outcome, OutputPart, Record, Submission};
+use super::limits::Limits;
 use super::state::{Ledger, encode, submission_records};
 
 /// Limit of queued batch tokens of a route.
@@ -54,6 +55,16 @@
     QuotaExceeded,
     /// The job does not exist.
     UnknownJob,
+    /// The store would refuse the records of the operation, as they exceed its limits.
+    TooLarge,
+}
+
+/// First operation at which a plan exceeds the limits of the store.
+enum Excess {
+    /// Its records alone exceed them.
+    Operation(usize),
+    /// Its records exceed them together with those before.
+    Call(usize),
 }
 
 /// Records to append, with a decision for each operation.
@@ -61,7 +72,7 @@
 pub struct Plan {
     /// Records, in the order to append.
     pub records: Vec<Record>,
-    /// Decision of each operation, in the order of the operations.
+    /// Decision of each planned operation, in the order of the operations.
     pub decisions: Vec<Decision>,
     /// Tokens of the jobs accepted by this plan, by job id.
     accepted_tokens: HashMap<CompactString, u64>,
@@ -95,12 +106,41 @@
     /// Plans operations on the current state, to be appended at [`Self::next`].
     #[must_use]
     pub fn plan<'a>(&self, ops: impl IntoIterator<Item = &'a Op>) -> Plan {
+        let ops: Vec<&Op> = ops.into_iter().collect();
+        self.plan_within(&ops, &Limits::NONE)
+    }
+
+    /// Plans the first operations whose records fit in one call, at least one; there is a
+    /// decision for each of them. One that never fits is [`Decision::TooLarge`].
+    #[must_use]
+    pub fn plan_within(&self, ops: &[&Op], limits: &Limits) -> Plan {
+        let mut ops: Vec<Option<&Op>> = ops.iter().copied().map(Some).collect();
+        // Each turn leaves out an operation or ends the call earlier.
+        loop {
+            match self.try_plan(&ops, limits) {
+                Ok(plan) => return plan,
+                Err(Excess::Operation(index)) => ops[index] = None,
+                Err(Excess::Call(index)) => ops.truncate(index),
+            }
+        }
+    }
+
+    /// Plans operations; `None` stands for one that is too large.
+    fn try_plan(&self, ops: &[Option<&Op>], limits: &Limits) -> Result<Plan, Excess> {
         let mut plan = Plan::default();
-        for op in ops {
-            let decision = plan.plan_op(self, op);
+        let mut call_size = 0;
+        for (index, op) in ops.iter().enumerate() {
+            let first = plan.records.len();
+            let decision = op.map_or(Decision::TooLarge, |op| plan.plan_op(self, op));
             plan.decisions.push(decision);
+            let size = limits.size(&plan.records[first..]);
+            match size.filter(|size| *size <= limits.call_bytes) {
+                Some(size) if call_size + size <= limits.call_bytes => call_size += size,
+                Some(_) => return Err(Excess::Call(index)),
+                None => return Err(Excess::Operation(index)),
+            }
         }
-        plan
+        Ok(plan)
     }
 }
 
--- a/crates/state/tests/ledger.rs
+++ b/crates/state/tests/ledger.rs
@@ -2,7 +2,7 @@
 //! lost append responses, and any order of loading the records.
 
 use bitterncart_state::ledger::{
-    Build, Decision, Item, Ledger, Op, Outcome, OutputPart, Quota, Record, Submission,
+    Build, Decision, Item, Ledger, Limits, Op, Outcome, OutputPart, Quota, Record, Submission,
 };
 use bitterncart_testing::cases;
 
@@ -418,3 +418,63 @@
     assert!(ledger.job("job").is_none());
     assert_eq!(topic.newest(), []);
 }
+
+const LIMITS: Limits = Limits {
+    record_bytes: 5_000,
+    call_bytes: 10_000,
+};
+
+fn result(item: u32, bytes: usize) -> Op {
+    let text = "x".repeat(bytes);
+    Op::RecordResult("job".into(), item, Outcome::Completed(text.into()))
+}
+
+cases! {
+    /// Plans cover all operations in order, each within the limits, and name those that
+    /// never fit.
+    fn plans_are_within_the_limits(sizes: &[usize], expected_plans: &[usize], expected_large: &[usize]) {
+        let mut log = Topic::default();
+        let mut ledger = Ledger::default();
+        log.append(0, &ledger.plan([&accept("job", sizes.len())]).records);
+        log.replay(&mut ledger);
+        let ops: Vec<Op> = (0..).zip(sizes).map(|(n, size)| result(n, *size)).collect();
+        let mut pending: Vec<&Op> = ops.iter().collect();
+        let (mut plans, mut too_large) = (Vec::new(), Vec::new());
+        while !pending.is_empty() {
+            let plan = ledger.plan_within(&pending, &LIMITS);
+            let size = |r: &Record| 5 + r.key.len() + r.value.as_ref().map_or(0, Vec::len);
+            assert!(plan.records.iter().all(|r| size(r) <= LIMITS.record_bytes));
+            assert!(plan.records.iter().map(size).sum::<usize>() <= LIMITS.call_bytes);
+            let first = ops.len() - pending.len();
+            let large = plan.decisions.iter().enumerate();
+            let large = large.filter(|(_, decision)| **decision == Decision::TooLarge);
+            too_large.extend(large.map(|(n, _)| first + n));
+            plans.push(plan.decisions.len());
+            pending.drain(..plan.decisions.len());
+            assert!(log.append(ledger.next(), &plan.records));
+            log.replay(&mut ledger);
+        }
+        assert_eq!(plans, expected_plans);
+        assert_eq!(too_large, expected_large);
+        let job = ledger.job("job").expect("a job");
+        assert_eq!(job.results.len(), sizes.len() - expected_large.len());
+    }
+    all_fit(&[100, 100, 100], &[3], &[]);
+    two_fit_in_a_call(&[4_900, 4_900, 4_900, 4_900, 4_900], &[2, 2, 1], &[]);
+    small_ones_beside_large_ones(&[4_900, 200, 4_900, 200], &[2, 2], &[]);
+    one_is_too_large(&[100, 5_000, 100], &[3], &[1]);
+    all_are_too_large(&[5_000, 9_999, 20_000], &[3], &[0, 1, 2]);
+    large_ones_around_a_split(&[4_900, 20_000, 4_900, 4_900, 20_000], &[3, 2], &[1, 4]);
+}
+
+/// A job is stored in one call, or not at all.
+#[test]
+fn job_beyond_a_call_is_too_large() {
+    let ledger = Ledger::default();
+    let large = Op::Accept(submission("large", 3, 4_000), None);
+    let (small, again) = (accept("small", 1), accept("large", 1));
+    let plan = ledger.plan_within(&[&large, &small, &again], &LIMITS);
+    let expected = [Decision::TooLarge, Decision::Planned, Decision::Planned];
+    assert_eq!(plan.decisions, expected);
+    assert!(!plan.records.iter().any(|r| r.key == "b/large/1"));
+}
