--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,8 @@
 mod answer;
 mod availability;
 mod body;
+pub mod bounded;
+pub mod budget;
 mod catalog;
 mod checkpoint;
 mod clock;
@@ -34,7 +36,6 @@
 mod runner;
 mod server;
 mod shard;
-mod sse;
 mod streams;
 mod submission;
 mod tokens;
@@ -44,6 +45,7 @@
 pub mod dialect;
 pub mod log;
 pub mod settings;
+pub mod sse;
 pub mod store;
 
 pub use connection::Connector;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -25,6 +25,7 @@
 use socket2::SockRef;
 
 use crate::body::Body;
+use crate::bounded::Bounded;
 use crate::clock::{self, with_timeout};
 use crate::connection::{Connection, Connector, Error, Relay, connect};
 use crate::core::Core;
@@ -96,12 +97,13 @@
         let upgraded = hyper::upgrade::on(response).await;
         let stream = upgraded
             .map_err(|e| Error::Broken(e.to_string()))?
-            .downcast::<FuturesIo<TcpStream>>()
+            .downcast::<FuturesIo<Bounded<TcpStream>>>()
             .map_err(|_| Error::Broken("upgrade of another kind".into()))?;
         if !stream.read_buf.is_empty() {
             return Err(Error::Broken("bytes before a request".into()));
         }
-        let connection = connector.handshake(stream.io.into_inner(), replica).await?;
+        let stream = stream.io.into_inner().into_inner();
+        let connection = connector.handshake(stream, replica).await?;
         Ok(Ok(connection.over_relay(Relay {
             address: relay,
             passes_resets,
@@ -180,10 +182,10 @@
     let relay = async move {
         let _relayed = relayed;
         let upgraded = hyper::upgrade::on(request).await;
-        let stream = upgraded.map(Upgraded::downcast::<FuturesIo<TcpStream>>);
+        let stream = upgraded.map(Upgraded::downcast::<FuturesIo<Bounded<TcpStream>>>);
         // A peer that has left needs no relay.
         if let Ok(Ok(peer)) = stream {
-            copy_both(peer.io.into_inner(), &peer.read_buf, replica).await;
+            copy_both(peer.io.into_inner().into_inner(), &peer.read_buf, replica).await;
         }
     };
     core.spawn(relay).detach();
@@ -219,7 +221,8 @@
 }
 
 /// Copies bytes until the end of `from`.
-async fn copy(mut from: TcpStream, mut to: TcpStream) -> io::Result<()> {
+async fn copy(from: TcpStream, mut to: TcpStream) -> io::Result<()> {
+    let mut from = Bounded::new(from);
     let mut buffer = [0; COPY_BUFFER_BYTES];
     loop {
         match from.read(&mut buffer).await? {
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -22,12 +22,13 @@
 use bitterncart_coordination::fleet::{
     Eligibility, Estimator, Fingerprint, Manifest, Outcome, Profile, Route, proportional_share,
 };
-use bitterncart_state::ledger::{self, Job, Op, OutputPart, Progress, Submission};
+use bitterncart_state::ledger::{self, Decision, Job, Op, OutputPart, Progress, Submission};
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use smol::Task;
 
+use crate::budget::Share;
 use crate::checkpoint;
 use crate::clock::{self, with_timeout};
 use crate::core::Core;
@@ -57,6 +58,9 @@
 /// Delay before an item or a ledger write is retried after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Maximum number of doublings of [`RETRY_DELAY`], one for each output that was too large.
+const MAX_RETRY_DOUBLINGS: u32 = 6;
+
 /// Delay before it is checked again whether an item with a quarantined prompt part
 /// may start. It ends with its give-up time at the latest.
 const QUARANTINE_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -87,9 +91,14 @@
 struct Run {
     /// Output received so far.
     output: Output,
+    /// What it takes of the memory for answers.
+    share: Option<Share>,
     /// A part of the output is being stored.
     checkpointing: bool,
     failures: u8,
+    /// Number of outputs that were too large. The stored one may be the beginning of such
+    /// an output, and is not resumed here.
+    oversized: u32,
     /// Time before which the item is not started again.
     retry_at: Duration,
     /// Time from which it has waited for a slot at the build that wrote its output.
@@ -105,6 +114,20 @@
     finishing: bool,
 }
 
+impl Run {
+    /// Drops an output that is too large.
+    fn restart(&mut self) {
+        self.output = Output::default();
+        self.share = None;
+        self.oversized = self.oversized.saturating_add(1);
+    }
+
+    /// Delay before the next attempt.
+    fn retry_delay(&self) -> Duration {
+        RETRY_DELAY * (1 << self.oversized.min(MAX_RETRY_DOUBLINGS))
+    }
+}
+
 /// Runs of one daemon.
 #[derive(Debug, Default)]
 pub(crate) struct Runs {
@@ -435,6 +458,7 @@
     } = &mut *runs;
     let run = runs.entry(candidate.id.clone()).or_default();
     let stored = job.progress.get(&candidate.id.1);
+    let stored = stored.filter(|_| run.oversized == 0);
     let selected = select_replica(core, route, backend, reserve, (run, estimator), stored);
     let Some((selection, output)) = selected else {
         return false;
@@ -581,6 +605,9 @@
                 .submit(op.clone(), clock::now() + LEDGER_TIMEOUT)
                 .await
             {
+                Ok(Decision::TooLarge) => {
+                    return restart_item(&core, &id);
+                }
                 Ok(_) => break,
                 Err(Undecided::NotApplied | Undecided::Unknown) => {
                     smol::Timer::after(RETRY_DELAY).await;
@@ -591,6 +618,18 @@
     executor.spawn(write).detach();
 }
 
+/// Begins an item anew whose result no record of the store can hold.
+fn restart_item<S: Store, D: Dialect>(core: &Core<S, D>, id: &ItemId) {
+    core.metrics.answer_too_large("result");
+    log::item_run_ended(&id.0, id.1, "result_too_large");
+    if let Some(run) = core.runs().runs.get_mut(id) {
+        run.restart();
+        run.finishing = false;
+        run.task = None;
+        run.retry_at = clock::now() + run.retry_delay();
+    }
+}
+
 /// Attempt to run an item at a replica.
 struct Attempt<S: Store, D: Dialect> {
     core: Core<S, D>,
@@ -669,7 +708,20 @@
                     let Some(run) = runs.runs.get_mut(&self.id) else {
                         return;
                     };
-                    run.output.push(&event.data());
+                    let data = event.data();
+                    if !run
+                        .output
+                        .fits(&data, self.core.settings.max_output_bytes())
+                    {
+                        drop(runs);
+                        return self.record_too_large();
+                    }
+                    run.output.push(&data);
+                    let share = run.share.get_or_insert_with(|| self.core.budget.share());
+                    if !share.resize(run.output.kept_bytes()) {
+                        drop(runs);
+                        return self.record_too_large();
+                    }
                 }
                 Some(Ok(None)) => {
                     let (output, last_event_id) = self.completed_output();
@@ -742,6 +794,19 @@
         self.schedule_retry();
     }
 
+    /// Records an attempt whose output exceeds its bound. The item begins anew, as the
+    /// events of the item cannot be told from those that follow them.
+    fn record_too_large(self) {
+        let max_bytes = self.core.settings.max_output_bytes();
+        let (job, index) = &self.id;
+        log::output_too_large(job, *index, &self.slot.selection, max_bytes);
+        self.core.metrics.answer_too_large("item");
+        if let Some(run) = self.core.runs().runs.get_mut(&self.id) {
+            run.restart();
+        }
+        self.record_broken(Outcome::Broken);
+    }
+
     /// Records an attempt that ended without a response or with a broken stream.
     fn record_broken(self, outcome: Outcome) {
         let mut pool = self.core.pool();
@@ -762,7 +827,7 @@
     fn schedule_retry(&self) {
         let mut runs = self.core.runs();
         if let Some(run) = runs.runs.get_mut(&self.id) {
-            run.retry_at = clock::now() + RETRY_DELAY;
+            run.retry_at = clock::now() + run.retry_delay();
             run.replica = None;
             // This is called from the task itself, which is about to end.
             if let Some(task) = run.task.take() {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -24,6 +24,7 @@
 use crate::crash::Watch;
 use crate::dialect::{Dialect, HeaderNames};
 use crate::log;
+use crate::metrics::Metrics;
 use crate::sse::{Event, Splitter};
 use crate::store::Store;
 use crate::tokens;
@@ -164,6 +165,7 @@
     body: Incoming,
     connection: Connection,
     splitter: Splitter,
+    metrics: Arc<Metrics>,
     watch: Watch,
     framing: Framing,
     replica_id: CompactString,
@@ -374,7 +376,8 @@
             head,
             body,
             connection,
-            splitter: Splitter::default(),
+            splitter: Splitter::new(core.budget.share()),
+            metrics: Arc::clone(&core.metrics),
             watch,
             replica_id: selection.id.clone(),
             due_event_id: last_event_id(core, message).saturating_add(1),
@@ -439,7 +442,7 @@
 fn error_outcome(error: &Error) -> Outcome {
     match error {
         Error::NotSent(_) => Outcome::NotSent,
-        Error::Broken(_) => Outcome::Broken,
+        Error::Broken(_) | Error::HeadTooLarge => Outcome::Broken,
         Error::LinkLost => Outcome::LinkLost,
     }
 }
@@ -450,15 +453,17 @@
     /// # Errors
     ///
     /// If the connection broke or was given up, or the body exceeds
-    /// [`MAX_RESPONSE_BYTES`].
+    /// [`MAX_RESPONSE_BYTES`] or what is left of the memory for answers.
     pub(crate) async fn read_to_end<S: Store, D: Dialect>(
         mut self,
         core: &Core<S, D>,
     ) -> Result<(response::Parts, Bytes, Summary), Outcome> {
         let mut bytes = BytesMut::new();
+        let mut share = core.budget.share();
         while let Some(data) = self.next_data().await? {
             bytes.extend_from_slice(&data);
-            if bytes.len() > MAX_RESPONSE_BYTES {
+            if bytes.len() > MAX_RESPONSE_BYTES || !share.resize(bytes.len()) {
+                self.metrics.answer_too_large("body");
                 return Err(Outcome::Broken);
             }
         }
@@ -470,7 +475,7 @@
         }
         let summary = self.summary(0);
         core.connector.release(self.connection);
-        Ok((self.head, bytes.freeze(), summary))
+        Ok((self.head, share.into_held(bytes.freeze()), summary))
     }
 
     /// Waits for the next event; `None` if the stream is complete.
@@ -485,7 +490,7 @@
         core: &Core<S, D>,
     ) -> Result<Option<Event>, Outcome> {
         loop {
-            match self.splitter.next() {
+            match self.splitter.next_event() {
                 Some(event) if event.id == Some(self.due_event_id) => {
                     self.due_event_id = self.due_event_id.saturating_add(1);
                     self.watch.record_event();
@@ -499,6 +504,7 @@
             };
             self.splitter.push(&data);
             if self.splitter.is_oversized() {
+                self.metrics.answer_too_large("event");
                 return Err(Outcome::Broken);
             }
         }
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -17,7 +17,7 @@
 use smol::net::TcpStream;
 
 use crate::replica::ScriptedReplica;
-use crate::store::MemoryStore;
+use crate::store::{CALL_BYTES, MemoryStore};
 
 /// Timeout of every wait in a test.
 pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(8);
@@ -170,15 +170,27 @@
     }
 
     pub(crate) async fn start_without_waiting(store: &MemoryStore) -> Self {
-        Self::start_with_shards(store, 1).await
+        Self::start_with(store, "").await
     }
 
     /// Starts a daemon of a fleet whose ledger has a number of shards.
     pub(crate) async fn start_with_shards(store: &MemoryStore, shards: u16) -> Self {
+        Self::start_with(store, &format!(r#""shards": {shards},"#)).await
+    }
+
+    /// Starts a daemon with further settings; the ledger has one shard unless they say
+    /// otherwise.
+    pub(crate) async fn start_with(store: &MemoryStore, settings: &str) -> Self {
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let shards = if settings.contains("\"shards\"") {
+            ""
+        } else {
+            r#""shards": 1,"#
+        };
         let text = format!(
             r#"{{"name": "d", "data_centre": "here", "clients": "{any}", "ready": "{any}",
-                "peers": "{any}", "store": "{any}", "shards": {shards}}}"#
+                "peers": "{any}", "store": "{any}", {settings} {shards}
+                "call_bytes": {CALL_BYTES}}}"#
         );
         let settings = Settings::parse(&text).expect("settings");
         let executor = Arc::new(Executor::new());
@@ -222,6 +234,15 @@
         self.executor.spawn(sleep).detach();
     }
 
+    /// Processor time of the daemon's thread.
+    pub(crate) async fn processor_time(&self) -> Duration {
+        let read = async {
+            let time = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
+            Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+        };
+        self.executor.spawn(read).await
+    }
+
     /// Sends a request and reads the response until the connection is closed.
     pub(crate) async fn fetch(&self, request: &str) -> String {
         let mut stream = self.send(request).await;
