gateway: the only version of a service is proven by a list asked for after the client

Cause: belief without an age. "The service has one version" held for 2 s after the list was last read, counted from when the answer was read, not from when it was asked for. One daemon that said so was enough, whatever the others did not say. A version that came and left between two reads counted as last seen at the earlier one; a list that was read as a whole again, or a catalog from before the list, left no gap.

Change: without a record of the stream, the daemon to which the client came decides by its own list, which it asks for after the client came (one read for all clients that wait, at most one each 100 ms). The list has to be followed without a gap from before the stream can have begun, at least 10 s, or the catalog to tell what was before, read after the list. Others can only contradict. All ages count from before the store was asked. In an outage of the store for all, the last list counts if all daemons that were asked have answered. So that caution refuses no more than before, each resumable stream is recorded at three other daemons, not only where there are several versions. Messages and records keep their form.

Two assertions are replaced. `history_of_another_daemon_tells_a_fresh_one` demanded the fault: now `history_of_another_daemon_tells_nothing`, with five cases beside it, and the schedules demand that nine in ten streams go on. `history_of_an_old_list_is_not_known` asserted that an old list counts in an outage; that is asserted of `latest_history`, and asked for only if all others agree.

--- a/crates/coordination/src/fleet/pool.rs
+++ b/crates/coordination/src/fleet/pool.rs
@@ -301,7 +301,8 @@
             Some(entry) if entry.replica.process() == replica.process() => {
                 entry.grace_ends_at = None;
                 entry.missing_listings = entry.missing_listings.saturating_sub(1);
-                entry.replica = replica;
+                let previous = std::mem::replace(&mut entry.replica, replica);
+                self.versions.record_removed(previous);
             }
             _ => {
                 self.remove(&replica.id.clone());
--- a/crates/coordination/src/fleet/streams.rs
+++ b/crates/coordination/src/fleet/streams.rs
@@ -3,12 +3,14 @@
 //! A stream can only continue at the build that began it, and replicas do not check
 //! this. The daemon that began it may be gone when the client comes back:
 //!
-//! - While a service has had one version for longer than its streams take, all of them
-//!   began there, and there is nothing to tell.
-//! - Otherwise the daemon that relays the first event of a stream records the build
-//!   and sends it to a few holders, chosen by rendezvous hashing of the stream over
-//!   the live daemons. A daemon at which the client comes back asks the daemons with
-//!   the highest ranks, more than there are holders, as its view may differ.
+//! - The daemon that relays the first event of a stream records the build and sends it
+//!   to a few holders, chosen by rendezvous hashing of the stream over the live daemons.
+//!   A daemon at which the client comes back asks the daemons with the highest ranks,
+//!   more than there are holders, as its view may differ.
+//! - If none has a record, the daemon reads the list of replicas. If that shows that the
+//!   service has had one version from before the stream can have begun until the client
+//!   came back, the stream began there. What another daemon says about the versions, or
+//!   that none says anything, is no such proof.
 //!
 //! If neither tells the build, the stream is not continued.
 
@@ -29,10 +31,14 @@
 /// Time for which streams, versions and moves of routes are remembered.
 pub const MEMORY: Duration = Duration::from_secs(60);
 
-/// Time for which a version that is no longer listed may have begun a stream that its
-/// client takes up, as a multiple of the timeout of the route.
+/// Time from the beginning of a stream until its client takes it up for the last time,
+/// as a multiple of the timeout of the route.
 const TIMEOUTS_PER_WINDOW: u32 = 2;
 
+/// Lower bound of that time: clients do not know the timeout, which a manifest may have
+/// changed after the stream began.
+const MIN_WINDOW: Duration = Duration::from_secs(10);
+
 /// Daemons that hold the build of a stream beside the one that began it.
 pub const HOLDERS: usize = 3;
 
@@ -50,7 +56,8 @@
 /// Versions of a service that a daemon has seen within a window.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum History {
-    /// The daemon has not followed the list for so long, or its list is out of date.
+    /// The daemon has not followed the list for so long, or its list is from before the
+    /// end of the window.
     Unknown,
     /// There were several versions, or one that is not known.
     Mixed,
@@ -97,7 +104,7 @@
             prefix: route.prefix.clone(),
             service: first.service.clone(),
             window_ms: (route.timeout * TIMEOUTS_PER_WINDOW)
-                .min(MEMORY)
+                .clamp(MIN_WINDOW, MEMORY)
                 .as_millis() as u32,
         })
     }
@@ -229,27 +236,31 @@
     }
 }
 
-/// Build that began a stream of `route`, from the answers of daemons so far, this one
-/// included; `None` if they do not tell.
+/// Build that began a stream of `route`, from what this daemon knows and the answers of
+/// others; `None` if they do not tell. Only the history of this daemon is of a list that
+/// it asked for after the client had come back; that of others can only contradict it.
 #[must_use]
-pub fn decide(route: Option<&SoleRoute>, answers: &[Answer]) -> Option<Build> {
-    let began = answers.iter().filter_map(|answer| match answer {
+pub fn decide(route: Option<&SoleRoute>, own: &Answer, others: &[Answer]) -> Option<Build> {
+    let answers = || others.iter().chain([own]);
+    let began = answers().filter_map(|answer| match answer {
         Answer::Began(build) => Some(build),
         Answer::History(_) => None,
     });
     if let Some(build) = one_of(began)? {
         return Some(build.clone());
     }
-    if answers.contains(&Answer::History(History::Mixed)) {
+    let Answer::History(History::Sole(version)) = own else {
         return None;
-    }
-    let versions = answers.iter().filter_map(|answer| match answer {
-        Answer::History(History::Sole(version)) => Some(version),
-        _ => None,
-    });
-    Some(Build {
+    };
+    let contradicts = |answer: &Answer| match answer {
+        Answer::History(History::Mixed) => true,
+        Answer::History(History::Sole(other)) => other != version,
+        Answer::History(History::Unknown) | Answer::Began(_) => false,
+    };
+    let is_contradicted = answers().any(contradicts);
+    (!is_contradicted).then_some(Build {
         service: route?.service.clone(),
-        version: one_of(versions)??.clone(),
+        version: version.clone(),
     })
 }
 
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod departure;
 mod links;
 mod manifest;
+mod out_of_step;
 mod ownership;
 mod pool;
 mod profile;
--- a/crates/coordination/tests/fleet/streams.rs
+++ b/crates/coordination/tests/fleet/streams.rs
@@ -45,25 +45,31 @@
 }
 
 cases! {
-    fn answers_tell_the_build(answers: &[Answer], version: Option<&str>) {
+    fn answers_tell_the_build(own: &Answer, others: &[Answer], version: Option<&str>) {
         let route = sole_route();
-        assert_eq!(streams::decide(Some(&route), answers), version.map(build));
+        assert_eq!(streams::decide(Some(&route), own, others), version.map(build));
     }
-    daemon_that_knows_the_stream_decides(&[MIXED, began("1"), sole("2"), UNKNOWN], Some("1"));
-    two_builds_of_a_stream_tell_nothing(&[began("1"), began("2")], None);
-    only_version_of_the_service_began_the_stream(&[sole("1"), sole("1")], Some("1"));
-    history_of_another_daemon_tells_a_fresh_one(&[UNKNOWN, sole("1")], Some("1"));
-    several_versions_tell_nothing(&[sole("1"), MIXED], None);
-    different_histories_tell_nothing(&[sole("1"), sole("2")], None);
-    fresh_daemons_tell_nothing(&[UNKNOWN, UNKNOWN], None);
-    no_answers_tell_nothing(&[], None);
+    daemon_that_knows_the_stream_decides(&MIXED, &[began("1"), sole("2"), UNKNOWN], Some("1"));
+    two_builds_of_a_stream_tell_nothing(&UNKNOWN, &[began("1"), began("2")], None);
+    build_of_this_daemon_and_another_one_tell_nothing(&began("1"), &[began("2")], None);
+    only_version_of_the_service_began_the_stream(&sole("1"), &[sole("1")], Some("1"));
+    only_version_is_known_without_the_others(&sole("1"), &[], Some("1"));
+    only_version_is_known_beside_fresh_daemons(&sole("1"), &[UNKNOWN, UNKNOWN], Some("1"));
+    history_of_another_daemon_tells_nothing(&UNKNOWN, &[sole("1")], None);
+    histories_of_all_others_tell_nothing(&UNKNOWN, &[sole("1"), sole("1"), sole("1")], None);
+    several_versions_tell_nothing(&sole("1"), &[MIXED], None);
+    own_versions_tell_nothing(&MIXED, &[sole("1")], None);
+    different_histories_tell_nothing(&sole("1"), &[sole("2")], None);
+    fresh_daemons_tell_nothing(&UNKNOWN, &[UNKNOWN], None);
+    no_answers_tell_nothing(&UNKNOWN, &[], None);
 }
 
 /// A route over two services does not tell the service that began the stream.
 #[test]
 fn history_does_not_tell_the_build_of_a_split_route() {
-    assert_eq!(streams::decide(None, &[sole("1")]), None);
-    assert_eq!(streams::decide(None, &[began("1")]), Some(build("1")));
+    assert_eq!(streams::decide(None, &sole("1"), &[sole("1")]), None);
+    let known = streams::decide(None, &UNKNOWN, &[began("1")]);
+    assert_eq!(known, Some(build("1")));
 }
 
 /// The id of a client attempt is chosen by the client.
@@ -117,8 +123,9 @@
     for (number, version) in (1..).zip(versions) {
         pool.upsert(replica(number, *version));
     }
+    pool.record_list_snapshot(s(0), s(0));
     for second in 0..=time.as_secs() {
-        pool.record_list_read(s(second));
+        pool.record_list_read(s(second), s(second));
     }
     pool
 }
@@ -126,7 +133,8 @@
 cases! {
     fn list_tells_the_history(versions: &[Option<&str>], time: Duration, expected: &History) {
         let pool = followed(versions, time);
-        assert_eq!(pool.history(time, SERVICE, MEMORY, false), *expected);
+        assert_eq!(pool.history(time, SERVICE, MEMORY), *expected);
+        assert_eq!(pool.latest_history(SERVICE, MEMORY), *expected);
     }
     one_version_for_long_is_the_only_one(
         &[Some("1"), Some("1")],
@@ -149,28 +157,105 @@
     let mut pool = followed(&[Some("1"), Some("2")], MEMORY);
     let left_at = MEMORY;
     pool.delist(left_at, "r1", None);
-    pool.record_list_read(left_at + MEMORY - s(1));
     let now = left_at + MEMORY - s(1);
-    assert_eq!(pool.history(now, SERVICE, MEMORY, false), History::Mixed);
-    pool.record_list_read(left_at + MEMORY);
+    // Other versions are remembered for longer than a stream takes.
+    for window in [s(10), MEMORY] {
+        assert_eq!(pool.history(now, SERVICE, window), History::Mixed);
+    }
+    pool.record_list_read(left_at, left_at);
+    pool.record_list_read(now, now);
+    for window in [s(10), MEMORY] {
+        assert_eq!(pool.history(now, SERVICE, window), History::Mixed);
+    }
     let now = left_at + MEMORY;
+    pool.record_list_read(now, now);
     assert_eq!(
-        pool.history(now, SERVICE, MEMORY, false),
+        pool.history(now, SERVICE, MEMORY),
         History::Sole("2".into())
     );
 }
 
+/// Guards against a version that came and left while the list was not read, and that
+/// counts as long gone when it is.
+#[test]
+fn version_that_came_and_left_between_two_reads_is_remembered() {
+    let mut pool = followed(&[Some("1")], MEMORY);
+    pool.upsert(replica(9, Some("2")));
+    let now = MEMORY + s(30);
+    pool.delist(now, "r9", None);
+    pool.record_list_read(now, now);
+    assert_eq!(pool.history(now, SERVICE, s(10)), History::Mixed);
+    let now = now + MEMORY - s(1);
+    pool.record_list_read(now, now);
+    assert_eq!(pool.history(now, SERVICE, s(10)), History::Mixed);
+}
+
+/// A replica is listed with another version, without a new process.
+#[test]
+fn version_that_an_entry_had_is_remembered() {
+    let mut pool = followed(&[Some("1")], MEMORY);
+    pool.upsert(replica(1, Some("2")));
+    pool.record_list_read(MEMORY, MEMORY);
+    assert_eq!(pool.history(MEMORY, SERVICE, s(10)), History::Mixed);
+}
+
+/// Guards against a list whose history was deleted between two reads: versions that came
+/// and left meanwhile are in no record.
+#[test]
+fn snapshot_of_the_list_begins_a_new_history() {
+    let mut pool = followed(&[Some("1")], MEMORY);
+    let read_at = MEMORY + s(5);
+    pool.record_list_snapshot(read_at, read_at);
+    assert_eq!(pool.history(read_at, SERVICE, s(10)), History::Unknown);
+    let now = read_at + s(10);
+    pool.record_list_read(now, now);
+    let sole = History::Sole("1".into());
+    assert_eq!(pool.history(now, SERVICE, s(10)), sole);
+}
+
+/// Guards against a daemon that was suspended, or whose store was slow, and that takes
+/// the time at which it read an answer for that of the answer.
+#[test]
+fn history_ends_when_the_list_was_asked_for() {
+    let mut pool = followed(&[Some("1")], MEMORY);
+    let (asked_at, now) = (MEMORY + ms(10), MEMORY + s(8));
+    pool.record_list_read(asked_at, now);
+    assert_eq!(pool.history(now, SERVICE, s(10)), History::Unknown);
+    assert!(!pool.is_list_current(now));
+    let sole = History::Sole("1".into());
+    assert_eq!(pool.history(asked_at, SERVICE, s(10)), sole);
+}
+
+/// Guards against a catalog that was read before the list was: versions that came and
+/// left in between are in neither.
+#[test]
+fn catalog_from_before_the_list_tells_nothing() {
+    let mut pool = Pool::new("here".into(), "d".into());
+    let recorded = || [(SERVICE.into(), ("1".into(), MEMORY))].into();
+    pool.set_recorded_versions(s(1), recorded());
+    pool.record_past_read(s(1));
+    pool.upsert(replica(1, Some("1")));
+    pool.record_list_snapshot(s(5), s(5));
+    assert!(pool.is_past_unread());
+    assert_eq!(pool.history(s(5), SERVICE, s(10)), History::Unknown);
+    pool.set_recorded_versions(s(6), recorded());
+    pool.record_past_read(s(6));
+    assert!(!pool.is_past_unread());
+    let sole = History::Sole("1".into());
+    assert_eq!(pool.history(s(5), SERVICE, s(10)), sole);
+}
+
 /// A daemon that is cut off does not know which versions have come.
 #[test]
 fn history_of_an_old_list_is_not_known() {
     let pool = followed(&[Some("1")], MEMORY);
-    let now = MEMORY + s(2);
-    assert_eq!(pool.history(now, SERVICE, MEMORY, false), History::Unknown);
+    for now in [MEMORY + ms(1), MEMORY + s(2)] {
+        assert_eq!(pool.history(now, SERVICE, MEMORY), History::Unknown);
+    }
+    assert!(!pool.is_list_current(MEMORY + s(2)));
     // While nobody can write to the store, nobody can be listed.
-    assert_eq!(
-        pool.history(now, SERVICE, MEMORY, true),
-        History::Sole("1".into())
-    );
+    let sole = History::Sole("1".into());
+    assert_eq!(pool.latest_history(SERVICE, MEMORY), sole);
 }
 
 /// Parameters of a simulated fleet.
@@ -205,6 +290,7 @@
     streams: Streams,
     /// Time after which it knows a change of the list.
     lag: Duration,
+    is_read: bool,
     ready_at: Duration,
 }
 
@@ -215,6 +301,7 @@
             pool: Pool::new("here".into(), "d".into()),
             streams: Streams::default(),
             lag: ms(random.random_range(0..600)),
+            is_read: false,
             ready_at: Duration::ZERO,
         }
     }
@@ -222,7 +309,11 @@
     /// Reads the list. Version 1 serves alone, from 90 s on beside version 2, which
     /// leaves again at 110 s and is back from 120 to 130 s.
     fn read_list(&mut self, now: Duration) {
-        let listed_at = now.saturating_sub(self.lag);
+        self.read_list_of(now, now.saturating_sub(self.lag));
+    }
+
+    /// Reads what was listed at a time.
+    fn read_list_of(&mut self, now: Duration, listed_at: Duration) {
         self.pool.upsert(replica(1, Some("1")));
         let has_second =
             (s(90)..s(110)).contains(&listed_at) || (s(120)..s(130)).contains(&listed_at);
@@ -231,12 +322,20 @@
         } else {
             self.pool.delist(now, "r2", None);
         }
-        self.pool.record_list_read(now);
+        if self.is_read {
+            self.pool.record_list_read(listed_at, now);
+        } else {
+            self.pool.record_list_snapshot(listed_at, now);
+        }
+        self.is_read = true;
     }
 
     fn history(&self, now: Duration) -> History {
-        self.pool
-            .history(now, SERVICE, sole_route().window(), false)
+        if self.pool.is_list_current(now) {
+            self.pool.latest_history(SERVICE, sole_route().window())
+        } else {
+            History::Unknown
+        }
     }
 }
 
@@ -299,19 +398,17 @@
                     continue;
                 };
                 daemons[at].streams.record(now, stream, build.clone());
-                if !matches!(daemons[at].history(now), History::Sole(_)) {
-                    let own = daemons[at].address;
-                    let others = live
-                        .iter()
-                        .map(|n| daemons[*n].address)
-                        .filter(|a| *a != own);
-                    for holder in streams::ranked(stream, others).into_iter().take(HOLDERS) {
-                        outcome.messages += 1;
-                        if random.random::<f64>() >= self.loss {
-                            let holder = daemons.iter_mut().find(|d| d.address == holder);
-                            let holder = holder.expect("a daemon");
-                            holder.streams.record(now, stream, build.clone());
-                        }
+                let own = daemons[at].address;
+                let others = live
+                    .iter()
+                    .map(|n| daemons[*n].address)
+                    .filter(|a| *a != own);
+                for holder in streams::ranked(stream, others).into_iter().take(HOLDERS) {
+                    outcome.messages += 1;
+                    if random.random::<f64>() >= self.loss {
+                        let holder = daemons.iter_mut().find(|d| d.address == holder);
+                        let holder = holder.expect("a daemon");
+                        holder.streams.record(now, stream, build.clone());
                     }
                 }
                 let back_at = now + ms(random.random_range(50..1500));
@@ -327,8 +424,7 @@
                     .filter(|n| **n != at)
                     .map(|n| daemons[*n].address)
                     .collect();
-                let mut answers =
-                    vec![daemons[at].streams.answer(stream, daemons[at].history(now))];
+                let mut answers = Vec::new();
                 for asked in streams::ranked(stream, others).into_iter().take(MAX_ASKED) {
                     outcome.messages += 1;
                     if random.random::<f64>() >= self.loss {
@@ -337,7 +433,15 @@
                         answers.push(asked.streams.answer(stream, asked.history(now)));
                     }
                 }
-                match streams::decide(Some(&sole_route()), &answers) {
+                let is_cut =
+                    at >= usize::from(self.daemons) / 2 && self.cut_at.is_some_and(|at| now >= at);
+                if !is_cut {
+                    daemons[at].read_list_of(now, now);
+                }
+                let route = sole_route();
+                let history = daemons[at].pool.history(now, SERVICE, route.window());
+                let own = daemons[at].streams.answer(stream, history);
+                match streams::decide(Some(&route), &own, &answers) {
                     Some(found) if found == build => outcome.continued += 1,
                     Some(_) => outcome.wrong += 1,
                     None => outcome.refused += 1,
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -5,12 +5,12 @@
 use bitterncart_protocol::hash;
 use bitterncart_state::ledger::Record;
 
-use crate::clock;
+use crate::clock::{self, with_timeout};
 use crate::core::Core;
 use crate::daemon::read_members;
 use crate::dialect::Dialect;
 use crate::log;
-use crate::store::{Store, Topic};
+use crate::store::{Failure, Store, Topic};
 
 /// Interval between comparisons of the catalog with the listed versions.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -18,40 +18,42 @@
 /// Timeout of a write.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Writes what has changed as long as the daemon runs. Of the live daemons, one writes
-/// each record; if two do, the later record has the same meaning.
+/// Reads the catalog after each snapshot of the list, and writes what has changed, as
+/// long as the daemon runs. Of the live daemons, one writes each record;
+/// if two do, the later record has the same meaning.
 pub(crate) async fn maintain<S: Store, D: Dialect>(core: Core<S, D>) {
     loop {
-        smol::Timer::after(CHECK_INTERVAL).await;
-        let is_settled = core.knows_members() && core.peers().is_stable(clock::now());
-        if !is_settled
-            || !core.pool().is_list_current(clock::now())
-            || own_changes(&core).is_empty()
-        {
-            continue;
-        }
-        // Another daemon may have written them.
-        if let Err(e) = read_members(&core).await {
+        let snapshot_read = core.list_reads.next_snapshot();
+        if let Err(e) = update(&core).await {
             core.record_store_failure("versions", &e);
-            continue;
-        }
-        let changes = own_changes(&core);
-        if changes.is_empty() {
-            continue;
-        }
-        let written = core
-            .store
-            .append(Topic::Members, None, &changes, WRITE_TIMEOUT)
-            .await;
-        match written {
-            Ok(_) => {
-                core.record_store_success();
-                apply(&core, &changes);
-                log::versions_recorded(&changes);
-            }
-            Err(e) => core.record_store_failure("versions", &e),
         }
+        let _end = with_timeout(CHECK_INTERVAL, snapshot_read).await;
+    }
+}
+
+async fn update<S: Store, D: Dialect>(core: &Core<S, D>) -> Result<(), Failure> {
+    if core.pool().is_past_unread() {
+        let asked_at = clock::now();
+        read_members(core).await?;
+        core.pool().record_past_read(asked_at);
+    }
+    let is_settled = core.knows_members() && core.peers().is_stable(clock::now());
+    if !is_settled || !core.pool().is_list_current(clock::now()) || own_changes(core).is_empty() {
+        return Ok(());
+    }
+    // Another daemon may have written them.
+    read_members(core).await?;
+    let changes = own_changes(core);
+    if changes.is_empty() {
+        return Ok(());
     }
+    core.store
+        .append(Topic::Members, None, &changes, WRITE_TIMEOUT)
+        .await?;
+    core.record_store_success();
+    apply(core, &changes);
+    log::versions_recorded(&changes);
+    Ok(())
 }
 
 /// Applies records of the catalog.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -28,6 +28,7 @@
 use crate::datagram::Socket;
 use crate::dialect::Dialect;
 use crate::links;
+use crate::list_reads::ListReads;
 use crate::log;
 use crate::metrics::Metrics;
 use crate::runner::Runs;
@@ -74,6 +75,7 @@
     pool: Arc<Mutex<Pool>>,
     admission_queue: Mutex<admission_queue::Queue>,
     catalog: Mutex<Catalog>,
+    pub list_reads: ListReads,
     /// Notified when a slot is offered to a request in the admission queue.
     pub slot_offered: Event,
     /// Daemons registered in the store; `None` until they have been read.
@@ -155,6 +157,7 @@
             pool,
             admission_queue: Mutex::default(),
             catalog: Mutex::default(),
+            list_reads: ListReads::default(),
             slot_offered: Event::new(),
             draining: AtomicBool::new(false),
             closing: AtomicBool::new(false),
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -229,24 +229,22 @@
 pub(crate) async fn read_members<S: Store, D: Dialect>(
     core: &Core<S, D>,
 ) -> Result<BTreeSet<SocketAddr>, Failure> {
-    let mut members = BTreeSet::new();
-    let mut after: Option<String> = None;
+    let mut records: Vec<Record> = Vec::new();
     loop {
+        let after = records.last().map(|record| record.key.clone());
         let page = core
             .store
             .read_newest(Topic::Members, after.as_deref())
             .await?;
         core.record_store_success();
-        catalog::apply(core, &page.records);
-        // Other versions may use other keys; those are skipped.
-        members.extend(
-            page.records
-                .iter()
-                .filter_map(|r| r.key.parse::<SocketAddr>().ok()),
-        );
-        match page.records.last() {
-            Some(last) if page.has_more => after = Some(last.key.to_string()),
-            _ => return Ok(members),
+        let has_more = page.has_more && !page.records.is_empty();
+        records.extend(page.records);
+        if !has_more {
+            break;
         }
     }
+    catalog::apply(core, &records);
+    // Other versions may use other keys; those are skipped.
+    let addresses = records.iter().map(|r| r.key.parse::<SocketAddr>());
+    Ok(addresses.filter_map(Result::ok).collect())
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,8 @@
 //! The tasks of a daemon run on one executor and share its state. A task that
 //! needs several locks takes them in this order: manifest, ledger, runs, peers,
 //! cut-off daemons, ownership table, pool, admission queue, quarantine, streams,
-//! buckets, asks, links, idle connections. The catalog is locked alone.
+//! buckets, asks, links, idle connections. The catalog and the times of list reads are
+//! locked alone.
 
 mod availability;
 mod body;
@@ -25,6 +26,7 @@
 mod gossip;
 mod jobs;
 mod links;
+mod list_reads;
 mod metrics;
 mod online;
 mod ownership;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -12,6 +12,7 @@
 use bitterncart_coordination::fleet::pool::Selection;
 use bitterncart_coordination::fleet::quarantine::{Subject, Suspect, Verdict};
 use bitterncart_coordination::fleet::replica::Process;
+use bitterncart_coordination::fleet::streams::Answer;
 use bitterncart_coordination::fleet::{Build, Decision, Outcome, Profile, Route};
 use bitterncart_protocol::Code;
 use bitterncart_state::ledger::Record;
@@ -160,6 +161,16 @@
     });
 }
 
+pub(crate) fn stream_without_record(own: &Answer, others: &[Answer], build: Option<&Build>) {
+    if !rate_limit::try_acquire() {
+        return;
+    }
+    let build = build.map_or_else(|| "?".into(), Build::to_string);
+    info!("no daemon has a record of a stream", kv: {
+        own:? = own, others:? = others, build = build.as_str()
+    });
+}
+
 /// Durations of an answered request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Times {
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -486,7 +486,7 @@
         let is_resumable = self.route.kind == Kind::Resumable;
         if let (Some(build), Some(first), true) = (&build, self.first_attempt(), is_resumable) {
             let stream = self.stream_of(first);
-            streams::record(&self.core, &self.route, stream, build).await;
+            streams::record(&self.core, stream, build).await;
         }
         self.binding = Binding::of_stream(build);
         let (mut slot, mut response) = (slot, response);
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -16,11 +16,15 @@
 use crate::datagram::{Asks, Socket};
 use crate::dialect::Dialect;
 use crate::gossip::known_peers;
+use crate::log;
 use crate::store::Store;
 
 /// Timeout of an ask; a round trip between data centres takes a few milliseconds.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// Maximum time to wait for a read of the list.
+const LIST_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Number of times that an ask without a result is sent, as datagrams may be lost.
 const MAX_ROUNDS: usize = 2;
 
@@ -59,16 +63,33 @@
     }
 }
 
+/// Time until which the list has to tell which versions a service had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Until {
+    /// Given time.
+    Time(Duration),
+    /// When it was last read, if that is not long ago.
+    Lately,
+    /// When it was last read, as nobody can be listed.
+    StoreOutage,
+}
+
 /// Versions that may have begun the streams of a route.
-fn history<S: Store, D: Dialect>(core: &Core<S, D>, route: Option<&SoleRoute>) -> History {
+fn history<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    route: Option<&SoleRoute>,
+    until: Until,
+) -> History {
     let Some(route) = route else {
         return History::Unknown;
     };
-    let now = clock::now();
-    let is_list_frozen = core.peers().is_store_outage(now);
-    let of_service = core
-        .pool()
-        .history(now, &route.service, route.window(), is_list_frozen);
+    let (now, pool) = (clock::now(), core.pool());
+    let of_service = match until {
+        Until::Time(time) => pool.history(time, &route.service, route.window()),
+        Until::Lately if !pool.is_list_current(now) => History::Unknown,
+        _ => pool.latest_history(&route.service, route.window()),
+    };
+    drop(pool);
     core.streams.streams().history_of(now, route, of_service)
 }
 
@@ -91,19 +112,14 @@
     ranked
 }
 
-/// Records the build that began a stream of a route. Unless its service has had one
-/// version for long, other daemons hold it too.
+/// Records the build that began a stream, here and at other daemons.
 pub(crate) async fn record<S: Store, D: Dialect>(
     core: &Core<S, D>,
-    route: &Route,
     stream: Fingerprint,
     build: &Build,
 ) {
     let now = clock::now();
     core.streams.streams().record(now, stream, build.clone());
-    if let History::Sole(_) = history(core, SoleRoute::of(route).as_ref()) {
-        return;
-    }
     let message = Message::Began {
         stream,
         build: build.clone(),
@@ -113,48 +129,94 @@
     }
 }
 
-/// Finds the build that began a stream of a route; `None` if no daemon can tell. A
-/// client that does not name the `stream` may have one of any that the route had.
+/// Finds the build that began a stream of a route; `None` if it is not known. A client
+/// that does not name the `stream` may have one of any that the route had.
 pub(crate) async fn find<S: Store, D: Dialect>(
     core: &Core<S, D>,
     route: &Route,
     stream: Option<Fingerprint>,
 ) -> Option<Build> {
+    let came_at = clock::now();
     let stream = stream.unwrap_or_default();
     let route = SoleRoute::of(route);
-    let history = history(core, route.as_ref());
-    let own = core.streams.streams().answer(stream, history);
-    if let Answer::Began(build) = own {
+    let own = |until| {
+        let history = history(core, route.as_ref(), until);
+        core.streams.streams().answer(stream, history)
+    };
+    if let Answer::Began(build) = own(Until::Time(came_at)) {
         return Some(build);
     }
+    let (others, is_complete) = match ask(core, route.as_ref(), stream).await {
+        Ok(build) => return Some(build),
+        Err(Unknown {
+            answers,
+            is_complete,
+        }) => (answers, is_complete),
+    };
+    // In an outage of the store, a version that this daemon has not seen was listed
+    // before, and others have seen it.
+    let is_outage = is_complete && core.peers().is_store_outage(clock::now());
+    let own = if is_outage {
+        own(Until::StoreOutage)
+    } else {
+        if route.is_some() && !core.is_store_unavailable(clock::now()) {
+            core.list_reads.wait_for(came_at, LIST_TIMEOUT).await;
+        }
+        own(Until::Time(came_at))
+    };
+    let build = streams::decide(route.as_ref(), &own, &others);
+    log::stream_without_record(&own, &others, build.as_ref());
+    build
+}
+
+/// Answers of which none names a build.
+struct Unknown {
+    answers: Vec<Answer>,
+    /// Whether all daemons that were asked have answered, at least one.
+    is_complete: bool,
+}
+
+/// Asks other daemons for the build that began a stream.
+///
+/// # Errors
+///
+/// The answers, if none of them names a build.
+async fn ask<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    route: Option<&SoleRoute>,
+    stream: Fingerprint,
+) -> Result<Build, Unknown> {
     let asked = ranked_peers(core, stream, MAX_ASKED);
+    let mut answers = Vec::new();
     for _ in 0..MAX_ROUNDS {
-        let mut answers = vec![own.clone()];
+        answers.clear();
         let ask = core.streams.asks.register(asked.len());
         let message = Message::Ask {
             id: ask.id,
             stream,
-            route: route.clone(),
+            route: route.cloned(),
         };
         for daemon in &asked {
             core.streams.socket.send(message.encode(), *daemon).await;
         }
         let until = clock::now() + REPLY_TIMEOUT;
-        while answers.len() <= asked.len() {
+        while answers.len() < asked.len() {
             let left = until.saturating_sub(clock::now());
             match with_timeout(left, ask.replies.recv()).await {
-                Some(Ok(Answer::Began(build))) => return Some(build),
+                Some(Ok(Answer::Began(build))) => return Ok(build),
                 Some(Ok(answer)) => answers.push(answer),
                 _ => break,
             }
         }
-        let has_all = answers.len() > asked.len();
-        let build = streams::decide(route.as_ref(), &answers);
-        if has_all || build.is_some() {
-            return build;
+        if answers.len() == asked.len() {
+            break;
         }
     }
-    None
+    let is_complete = !answers.is_empty() && answers.len() == asked.len();
+    Err(Unknown {
+        answers,
+        is_complete,
+    })
 }
 
 /// Handles a message of another daemon.
@@ -168,7 +230,7 @@
             core.streams.streams().record(clock::now(), stream, build);
         }
         Message::Ask { id, stream, route } => {
-            let history = history(core, route.as_ref());
+            let history = history(core, route.as_ref(), Until::Lately);
             let answer = core.streams.streams().answer(stream, history);
             let reply = Message::Reply { id, answer };
             core.streams.socket.send(reply.encode(), from).await;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -22,8 +22,8 @@
 const MANIFEST_LONG_POLL: Duration = Duration::from_secs(1);
 
 /// Time for which the store holds a read of the replicas' topic until there is a
-/// record.
-const REPLICAS_LONG_POLL: Duration = Duration::from_millis(500);
+/// record. A request may wait for the next read.
+const REPLICAS_LONG_POLL: Duration = Duration::from_millis(200);
 
 /// Delay between reads of the replicas' topic, which changes constantly.
 const REPLICAS_READ_DELAY: Duration = Duration::from_millis(600);
@@ -42,19 +42,30 @@
     read_delay: Duration,
 }
 
+/// How all records of a topic were read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reading {
+    /// The newest record of each key.
+    Snapshot,
+    /// All records since the last reading.
+    Continued,
+}
+
 impl<S: Store, D: Dialect> Tail<S, D> {
-    /// Follows the topic. `on_current` is called each time that all has been read.
+    /// Follows the topic. `on_current` is called each time that all has been read, with
+    /// the time at which the last call began.
     async fn run(
         self,
         mut on_snapshot: impl FnMut(Vec<Record>),
         mut on_record: impl FnMut(&Record),
-        mut on_current: impl FnMut(),
+        mut on_current: impl FnMut(Reading, Duration),
     ) {
         loop {
+            let asked_at = clock::now();
             let mut offset = match self.read_newest().await {
                 Ok((records, end)) => {
                     on_snapshot(records);
-                    on_current();
+                    on_current(Reading::Snapshot, asked_at);
                     end
                 }
                 Err(e) => {
@@ -64,6 +75,7 @@
                 }
             };
             loop {
+                let asked_at = clock::now();
                 match self
                     .core
                     .store
@@ -73,9 +85,13 @@
                     Ok(read) => {
                         self.core.record_store_success();
                         read.records.iter().for_each(&mut on_record);
-                        on_current();
                         offset = read.start_offset + read.records.len() as u64;
-                        smol::Timer::after(self.read_delay).await;
+                        // The store may have more than one call takes.
+                        if offset >= read.end_offset {
+                            on_current(Reading::Continued, asked_at);
+                            let pause = self.core.list_reads.pause(asked_at, self.read_delay);
+                            pause.await;
+                        }
                     }
                     Err(Failure::Truncated) => break,
                     Err(e) => {
@@ -130,7 +146,7 @@
     tail.run(
         |records| records.iter().for_each(on_record),
         on_record,
-        || {},
+        |_, _| {},
     )
     .await;
 }
@@ -161,7 +177,19 @@
         records.iter().for_each(on_record);
         core.set_replicas_known();
     };
-    let on_current = || core.pool().record_list_read(clock::now());
+    let on_current = |reading: Reading, asked_at: Duration| {
+        let now = clock::now();
+        match reading {
+            Reading::Snapshot => {
+                core.pool().record_list_snapshot(asked_at, now);
+                core.list_reads.record_snapshot(asked_at);
+            }
+            Reading::Continued => {
+                core.pool().record_list_read(asked_at, now);
+                core.list_reads.record(asked_at);
+            }
+        }
+    };
     tail.run(on_snapshot, on_record, on_current).await;
 }
 
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -34,6 +35,10 @@
     topics: Mutex<HashMap<String, Vec<Record>>>,
     fault: Mutex<Fault>,
     changed: Event,
+    /// Whether the answers to reads of the replicas are held back.
+    holds_list: AtomicBool,
+    /// Answers that are held back.
+    held: AtomicUsize,
 }
 
 /// Handle to the store.
@@ -43,6 +48,8 @@
     /// Addresses of replicas, each with that of the link over which the holder of this
     /// handle reaches it.
     links: Vec<(SocketAddr, SocketAddr)>,
+    /// Whether all calls over this handle are refused.
+    is_turned_away: Arc<AtomicBool>,
 }
 
 impl MemoryStore {
@@ -50,6 +57,42 @@
         *self.shared.fault.lock().expect("lock") = fault;
     }
 
+    /// Refuses all calls over this handle, or serves them again.
+    pub(crate) fn turn_away(&self, is_turned_away: bool) {
+        self.is_turned_away.store(is_turned_away, Ordering::SeqCst);
+    }
+
+    fn check_access(&self) -> Result<(), Failure> {
+        match self.is_turned_away.load(Ordering::SeqCst) {
+            true => Err(Failure::Refused(503)),
+            false => Ok(()),
+        }
+    }
+
+    /// Holds the answers to reads of the replicas back. They tell what was listed when
+    /// they were made.
+    pub(crate) fn hold_list(&self, holds: bool) {
+        self.shared.holds_list.store(holds, Ordering::SeqCst);
+        self.shared.changed.notify(usize::MAX);
+    }
+
+    /// Number of answers that are held back.
+    pub(crate) fn held(&self) -> usize {
+        self.shared.held.load(Ordering::SeqCst)
+    }
+
+    async fn wait_while_held(&self) {
+        self.shared.held.fetch_add(1, Ordering::SeqCst);
+        loop {
+            let changed = self.shared.changed.listen();
+            if !self.shared.holds_list.load(Ordering::SeqCst) {
+                break;
+            }
+            changed.await;
+        }
+        self.shared.held.fetch_sub(1, Ordering::SeqCst);
+    }
+
     /// The store for a daemon that reaches replicas over links.
     pub(crate) fn seen_over(&self, links: &[Link]) -> Self {
         Self {
@@ -158,6 +201,7 @@
         records: &[Record],
         timeout: Duration,
     ) -> Result<u64, Failure> {
+        self.check_access()?;
         let fault = match topic {
             Topic::Ledger(_) => *self.shared.fault.lock().expect("lock"),
             _ => Fault::None,
@@ -183,6 +227,7 @@
     }
 
     async fn read(&self, topic: Topic, start_offset: u64, wait: Duration) -> Result<Read, Failure> {
+        self.check_access()?;
         let fault = *self.shared.fault.lock().expect("lock");
         if let (Fault::SlowReads(time), Topic::Ledger(_)) = (fault, topic) {
             smol::Timer::after(time).await;
@@ -203,6 +248,9 @@
         let records = self.records(topic);
         let end_offset = records.len() as u64;
         let records = records.into_iter().skip(start_offset as usize).collect();
+        if topic == Topic::Replicas {
+            self.wait_while_held().await;
+        }
         Ok(Read {
             start_offset,
             records,
@@ -211,6 +259,7 @@
     }
 
     async fn read_newest(&self, topic: Topic, after: Option<&str>) -> Result<Page, Failure> {
+        self.check_access()?;
         let fault = *self.shared.fault.lock().expect("lock");
         if fault == Fault::Unavailable && matches!(topic, Topic::Ledger(_)) {
             return Err(Failure::Refused(503));
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -64,6 +64,23 @@
     gateway.fetch_until(&request, "data: a").await;
 }
 
+/// Store with replicas of one version, which a daemon recorded long before.
+fn store_of_one_version(replicas: &[ScriptedReplica]) -> MemoryStore {
+    let store = store(&replicas.iter().collect::<Vec<_>>());
+    let version = replicas[0].version();
+    store.put(Topic::Members, &format!("version/s\u{1f}{version}"), "1");
+    store
+}
+
+/// Waits until a daemon knows that there has been one version.
+async fn wait_for_one_version(gateway: &Gateway) {
+    let is_served = || {
+        let response = smol::block_on(gateway.fetch(&taken_up("other", "unknown")));
+        status(&response) == 200
+    };
+    wait_until("a stream without a record to go on", is_served).await;
+}
+
 async fn start_gateways(store: &MemoryStore, count: usize) -> Vec<Gateway> {
     let mut gateways = Vec::new();
     for _ in 0..count {
@@ -196,10 +213,7 @@
 fn stream_continues_after_a_loss_of_all_daemons() {
     smol::block_on(async {
         let replicas = start_replicas().await;
-        let store = store(&replicas[..2].iter().collect::<Vec<_>>());
-        // A daemon wrote this long before.
-        let version = replicas[0].version();
-        store.put(Topic::Members, &format!("version/s\u{1f}{version}"), "1");
+        let store = store_of_one_version(&replicas[..2]);
         let gateway = Gateway::start(&store).await;
         wait_until("the daemon to be registered", || {
             store.count_records("127.") == 1
@@ -230,3 +244,96 @@
         assert_eq!(store.count_records("version/"), 2);
     });
 }
+
+/// Guards against a daemon that takes the only version it has seen for that of a stream,
+/// while replicas of another one have joined and its list is from before.
+#[test]
+fn stream_of_a_version_that_joined_unseen_is_refused() {
+    smol::block_on(async {
+        let replicas = start_replicas().await;
+        let (old, new) = replicas.split_at(2);
+        let store = store_of_one_version(old);
+        let gateway = Gateway::start(&store).await;
+        wait_for_one_version(&gateway).await;
+        store.hold_list(true);
+        wait_until("a read", || store.held() == 1).await;
+        for replica in new {
+            store.publish_replica(&replica.record());
+        }
+        let request = taken_up("second", "first");
+        assert_not_resumable(&gateway, &replicas, &request).await;
+    });
+}
+
+/// Guards against a daemon that was suspended during a read of the list, and takes what
+/// it reads then for what is listed now.
+#[test]
+fn stream_of_a_version_that_joined_in_a_suspension_is_refused() {
+    smol::block_on(async {
+        let replicas = start_replicas().await;
+        let (old, new) = replicas.split_at(2);
+        let store = store_of_one_version(old);
+        let gateway = Gateway::start(&store).await;
+        wait_for_one_version(&gateway).await;
+        store.hold_list(true);
+        wait_until("a read", || store.held() == 1).await;
+        for replica in new {
+            store.publish_replica(&replica.record());
+        }
+        smol::Timer::after(Duration::from_millis(2500)).await;
+        store.hold_list(false);
+        wait_until("the old answer", || store.held() == 0).await;
+        let request = taken_up("second", "first");
+        assert_not_resumable(&gateway, &replicas, &request).await;
+    });
+}
+
+/// Guards against a stream that began while its service had one version, and is refused
+/// as the daemon that began it has told nobody.
+#[test]
+fn stream_continues_when_another_version_joined_meanwhile() {
+    smol::block_on(async {
+        let replicas = start_replicas().await;
+        let (old, new) = replicas.split_at(2);
+        let store = store_of_one_version(old);
+        let mut gateways = start_gateways(&store, 3).await;
+        for gateway in &gateways {
+            wait_for_one_version(gateway).await;
+        }
+        for n in 0..6 {
+            begin(&gateways[0], &format!("first{n}")).await;
+        }
+        drop(gateways.remove(0));
+        for replica in new {
+            store.publish_replica(&replica.record());
+        }
+        wait_until("the records", || store.count_records("version/") >= 2).await;
+        for n in 0..6 {
+            let (first, second) = (format!("first{n}"), format!("second{n}"));
+            let response = gateways[n % 2].fetch(&taken_up(&second, &first)).await;
+            assert_eq!(status(&response), 200, "{response}");
+            assert_eq!(versions_of(&replicas, &[&first, &second]).len(), 1);
+        }
+    });
+}
+
+/// The store serves no daemon: nobody can be listed, and streams without a record go on.
+#[test]
+fn stream_continues_in_an_outage_of_the_store() {
+    smol::block_on(async {
+        let replicas = start_replicas().await;
+        let store = store_of_one_version(&replicas[..2]);
+        let gateways = start_gateways(&store, 3).await;
+        for gateway in &gateways {
+            wait_for_one_version(gateway).await;
+        }
+        store.turn_away(true);
+        // The list of all daemons is out of date.
+        smol::Timer::after(Duration::from_millis(3000)).await;
+        for (n, gateway) in gateways.iter().enumerate() {
+            let second = format!("second{n}");
+            let response = gateway.fetch(&taken_up(&second, "unknown")).await;
+            assert_eq!(status(&response), 200, "{response}");
+        }
+    });
+}
