gateway: a daemon that cannot write does not keep others from the catalog of versions

What could follow: while the store turns away the daemon that writes a version's record, nobody writes it, and daemons that start meanwhile learn of no new version.

Cause: the writer of a record is the live daemon with the highest rank, whether or not it says in its heartbeats that it can write.

Change: daemons that cannot write are passed over.

Evidence: `versions_are_recorded_when_the_store_turns_a_daemon_away` failed before ("timed out waiting for the records") and passes now.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -19,7 +19,7 @@
 const WRITE_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Reads the catalog after each snapshot of the list, and writes what has changed, as
-/// long as the daemon runs. Of the live daemons, one writes each record;
+/// long as the daemon runs. Of the live daemons that can write, one writes each record;
 /// if two do, the later record has the same meaning.
 pub(crate) async fn maintain<S: Store, D: Dialect>(core: Core<S, D>) {
     loop {
@@ -78,7 +78,9 @@
         };
         let own_score = score(core.peer_address());
         let peers = core.peers();
-        let mut others = peers.live(clock::now()).filter(|peer| !peer.leaving);
+        let mut others = peers
+            .live(clock::now())
+            .filter(|peer| !peer.leaving && peer.writes);
         !others.any(|peer| score(peer.from) > own_score)
     };
     let own = changes.into_iter().filter(|change| is_own(&change.key));
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -57,6 +57,14 @@
         *self.shared.fault.lock().expect("lock") = fault;
     }
 
+    /// A handle whose calls can be refused.
+    pub(crate) fn handle(&self) -> Self {
+        Self {
+            is_turned_away: Arc::default(),
+            ..self.clone()
+        }
+    }
+
     /// Refuses all calls over this handle, or serves them again.
     pub(crate) fn turn_away(&self, is_turned_away: bool) {
         self.is_turned_away.store(is_turned_away, Ordering::SeqCst);
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -317,6 +317,44 @@
     });
 }
 
+/// Guards against a catalog that is not written as the store turns away the daemon that
+/// would write it.
+#[test]
+fn versions_are_recorded_when_the_store_turns_a_daemon_away() {
+    smol::block_on(async {
+        let replicas = start_replicas().await;
+        let store = store_of_one_version(&replicas[..2]);
+        let handles = [store.handle(), store.handle()];
+        let gateways = [
+            Gateway::start(&handles[0]).await,
+            Gateway::start(&handles[1]).await,
+        ];
+        for gateway in &gateways {
+            wait_until("heartbeats", || gateway.daemon.live_peers() == 1).await;
+        }
+        for (n, handle) in handles.iter().enumerate() {
+            handle.turn_away(true);
+            smol::Timer::after(Duration::from_millis(800)).await;
+            // Each of the two daemons would write some of them.
+            let versions: Vec<String> = (0..6).map(|m| format!("new{n}-{m}")).collect();
+            for version in &versions {
+                store.publish_replica(&Replica {
+                    id: version.as_str().into(),
+                    version: Some(version.as_str().into()),
+                    ..replicas[2].record()
+                });
+            }
+            let is_recorded = |version: &String| {
+                let key = format!("version/s\u{1f}{version}");
+                store.count_records(&key) >= 1
+            };
+            wait_until("the records", || versions.iter().all(is_recorded)).await;
+            handle.turn_away(false);
+            smol::Timer::after(Duration::from_millis(800)).await;
+        }
+    });
+}
+
 /// The store serves no daemon: nobody can be listed, and streams without a record go on.
 #[test]
 fn stream_continues_in_an_outage_of_the_store() {
