gateway: daemons that start read which versions the store still has in its list

What callers could see: a version joined, began streams and left within the second before all daemons were lost. It was in no catalog yet and no longer in the list, so daemons that came back took the other version for the only one, and let these streams go on there.

Cause: the catalog is written up to about a second after the list changes, and after a start counted as the whole past.

`Read` names the oldest record that is kept, which the store's answers already held. A few calls a start.

If the history of the list is deleted at that moment, too, the version remains unknown.

--- a/crates/coordination/src/fleet/pool/versions.rs
+++ b/crates/coordination/src/fleet/pool/versions.rs
@@ -35,7 +35,8 @@
     /// listed at `recorded_at`.
     recorded: HashMap<CompactString, (CompactString, Duration)>,
     recorded_at: Duration,
-    /// Time at which the whole catalog was asked for; `None` if it was not read.
+    /// Time at which the store was asked for the catalog and the past of the list; `None`
+    /// if they were not read.
     past_asked_at: Option<Duration>,
 }
 
@@ -122,8 +123,8 @@
         self.history(self.versions.list_asked_at, service, window)
     }
 
-    /// Whether the catalog has to be read, as the list was not followed all the time since
-    /// it was.
+    /// Whether the catalog and the past of the list have to be read, as the list was not
+    /// followed all the time since they were.
     #[must_use]
     pub fn is_past_unread(&self) -> bool {
         let versions = &self.versions;
@@ -133,6 +134,11 @@
         versions.past_asked_at.is_none_or(|at| at < since)
     }
 
+    /// Remembers the version of a replica that was listed before the list was followed.
+    pub fn record_past_replica(&mut self, replica: Replica) {
+        self.versions.record_removed(replica);
+    }
+
     /// Sets the services of which the catalog has one version, with the time for which
     /// it has been listed.
     pub fn set_recorded_versions(
@@ -144,8 +150,8 @@
         self.versions.recorded_at = now;
     }
 
-    /// Records that the whole catalog was read; `asked_at` is the time before the store
-    /// was asked.
+    /// Records that the whole catalog and the past of the list were read; `asked_at` is
+    /// the time before the store was asked.
     pub fn record_past_read(&mut self, asked_at: Duration) {
         self.versions.past_asked_at = Some(asked_at);
     }
--- a/crates/coordination/tests/fleet/out_of_step.rs
+++ b/crates/coordination/tests/fleet/out_of_step.rs
@@ -20,6 +20,8 @@
 const STEP: Duration = Duration::from_millis(10);
 const READ_INTERVAL: Duration = Duration::from_millis(600);
 const CATALOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which the store keeps the records of the list.
+const RETENTION: Duration = Duration::from_secs(20);
 const DEAF_AFTER_FREEZE: Duration = Duration::from_millis(200);
 const DAEMONS: u16 = 12;
 const STREAMS_PER_S: f64 = 60.0;
@@ -187,7 +189,14 @@
         }
     }
 
+    /// Reads the catalog and the records of the list that the store has.
     fn read_past(&mut self, store: &Store, now: Duration) {
+        let kept = store.list[store.first..store.end(now)].iter();
+        for (at, number, version) in kept {
+            if let Some(version) = version.as_deref().filter(|_| *at + RETENTION >= now) {
+                self.pool.record_past_replica(replica(*number, version));
+            }
+        }
         self.read_catalog(store, now);
         self.pool.record_past_read(now);
     }
@@ -510,6 +519,11 @@
         0.95
     );
     undone_releases(Schedule { release: Release::Undone, ..CALM }, 20, 0.9);
+    loss_of_all_daemons_in_undone_releases(
+        Schedule { kill_all: true, release: Release::Undone, ..CALM },
+        20,
+        0.85
+    );
     outages_of_the_store(Schedule { trouble: Some(Trouble::Outage), ..CALM }, 20, 0.9);
     outages_of_the_store_with_one_version(
         Schedule { trouble: Some(Trouble::Outage), release: Release::None, ..CALM },
--- a/crates/coordination/tests/fleet/streams.rs
+++ b/crates/coordination/tests/fleet/streams.rs
@@ -258,6 +258,20 @@
     assert_eq!(pool.latest_history(SERVICE, MEMORY), sole);
 }
 
+/// Guards against a version that came and left before any daemon recorded it, and before
+/// all daemons were lost.
+#[test]
+fn version_of_the_past_is_remembered() {
+    let mut pool = Pool::new("here".into(), "d".into());
+    pool.upsert(replica(1, Some("1")));
+    pool.record_list_snapshot(s(5), s(5));
+    pool.record_past_replica(replica(2, Some("2")));
+    pool.record_list_read(s(6), s(6));
+    let now = s(6) + MEMORY - s(1);
+    pool.record_list_read(now, now);
+    assert_eq!(pool.history(now, SERVICE, s(10)), History::Mixed);
+}
+
 /// Parameters of a simulated fleet.
 #[derive(Clone, Debug)]
 struct Fleet {
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -1,4 +1,5 @@
-//! Keeps the catalog of software versions in the store, beside the registered daemons.
+//! Keeps the catalog of software versions in the store, beside the registered daemons,
+//! and reads what the store has from before the list was followed.
 
 use std::time::Duration;
 
@@ -18,8 +19,8 @@
 /// Timeout of a write.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Reads the catalog after each snapshot of the list, and writes what has changed, as
-/// long as the daemon runs. Of the live daemons that can write, one writes each record;
+/// Reads the past after each snapshot of the list, and writes what has changed, as long
+/// as the daemon runs. Of the live daemons that can write, one writes each record;
 /// if two do, the later record has the same meaning.
 pub(crate) async fn maintain<S: Store, D: Dialect>(core: Core<S, D>) {
     loop {
@@ -34,6 +35,7 @@
 async fn update<S: Store, D: Dialect>(core: &Core<S, D>) -> Result<(), Failure> {
     if core.pool().is_past_unread() {
         let asked_at = clock::now();
+        read_past_list(core).await?;
         read_members(core).await?;
         core.pool().record_past_read(asked_at);
     }
@@ -56,6 +58,35 @@
     Ok(())
 }
 
+/// Reads the records of the list that the store keeps from before the snapshot. They have
+/// versions that came and left before any daemon recorded them.
+async fn read_past_list<S: Store, D: Dialect>(core: &Core<S, D>) -> Result<(), Failure> {
+    let end = core.list_reads.snapshot_end();
+    let read = |offset| core.store.read(Topic::Replicas, offset, Duration::ZERO);
+    let mut offset = read(end).await?.first_offset;
+    while offset < end {
+        match read(offset).await {
+            Ok(past) if past.records.is_empty() => break,
+            Ok(past) => {
+                offset += past.records.len() as u64;
+                let replicas = past.records.iter().map(S::parse_replica);
+                let mut pool = core.pool();
+                for replica in replicas.filter_map(Result::ok) {
+                    pool.record_past_replica(replica);
+                }
+            }
+            // The oldest records expire meanwhile.
+            Err(Failure::Truncated) => match read(end).await?.first_offset {
+                first_offset if first_offset > offset => offset = first_offset,
+                _ => return Err(Failure::Truncated),
+            },
+            Err(e) => return Err(e),
+        }
+    }
+    core.record_store_success();
+    Ok(())
+}
+
 /// Applies records of the catalog.
 pub(crate) fn apply<S: Store, D: Dialect>(core: &Core<S, D>, records: &[Record]) {
     let mut catalog = core.catalog();
--- a/crates/gateway/src/list_reads.rs
+++ b/crates/gateway/src/list_reads.rs
@@ -16,6 +16,8 @@
     wanted_at: Duration,
     /// Time at which the latest complete read began.
     read_at: Duration,
+    /// Offset at which the latest snapshot ended.
+    snapshot_end: u64,
 }
 
 /// Reads that are wanted and done.
@@ -38,12 +40,18 @@
         self.read.notify(usize::MAX);
     }
 
-    /// Records a read of the whole list.
-    pub(crate) fn record_snapshot(&self, asked_at: Duration) {
+    /// Records a read of the whole list, with the offset of the records that follow.
+    pub(crate) fn record_snapshot(&self, asked_at: Duration, end_offset: u64) {
+        self.times().snapshot_end = end_offset;
         self.record(asked_at);
         self.snapshot_read.notify(usize::MAX);
     }
 
+    /// Offset at which the latest snapshot ended.
+    pub(crate) fn snapshot_end(&self) -> u64 {
+        self.times().snapshot_end
+    }
+
     /// Notified when the whole list was read.
     pub(crate) fn next_snapshot(&self) -> EventListener {
         self.snapshot_read.listen()
--- a/crates/gateway/src/shard.rs
+++ b/crates/gateway/src/shard.rs
@@ -514,6 +514,7 @@
                     start_offset: group.expected_end,
                     records: group.records.clone(),
                     end_offset: 0,
+                    first_offset: 0,
                 });
                 return true;
             }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -21,6 +21,8 @@
     pub records: Vec<Record>,
     /// Offset after the newest record of the topic.
     pub end_offset: u64,
+    /// Offset of the oldest record that is kept.
+    pub first_offset: u64,
 }
 
 /// Page of the newest record of each key.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -45,8 +45,8 @@
 /// How all records of a topic were read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Reading {
-    /// The newest record of each key.
-    Snapshot,
+    /// The newest record of each key, up to this offset.
+    Snapshot(u64),
     /// All records since the last reading.
     Continued,
 }
@@ -65,7 +65,7 @@
             let mut offset = match self.read_newest().await {
                 Ok((records, end)) => {
                     on_snapshot(records);
-                    on_current(Reading::Snapshot, asked_at);
+                    on_current(Reading::Snapshot(end), asked_at);
                     end
                 }
                 Err(e) => {
@@ -180,9 +180,9 @@
     let on_current = |reading: Reading, asked_at: Duration| {
         let now = clock::now();
         match reading {
-            Reading::Snapshot => {
+            Reading::Snapshot(end) => {
                 core.pool().record_list_snapshot(asked_at, now);
-                core.list_reads.record_snapshot(asked_at);
+                core.list_reads.record_snapshot(asked_at, end);
             }
             Reading::Continued => {
                 core.pool().record_list_read(asked_at, now);
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -263,6 +263,7 @@
             start_offset,
             records,
             end_offset,
+            first_offset: 0,
         })
     }
 
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -375,3 +375,22 @@
         }
     });
 }
+
+/// Guards against a daemon that has just started and does not know a version that came
+/// and left before anyone recorded it.
+#[test]
+fn stream_of_a_version_that_came_and_left_is_refused() {
+    smol::block_on(async {
+        let replicas = start_replicas().await;
+        let (old, new) = replicas.split_at(2);
+        let store = store_of_one_version(old);
+        for replica in new {
+            store.publish_replica(&replica.record());
+            store.put(Topic::Replicas, &replica.record().id, "");
+        }
+        let gateway = Gateway::start(&store).await;
+        smol::Timer::after(Duration::from_millis(1500)).await;
+        let request = taken_up("second", "first");
+        assert_not_resumable(&gateway, &replicas, &request).await;
+    });
+}
