--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod links;
 mod manifest;
 mod odd_datagrams;
+mod out_of_step;
 mod ownership;
 mod pool;
 mod profile;
