soak: daemons as processes under seeded faults, judged from outside

Change: `bitterncart-soak` starts copies of the daemon's program, replicas and the store as processes, injects faults by a seeded plan that overlaps (kill, stop, freeze, cut, reset, second copies, broken answers, an outage of the store), and checks what clients, replicas and readers of jobs saw. A short run with a fixed seed is a test of the platform's program, with answers that have a length or chunks; those that end with their connection break promises on this code, so it leaves them out. docs/design/soak.md says what is checked and what is not.

--- /dev/null
+++ b/crates/soak/tests/soak/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the soak itself.
+
+mod framing;
+mod plan;
