soak: planned stops take their time, and answers in them are checked

Change: a start gives a daemon that still stops the rest of its time. Where all faults are planned stops, a request that ran has to be answered, and no stream may be cut well before the client's deadline. Records of replicas tell what a second copy began with.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -1,7 +1,7 @@
 //! Clients of online requests, and the checks of what they receive.
 
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use std::{io, thread};
 
@@ -17,6 +17,9 @@
 /// Time that a client waits for a response.
 const DEADLINE: Duration = Duration::from_secs(5);
 
+/// Time before a client's deadline at which a response that breaks is cut.
+const CUT_MARGIN: Duration = Duration::from_millis(500);
+
 /// Time that a client waits beyond its deadline.
 const PATIENCE: Duration = Duration::from_millis(700);
 
@@ -86,6 +89,8 @@
     pub status: Option<u16>,
     /// Whether the response carries the signature of a replica.
     pub is_signed: bool,
+    /// Whether there is no whole response, well before the client's deadline.
+    pub is_cut: bool,
 }
 
 /// All requests of a run.
@@ -147,7 +152,15 @@
             let started = Instant::now();
             let answer = connection.exchange(&request, DEADLINE + PATIENCE);
             let after = broken.as_ref().map_or(0, |(_, after)| *after);
-            let next = judge(verdict, log, kind, (&id, after, daemon), &answer, started);
+            let asked = Asked {
+                id: &id,
+                kind,
+                after,
+                daemon,
+                started,
+                deadline: deadline_of(&request),
+            };
+            let next = judge(verdict, log, &asked, &answer);
             if let Ok(answer) = &answer
                 && answer.is_complete
                 && answer.header("connection").is_none_or(|v| v != "close")
@@ -208,28 +221,53 @@
     }
 }
 
+/// Request whose answer is checked.
+struct Asked<'a> {
+    id: &'a str,
+    kind: Kind,
+    /// Last event that the client had.
+    after: u64,
+    daemon: usize,
+    started: Instant,
+    deadline: Duration,
+}
+
+fn deadline_of(request: &Request) -> Duration {
+    let ms = request
+        .header(wire::DEADLINE)
+        .and_then(|ms| ms.parse().ok());
+    ms.map_or(DEADLINE, Duration::from_millis)
+}
+
 /// Checks an answer. Returns the last event of a stream that broke.
 fn judge(
     verdict: &Verdict,
     log: &Log,
-    kind: Kind,
-    (id, after, daemon): (&str, u64, usize),
+    asked: &Asked<'_>,
     answer: &io::Result<Response>,
-    started: Instant,
 ) -> Option<u64> {
-    let ms = started.elapsed().as_millis();
-    let status = answer.as_ref().ok().map(|answer| answer.status);
-    let is_signed = answer
-        .as_ref()
-        .is_ok_and(|answer| answer.header(wire::SIGNATURE).is_some());
+    let Asked {
+        id,
+        kind,
+        after,
+        daemon,
+        ..
+    } = *asked;
+    let elapsed = asked.started.elapsed();
+    let ms = elapsed.as_millis();
+    let seen = answer.as_ref().ok();
+    let is_signed = seen.is_some_and(|answer| answer.header(wire::SIGNATURE).is_some());
+    let is_whole = seen.is_some_and(|answer| answer.is_complete);
+    let sent = Sent {
+        id: id.to_owned(),
+        kind,
+        status: seen.map(|answer| answer.status),
+        is_signed,
+        is_cut: !is_whole && elapsed + CUT_MARGIN < asked.deadline,
+    };
     log.lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner)
-        .push(Sent {
-            id: id.to_owned(),
-            kind,
-            status,
-            is_signed,
-        });
+        .unwrap_or_else(PoisonError::into_inner)
+        .push(sent);
     let answer = match answer {
         Ok(answer) => answer,
         Err(e) => {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -30,6 +30,9 @@
 /// Data centres; daemons and replicas are spread over them.
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
+/// Time that a daemon has to stop before it is killed.
+pub const STOP_TIME: Duration = Duration::from_secs(8);
+
 /// Memory of a daemon, in kilobytes, as on the platform.
 const MEMORY_KB: u64 = 290 * 1024;
 
@@ -69,6 +72,8 @@
     in_rotation: AtomicBool,
     /// Whether it may end, as the soak ended it.
     is_ended: AtomicBool,
+    /// Time of the latest request to stop.
+    stopped_at: Mutex<Option<Instant>>,
 }
 
 #[derive(Debug)]
@@ -188,7 +193,7 @@
             let settings = path(&format!("settings-{n}.json"));
             fs::write(
                 &settings,
-                wire::settings(&format!("front-{n}"), zone, &addresses, 8),
+                wire::settings(&format!("front-{n}"), zone, &addresses, STOP_TIME.as_secs()),
             )?;
             let log = path(&format!("daemon-{n}.txt"));
             let process = Process::new(&options.daemon, Vec::new(), log)
@@ -198,6 +203,7 @@
                 process: Mutex::new(process),
                 in_rotation: AtomicBool::new(false),
                 is_ended: AtomicBool::new(false),
+                stopped_at: Mutex::default(),
             })
         });
         let fleet = Self {
@@ -280,20 +286,23 @@
     pub fn stop_daemon(&self, n: usize) {
         let daemon = &self.daemons[n];
         daemon.is_ended.store(true, Ordering::SeqCst);
+        lock(&daemon.stopped_at).get_or_insert_with(Instant::now);
         lock(&daemon.process).signal(Signal::TERM);
     }
 
-    /// Starts a daemon that was ended; one that still stops is killed first.
+    /// Starts a daemon that was ended. One that still stops gets the rest of its time, and
+    /// is killed then.
     pub fn start_daemon(&self, n: usize) {
         let daemon = &self.daemons[n];
         let mut process = lock(&daemon.process);
-        if daemon.is_ended.swap(false, Ordering::SeqCst) {
-            if process.ended().is_none() {
-                process.kill();
-            }
+        process.signal(Signal::CONT);
+        let stopped_at = lock(&daemon.stopped_at).take();
+        if daemon.is_ended.load(Ordering::SeqCst) {
+            let left = stopped_at.map(|at| STOP_TIME.saturating_sub(at.elapsed()));
+            process.await_end(left.unwrap_or_default());
+            daemon.is_ended.store(false, Ordering::SeqCst);
             self.started(&format!("daemon {n}"), process.start());
         }
-        process.signal(Signal::CONT);
     }
 
     fn started(&self, name: &str, result: io::Result<()>) {
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -106,7 +106,7 @@
     pub fn await_end(&mut self, timeout: Duration) -> bool {
         let until = Instant::now() + timeout;
         while Instant::now() < until {
-            if self.ended().is_some() {
+            if self.child.is_none() || self.ended().is_some() {
                 return true;
             }
             thread::sleep(POLL_INTERVAL);
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -293,15 +293,16 @@
                 _ => {}
             }
             let has_request = matches!(peeked, Ok(1..));
-            if let Some((due, bytes)) =
-                copy.take_if(|(due, _)| has_request || *due <= Instant::now())
+            if let Some((_, bytes)) = copy.take_if(|(due, _)| has_request || *due <= Instant::now())
             {
-                let early = if has_request {
+                let when = if has_request {
                     "with the next request"
                 } else {
                     "while idle"
                 };
-                self.note(link, "-", &format!("copy {early} due {:?}", due.elapsed()));
+                let head = String::from_utf8_lossy(&bytes);
+                let lines: Vec<&str> = head.lines().take(2).collect();
+                self.note(link, "-", &format!("copy {when}: {}", lines.join(", ")));
                 let _ = stream.write_all(&bytes);
             }
             match peeked {
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -124,6 +124,10 @@
     drop(fleet);
     let runs = runs::read(&folder.join("runs.txt"))?;
     check_requests(&verdict, &log, &jobs, &runs);
+    let is_planned = |kind: &Kind| *kind == Kind::StopDaemon;
+    if options.kinds.iter().all(is_planned) {
+        check_stops(&verdict, &log, &runs);
+    }
     jobs.check(&verdict, &runs);
     let (counts, cases) = verdict.results();
     let mut broken = BTreeMap::new();
@@ -199,6 +203,17 @@
     }
 }
 
+/// Checks that requests which ran were answered, where all faults are planned stops.
+fn check_stops(verdict: &Verdict, log: &Log, runs: &HashMap<String, Runs>) {
+    let log = log.lock().unwrap_or_else(PoisonError::into_inner);
+    for sent in log.iter().filter(|sent| sent.is_cut) {
+        if runs.get(&sent.id).is_some_and(|runs| runs.started > 0) {
+            let seen = "ran, and was not answered in a planned stop".to_owned();
+            verdict.broken("answered in a stop", &sent.id, seen);
+        }
+    }
+}
+
 /// Prints what replicas and daemons recorded about each broken promise.
 fn explain(report: &Report, folder: &Path, runs: &HashMap<String, Runs>) {
     for case in &report.cases {
