soak: replicas of several software versions

Change: `release` replaces all replicas by those of the next software version, one by one. Events name the version that wrote them. A stream may hold events of one version only, also over the attempts of a client that takes it up; so may the output of a batch item.

--- a/crates/soak/src/answer.rs
+++ b/crates/soak/src/answer.rs
@@ -179,7 +179,7 @@
     }
     let parts: Vec<String> = match is_stream {
         true => (after + 1..=EVENTS)
-            .map(|n| content::event(&id, n))
+            .map(|n| content::event(&id, n, &replica.options.version))
             .collect(),
         false => halves(&content::body(&id)),
     };
--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -73,6 +73,9 @@
     /// id
     #[argh(option)]
     id: String,
+    /// version of its software
+    #[argh(option)]
+    version: String,
     /// data centre
     #[argh(option)]
     zone: String,
@@ -129,6 +132,7 @@
         Command::Replica(replica) => replica::run(replica::Options {
             index: replica.index,
             id: replica.id,
+            version: replica.version,
             zone: replica.zone,
             slots: replica.slots,
             links: replica.links.concat(),
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -102,24 +102,49 @@
     format!("{:016x}", random.random::<u64>())
 }
 
-/// Last event of a stream of which the first ones arrived in order; the reason if it is
-/// none.
-///
-/// # Errors
-///
-/// What is wrong in the part that arrived.
-pub fn check_events(id: &str, after: u64, part: &str) -> Result<u64, String> {
-    let whole = content::events(id, after);
-    if whole.starts_with(part) {
-        return Ok(after + part.matches("\n\n").count() as u64);
+/// Part of a stream that a client has.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Part {
+    /// Attempt that brought its first event.
+    attempt: String,
+    /// Last event.
+    last: u64,
+    /// Software version that wrote the events; `None` without an event.
+    version: Option<String>,
+}
+
+impl Part {
+    /// The part with the events of a further answer.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong in the answer.
+    fn with(&self, id: &str, text: &str) -> Result<Self, String> {
+        let version = content::version(text).map(str::to_owned);
+        let is_known = text.contains("\n\n");
+        if let (Some(began), Some(version), true) = (&self.version, &version, is_known)
+            && began != version
+        {
+            return Err(format!("began at version {began} and goes on at {version}"));
+        }
+        let version = self.version.clone().or(version);
+        let whole = content::events(id, self.last, version.as_deref().unwrap_or_default());
+        if text.is_empty() || whole.starts_with(text) {
+            let attempt = if self.last == 0 { id } else { &self.attempt };
+            return Ok(Self {
+                attempt: attempt.to_owned(),
+                last: self.last + text.matches("\n\n").count() as u64,
+                version: version.filter(|_| is_known || self.version.is_some()),
+            });
+        }
+        let differs = whole.bytes().zip(text.bytes()).position(|(a, b)| a != b);
+        let at = differs.unwrap_or(whole.len());
+        let around: String = text.chars().skip(at.saturating_sub(20)).take(80).collect();
+        Err(format!(
+            "events are wrong from byte {at} of {} on: {around:?}",
+            text.len()
+        ))
     }
-    let differs = whole.bytes().zip(part.bytes()).position(|(a, b)| a != b);
-    let at = differs.unwrap_or(whole.len());
-    let around: String = part.chars().skip(at.saturating_sub(20)).take(80).collect();
-    Err(format!(
-        "events are wrong from byte {at} of {} on: {around:?}",
-        part.len()
-    ))
 }
 
 /// Client that sends one request after the other until `is_over`.
@@ -134,10 +159,10 @@
     while !is_over.load(Ordering::SeqCst) {
         let kind = Kind::draw(&mut random);
         let subject = draw_id(&mut random);
-        let mut broken: Option<(String, u64)> = None;
+        let mut part = Part::default();
         for _ in 0..2 {
             let id = draw_id(&mut random);
-            let request = request(kind, &subject, &id, broken.as_ref(), &mut random);
+            let request = request(kind, &subject, &id, &part, &mut random);
             let open = channel.take().filter(|(_, _, count)| *count < MAX_REQUESTS);
             let opened = open.map_or_else(|| open_connection(fleet, &mut random), Some);
             let Some((daemon, mut connection, count)) = opened else {
@@ -151,11 +176,10 @@
             }
             let started = Instant::now();
             let answer = connection.exchange(&request, DEADLINE + PATIENCE);
-            let after = broken.as_ref().map_or(0, |(_, after)| *after);
             let asked = Asked {
                 id: &id,
                 kind,
-                after,
+                part: &part,
                 daemon,
                 started,
                 deadline: deadline_of(&request),
@@ -168,7 +192,7 @@
                 channel = Some((daemon, connection, count + 1));
             }
             match next {
-                Some(last) if kind == Kind::Resumable => broken = Some((id, last)),
+                Some(next) if kind == Kind::Resumable => part = next,
                 _ => break,
             }
         }
@@ -183,13 +207,7 @@
     Some((daemon, connection, 0))
 }
 
-fn request(
-    kind: Kind,
-    subject: &str,
-    id: &str,
-    broken: Option<&(String, u64)>,
-    random: &mut SmallRng,
-) -> Request {
+fn request(kind: Kind, subject: &str, id: &str, part: &Part, random: &mut SmallRng) -> Request {
     let is_hasty = random.random_range(0..10) == 0;
     let deadline = match is_hasty {
         true => random.random_range(HASTY_MS),
@@ -209,9 +227,12 @@
             ("Prompt-Prefix", &prompt),
         ]);
     }
-    let after = broken.map(|(_, after)| after.to_string());
-    if let (Some((first, 1..)), Some(after)) = (broken, &after) {
-        headers.extend([(wire::RESUMES, first.as_str()), (wire::LAST_EVENT, after)]);
+    let last = part.last.to_string();
+    if part.last > 0 {
+        headers.extend([
+            (wire::RESUMES, part.attempt.as_str()),
+            (wire::LAST_EVENT, &last),
+        ]);
     }
     Request {
         method: "POST".into(),
@@ -225,8 +246,8 @@
 struct Asked<'a> {
     id: &'a str,
     kind: Kind,
-    /// Last event that the client had.
-    after: u64,
+    /// What the client has of the stream.
+    part: &'a Part,
     daemon: usize,
     started: Instant,
     deadline: Duration,
@@ -239,17 +260,17 @@
     ms.map_or(DEADLINE, Duration::from_millis)
 }
 
-/// Checks an answer. Returns the last event of a stream that broke.
+/// Checks an answer. Returns what the client has of a stream that broke.
 fn judge(
     verdict: &Verdict,
     log: &Log,
     asked: &Asked<'_>,
     answer: &io::Result<Response>,
-) -> Option<u64> {
+) -> Option<Part> {
     let Asked {
         id,
         kind,
-        after,
+        part,
         daemon,
         ..
     } = *asked;
@@ -273,7 +294,7 @@
         Err(e) => {
             verdict.count(&format!("{kind:?}: no answer"));
             verdict.note(&format!("{id} {kind:?} daemon {daemon} {ms} ms: {e}"));
-            return Some(after);
+            return Some(part.clone());
         }
     };
     let is_complete = answer.is_complete;
@@ -281,7 +302,8 @@
     let status = answer.status;
     verdict.count(&format!("{kind:?}: {status} {end}"));
     verdict.note(&format!(
-        "{id} {kind:?} daemon {daemon} after {after} {ms} ms: {status} {end}, {} bytes",
+        "{id} {kind:?} daemon {daemon} after {} {ms} ms: {status} {end}, {} bytes",
+        part.last,
         answer.body.len()
     ));
     let echo = answer.header(wire::ATTEMPT);
@@ -291,7 +313,7 @@
         return None;
     }
     if status != 200 {
-        return Some(after);
+        return Some(part.clone());
     }
     if !is_signed || !answer.text().is_ascii() {
         verdict.broken(
@@ -302,13 +324,13 @@
     }
     let text = answer.text();
     if kind.is_stream() {
-        match check_events(id, after, &text) {
+        match part.with(id, &text) {
             Err(seen) => verdict.broken("stream in order", id, seen),
-            Ok(last) if is_complete && last != EVENTS => {
+            Ok(Part { last, .. }) if is_complete && last != EVENTS => {
                 let seen = format!("ended as complete after event {last} of {EVENTS}");
                 verdict.broken("stream whole", id, seen);
             }
-            Ok(last) if !is_complete => return Some(last),
+            Ok(next) if !is_complete => return Some(next),
             Ok(_) => {}
         }
         return None;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -79,7 +79,29 @@
 #[derive(Debug)]
 struct Replica {
     process: Mutex<Process>,
-    generation: Mutex<u32>,
+    identity: Mutex<Identity>,
+}
+
+/// What changes from process to process of a replica.
+#[derive(Clone, Copy, Debug)]
+struct Identity {
+    /// Number of ids before.
+    generation: u32,
+    /// Number of its software version.
+    version: u32,
+}
+
+impl Identity {
+    /// Last arguments of the process of replica `n`.
+    fn args(self, n: usize) -> Vec<String> {
+        let Self {
+            generation,
+            version,
+        } = self;
+        let id = format!("replica-{n}-{generation}");
+        let args = ["--version", &format!("v{version}"), "--id", &id];
+        args.map(str::to_owned).to_vec()
+    }
 }
 
 /// All processes of a run.
@@ -172,13 +194,16 @@
             ];
             let framings = options.framings.iter();
             args.extend(framings.map(|framing| ("framing", framing.name().to_owned())));
-            // The last argument changes from process to process.
-            args.push(("id", replica_id(n, 0)));
             let log = path(&format!("replica-{n}.txt"));
-            let args = standin("replica", &args);
+            let identity = Identity {
+                generation: 0,
+                version: 1,
+            };
+            let mut args = standin("replica", &args);
+            args.extend(identity.args(n));
             Replica {
                 process: Mutex::new(Process::new(program, args, log)),
-                generation: Mutex::new(0),
+                identity: Mutex::new(identity),
             }
         });
         let daemons = own.chunks(PORTS_PER_DAEMON).enumerate().map(|(n, own)| {
@@ -323,14 +348,26 @@
 
     /// Starts a replica, under a new id if `is_new`.
     pub fn start_replica(&self, n: usize, is_new: bool) {
+        self.start_replica_as(n, u32::from(is_new), 0);
+    }
+
+    /// Kills a replica and starts the next version of its software.
+    pub fn release_replica(&self, n: usize) {
+        self.kill_replica(n);
+        self.start_replica_as(n, 1, 1);
+    }
+
+    fn start_replica_as(&self, n: usize, generations: u32, versions: u32) {
         let replica = &self.replicas[n];
-        let mut generation = lock(&replica.generation);
-        *generation += u32::from(is_new);
+        let mut identity = lock(&replica.identity);
         let mut process = lock(&replica.process);
-        if let Some(id) = process.args.last_mut()
-            && id.starts_with(REPLICA_PREFIX)
-        {
-            *id = replica_id(n, *generation);
+        if process.id().is_none() {
+            identity.generation += generations;
+            identity.version += versions;
+            let args = identity.args(n);
+            let kept = process.args.len() - args.len();
+            process.args.truncate(kept);
+            process.args.extend(args);
         }
         self.started(&format!("replica {n}"), process.start());
         process.signal(Signal::CONT);
@@ -393,13 +430,6 @@
     }
 }
 
-/// Beginning of the ids of replicas.
-const REPLICA_PREFIX: &str = "replica-";
-
-fn replica_id(n: usize, generation: u32) -> String {
-    format!("{REPLICA_PREFIX}{n}-{generation}")
-}
-
 impl Daemon {
     /// Whether the readiness check is answered with 200 in time.
     #[must_use]
--- a/crates/soak/src/jobs.rs
+++ b/crates/soak/src/jobs.rs
@@ -281,7 +281,8 @@
             let seen = format!("job {} lists it twice", self.id);
             verdict.broken("one result", &entry.id, seen);
         }
-        let whole = content::output(&entry.id);
+        let version = content::version(&entry.output).unwrap_or_default();
+        let whole = content::output(&entry.id, version);
         if entry.state == "completed" && entry.output != whole {
             let lines = entry.output.lines().count();
             let seen = format!("completed with {lines} events: {:.120?}", entry.output);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -18,6 +18,8 @@
     KillReplica,
     /// A replica stands still and goes on.
     FreezeReplica,
+    /// All replicas are replaced by those of another software version, one by one.
+    Release,
     /// A daemon is killed and comes back.
     KillDaemon,
     /// All daemons are killed and come back.
@@ -51,9 +53,10 @@
 }
 
 /// All kinds.
-pub const KINDS: [Kind; 17] = [
+pub const KINDS: [Kind; 18] = [
     Kind::KillReplica,
     Kind::FreezeReplica,
+    Kind::Release,
     Kind::KillDaemon,
     Kind::KillDaemons,
     Kind::StopDaemon,
@@ -78,6 +81,7 @@
         match self {
             Self::KillReplica => "kill-replica",
             Self::FreezeReplica => "freeze-replica",
+            Self::Release => "release",
             Self::KillDaemon => "kill-daemon",
             Self::KillDaemons => "kill-daemons",
             Self::StopDaemon => "stop-daemon",
@@ -119,6 +123,8 @@
     KillReplica(usize),
     /// Starts a replica, under a new id or its old one.
     StartReplica(usize, bool),
+    /// Kills a replica and starts the next version of its software.
+    ReleaseReplica(usize),
     /// Sends a signal to a replica.
     SignalReplica(usize, Signal),
     /// Sends a command to a replica.
@@ -145,6 +151,7 @@
         match self {
             Self::KillReplica(n) => fleet.kill_replica(*n),
             Self::StartReplica(n, is_new) => fleet.start_replica(*n, *is_new),
+            Self::ReleaseReplica(n) => fleet.release_replica(*n),
             Self::SignalReplica(n, signal) => fleet.signal_replica(*n, *signal),
             Self::CommandReplica(n, command) => fleet.command_replica(*n, command),
             Self::KillDaemon(n) => fleet.kill_daemon(*n),
@@ -205,6 +212,7 @@
     let replica = random.random_range(0..size.replicas);
     let short = random.random_range(300..3000);
     let long = random.random_range(1000..6000);
+    let gap = random.random_range(100..1500);
     let is_new = random.random_range(0..10) < 7;
     let all = 0..size.replicas;
     let link = |replica, behaviour: &str| {
@@ -236,6 +244,12 @@
             (0, Action::SignalReplica(replica, Signal::STOP)),
             (short, Action::SignalReplica(replica, Signal::CONT)),
         ],
+        Kind::Release => {
+            let releases = all
+                .clone()
+                .map(|n| (n as u64 * gap, Action::ReleaseReplica(n)));
+            releases.collect()
+        }
         Kind::KillDaemon => vec![
             (0, Action::KillDaemon(daemon)),
             (short, Action::StartDaemon(daemon)),
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -90,6 +90,8 @@
     pub index: usize,
     /// Id.
     pub id: String,
+    /// Version of its software, which its events name.
+    pub version: String,
     /// Data centre.
     pub zone: String,
     /// Requests that run at a time.
@@ -191,20 +193,21 @@
     }
 
     fn send_heartbeats(&self) {
-        let Options {
-            index,
-            id,
-            zone,
-            slots,
-            store,
-            ..
-        } = &self.options;
+        let options = &self.options;
         let born = SystemTime::now().duration_since(UNIX_EPOCH);
         let born = born.unwrap_or_default().as_millis() as u64;
         for seq in 0.. {
+            let record = wire::ReplicaRecord {
+                index: options.index,
+                zone: &options.zone,
+                version: &options.version,
+                slots: options.slots,
+                seq,
+                born,
+            };
             let record = Record {
-                key: id.as_str().into(),
-                value: Some(wire::replica_record(*index, zone, *slots, seq, born)),
+                key: options.id.as_str().into(),
+                value: Some(record.encode()),
             };
             let request = Request {
                 method: "POST".into(),
@@ -217,7 +220,7 @@
                 body: encode_records(&[record]).to_vec(),
             };
             // While the store is down, the next heartbeat comes later.
-            let _sent = http::call(*store, &request, HEARTBEAT);
+            let _sent = http::call(options.store, &request, HEARTBEAT);
             thread::sleep(HEARTBEAT);
         }
     }
