--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -120,6 +120,15 @@
     }
 }
 
+/// Relay of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Relay {
+    /// Address of the daemon.
+    pub address: SocketAddr,
+    /// Whether it resets a connection whose other side breaks.
+    pub passes_resets: bool,
+}
+
 /// Connection to one address.
 #[derive(Debug)]
 pub struct Connection {
@@ -129,7 +138,7 @@
     _driver: Task<()>,
     fate: Arc<Fate>,
     /// Relay through which it leads.
-    relay: Option<SocketAddr>,
+    relay: Option<Relay>,
     /// Where its answers are recorded.
     answered: Option<AnswerTime>,
     idle_since: Duration,
@@ -172,13 +181,28 @@
     }
 
     /// Marks a connection that leads through a relay.
-    pub(crate) fn over_relay(self, relay: SocketAddr) -> Self {
+    pub(crate) fn over_relay(self, relay: Relay) -> Self {
         Self {
             relay: Some(relay),
             ..self
         }
     }
 
+    /// Address to which it leads.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether the other side has not closed it, as far as it is known.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
+    /// Relay through which it leads.
+    pub(crate) fn relay(&self) -> Option<Relay> {
+        self.relay
+    }
+
     /// Records that a part of an answer arrived.
     pub(crate) fn record_answer(&self) {
         if let Some(answered) = &self.answered {
@@ -203,7 +227,7 @@
     fn is_reusable(&self, now: Duration) -> bool {
         // The driver may still be processing the end of the last response;
         // sending waits for it.
-        !self.sender.is_closed() && now.saturating_sub(self.idle_since) < self.idle_timeout
+        self.is_open() && now.saturating_sub(self.idle_since) < self.idle_timeout
     }
 }
 
@@ -276,7 +300,8 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
         connections.retain(|connection| connection.is_reusable(now));
-        let usable = connections.iter().rposition(|c| is_usable(c.relay))?;
+        let relay = |c: &Connection| c.relay.map(|relay| relay.address);
+        let usable = connections.iter().rposition(|c| is_usable(relay(c)))?;
         Some(connections.remove(usable))
     }
 
@@ -362,7 +387,7 @@
         for connections in idle.values_mut() {
             connections.retain(|connection| {
                 let relay = connection.relay;
-                relay.is_none_or(|relay| is_needed(connection.address, relay))
+                relay.is_none_or(|relay| is_needed(connection.address, relay.address))
             });
         }
     }
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -22,7 +22,8 @@
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header, response};
 
 use self::admission::Shortage;
-use crate::body::{Body, Truncated};
+use crate::answer::Summary;
+use crate::body::{Body, Part};
 use crate::clock::{self, with_timeout};
 use crate::core::Core;
 use crate::dialect::Dialect;
@@ -30,7 +31,7 @@
 use crate::sse::Event;
 use crate::store::Store;
 use crate::streams;
-use crate::upstream::{self, Message, Received, SendOptions, Slot, send, strip_hop_by_hop_headers};
+use crate::upstream::{self, Message, SendOptions, Slot, send, strip_hop_by_hop_headers};
 
 /// Minimum time before the deadline at which an attempt is still made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
@@ -102,6 +103,17 @@
     }
 }
 
+/// How the relay of a stream to its client ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Relayed {
+    /// All events were relayed.
+    Complete,
+    /// The stream broke and could not be resumed.
+    Broken,
+    /// The client disconnected.
+    ClientLeft,
+}
+
 /// Online request of a client with the state of its attempts.
 pub(crate) struct Request<S: Store, D: Dialect> {
     core: Core<S, D>,
@@ -171,21 +183,21 @@
         }
     }
 
-    fn record_answer(&self, slot: &Slot<S, D>) {
+    fn record_answer(&self, slot: &Slot<S, D>, summary: Summary) {
         let total = clock::now().saturating_sub(self.arrived);
         let selection = &slot.selection;
         self.core
             .pool()
             .record_run_time(&selection.service, total.saturating_sub(self.slot_wait));
-        self.core
-            .metrics
-            .request_answered(&self.route, self.attempts.sent(), self.time_to_first);
+        let metrics = &self.core.metrics;
+        metrics.request_answered(&self.route, self.attempts.sent(), self.time_to_first);
+        metrics.answer_ended(summary.framing);
         let times = log::Times {
             slot_wait: self.slot_wait,
             first: self.time_to_first,
             total,
         };
-        log::request_answered(&self.id, &self.route.name, &slot.selection, &times);
+        log::request_answered(&self.id, &self.route.name, selection, &times, summary);
     }
 
     fn remaining(&self) -> Duration {
@@ -260,7 +272,7 @@
                 }
                 Ok(response) => {
                     match with_timeout(self.remaining(), response.read_to_end(&self.core)).await {
-                        Some(Ok((head, bytes))) => match self.complete(&slot, head, bytes) {
+                        Some(Ok(answer)) => match self.complete(&slot, answer) {
                             Ok(response) => return response,
                             Err(decision) => decision,
                         },
@@ -320,29 +332,18 @@
         &self,
         mut response: upstream::Response,
     ) -> Result<(upstream::Response, Option<Event>), Outcome> {
-        match with_timeout(
-            self.attempt_timeout(self.remaining()),
-            response.next_event(),
-        )
-        .await
-        {
-            Some(Received::Event(event)) if self.is_expected(event.id) => {
-                Ok((response, Some(event)))
-            }
-            Some(Received::Event(_) | Received::Broken) => Err(Outcome::Broken),
-            Some(Received::LinkLost) => Err(Outcome::LinkLost),
-            Some(Received::End) => Ok((response, None)),
+        let timeout = self.attempt_timeout(self.remaining());
+        match with_timeout(timeout, response.next_event(&self.core)).await {
+            Some(Ok(event)) => Ok((response, event)),
+            Some(Err(outcome)) => Err(outcome),
             None => Err(Outcome::Silent),
         }
     }
 
-    /// Whether an event id is the successor of the last one; ids count from 1.
-    fn is_expected(&self, id: Option<u64>) -> bool {
-        id.is_none_or(|id| id == self.last_event_id.unwrap_or(0) + 1)
-    }
-
-    fn record_event_id(&mut self, id: Option<u64>) {
-        self.last_event_id = Some(id.unwrap_or_else(|| self.last_event_id.unwrap_or(0) + 1));
+    /// Records that the next event was relayed.
+    fn record_event(&mut self) {
+        let last = self.last_event_id.unwrap_or(0);
+        self.last_event_id = Some(last.saturating_add(1));
     }
 
     /// Records a failed attempt and decides what follows.
@@ -381,8 +382,7 @@
     fn complete(
         &mut self,
         slot: &Slot<S, D>,
-        head: response::Parts,
-        bytes: Bytes,
+        (head, bytes, summary): (response::Parts, Bytes, Summary),
     ) -> Result<Response<Body>, Decision> {
         if head.status.is_server_error() {
             match self.record_failure(slot, Outcome::Failed) {
@@ -399,7 +399,7 @@
         *response.status_mut() = head.status;
         *response.headers_mut() = forwarded_headers(head.headers);
         self.time_to_first = clock::now().saturating_sub(self.arrived);
-        self.record_answer(slot);
+        self.record_answer(slot, summary);
         Ok(response)
     }
 
@@ -449,37 +449,32 @@
         *response.status_mut() = upstream.head.status;
         *response.headers_mut() = forwarded_headers(upstream.head.headers.clone());
         let core = self.core.clone();
-        let (sender, events) = async_channel::bounded(EVENT_BUFFER_LEN);
+        let (sender, parts) = async_channel::bounded(EVENT_BUFFER_LEN);
         let task = core.spawn(async move {
-            let is_complete = self.relay_events(slot, upstream, first, &sender).await;
-            if !is_complete {
-                self.core.metrics.request_refused(Code::StreamBroken);
-                log::request_refused(
-                    &self.id,
-                    &self.route.name,
-                    Code::StreamBroken,
-                    self.remaining(),
-                );
-                drop(sender.send(Err(Truncated)).await);
+            match self.relay_events(slot, upstream, first, &sender).await {
+                Relayed::Complete => drop(sender.send(Part::End).await),
+                Relayed::Broken => {
+                    let (id, route) = (&self.id, &self.route.name);
+                    self.core.metrics.request_refused(Code::StreamBroken);
+                    log::request_refused(id, route, Code::StreamBroken, self.remaining());
+                }
+                Relayed::ClientLeft => {}
             }
         });
-        response.map(|()| Body::Events {
-            events: Box::pin(events),
-            _task: task,
-        })
+        response.map(|()| Body::events(parts, task))
     }
 
-    /// Relays events until the stream is complete or the client disconnects;
-    /// `false` if the stream broke and could not be resumed.
+    /// Relays events until the stream is complete, the client disconnects, or the stream
+    /// breaks and cannot be resumed.
     async fn relay_events(
         &mut self,
         slot: Slot<S, D>,
         response: upstream::Response,
         first: Option<Event>,
-        sender: &Sender<Result<Bytes, Truncated>>,
-    ) -> bool {
+        sender: &Sender<Part>,
+    ) -> Relayed {
         let Some(first) = first else {
-            return true;
+            return Relayed::Complete;
         };
         self.time_to_first = clock::now().saturating_sub(self.arrived);
         let build = slot.selection.build();
@@ -490,38 +485,38 @@
         }
         self.binding = Binding::of_stream(build);
         let (mut slot, mut response) = (slot, response);
-        self.record_event_id(first.id);
-        if sender.send(Ok(first.bytes)).await.is_err() {
-            return true;
+        self.record_event();
+        if sender.send(Part::Event(first.bytes)).await.is_err() {
+            return Relayed::ClientLeft;
         }
         loop {
-            let outcome = match with_timeout(self.idle_timeout(), response.next_event()).await {
-                Some(Received::Event(event)) if self.is_expected(event.id) => {
-                    self.record_event_id(event.id);
-                    match sender.send(Ok(event.bytes)).await {
+            let next = with_timeout(self.idle_timeout(), response.next_event(&self.core));
+            let outcome = match next.await {
+                Some(Ok(Some(event))) => {
+                    self.record_event();
+                    match sender.send(Part::Event(event.bytes)).await {
                         Ok(()) => continue,
-                        // The client disconnected.
-                        Err(_) => return true,
+                        Err(_) => return Relayed::ClientLeft,
                     }
                 }
-                Some(Received::End) => {
+                Some(Ok(None)) => {
                     self.core.pool().record_success(slot.selection.key);
-                    self.record_answer(&slot);
+                    let last_event_id = self.last_event_id.unwrap_or(0);
+                    self.record_answer(&slot, response.summary(last_event_id));
                     response.release_connection(&self.core);
-                    return true;
+                    return Relayed::Complete;
                 }
-                Some(Received::Event(_) | Received::Broken) => Outcome::Broken,
-                Some(Received::LinkLost) => Outcome::LinkLost,
+                Some(Err(outcome)) => outcome,
                 None => Outcome::Silent,
             };
             drop(response);
             if self.record_failure(&slot, outcome) != Decision::Retry {
-                return false;
+                return Relayed::Broken;
             }
             drop(slot);
             match self.resume().await {
                 Some((next_slot, next_response)) => (slot, response) = (next_slot, next_response),
-                None => return false,
+                None => return Relayed::Broken,
             }
         }
     }
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -36,7 +36,7 @@
 use crate::log;
 use crate::shard::Undecided;
 use crate::store::Store;
-use crate::upstream::{self, Message, Received, ReserveReply, SendOptions, Slot, admit, send};
+use crate::upstream::{self, Message, ReserveReply, SendOptions, Slot, admit, send};
 
 /// Interval between checks for items to preempt or drop.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -663,42 +663,40 @@
 
     async fn receive_events(self, mut response: upstream::Response) {
         loop {
-            match with_timeout(STREAM_IDLE_TIMEOUT, response.next_event()).await {
-                Some(Received::Event(event)) => {
+            match with_timeout(STREAM_IDLE_TIMEOUT, response.next_event(&self.core)).await {
+                Some(Ok(Some(event))) => {
                     let mut runs = self.core.runs();
                     let Some(run) = runs.runs.get_mut(&self.id) else {
                         return;
                     };
-                    if event
-                        .id
-                        .is_some_and(|id| id != run.output.last_event_id() + 1)
-                    {
-                        drop(runs);
-                        return self.record_broken(Outcome::Broken);
-                    }
                     run.output.push(&event.data());
                 }
-                Some(Received::End) => {
+                Some(Ok(None)) => {
+                    let (output, last_event_id) = self.completed_output();
+                    let summary = response.summary(last_event_id);
+                    let (job, index) = &self.id;
+                    log::item_completed(job, *index, &self.slot.selection, summary);
+                    self.core.metrics.answer_ended(summary.framing);
                     response.release_connection(&self.core);
                     self.core.pool().record_success(self.slot.selection.key);
-                    let outcome = ledger::Outcome::Completed(self.completed_output());
+                    let outcome = ledger::Outcome::Completed(output);
                     return self.finish(outcome, "completed");
                 }
-                Some(Received::Broken) => return self.record_broken(Outcome::Broken),
-                Some(Received::LinkLost) => return self.record_broken(Outcome::LinkLost),
+                Some(Err(outcome)) => return self.record_broken(outcome),
                 None => return self.record_broken(Outcome::Silent),
             }
         }
     }
 
-    /// Returns the output of a completed item and records its run time.
-    fn completed_output(&self) -> Arc<str> {
+    /// Returns the output of a completed item with its last event id, and records its
+    /// run time.
+    fn completed_output(&self) -> (Arc<str>, u64) {
         let mut runs = self.core.runs();
         let Runs {
             runs, estimator, ..
         } = &mut *runs;
         let Some(run) = runs.get(&self.id) else {
-            return Arc::default();
+            return (Arc::default(), 0);
         };
         let (started, last_event_before) = self.started;
         let last_event_id = run.output.last_event_id();
@@ -707,7 +705,7 @@
             clock::now().saturating_sub(started),
         );
         estimator.record_finished(last_event_id);
-        Arc::from(run.output.text())
+        (Arc::from(run.output.text()), last_event_id)
     }
 
     fn finish(self, outcome: ledger::Outcome, reason: &str) {
