--- a/crates/coordination/tests/fuzz/main.rs
+++ b/crates/coordination/tests/fuzz/main.rs
@@ -288,11 +288,11 @@
             Some(streams::Message::Ask { stream, route, .. }) => {
                 let route = route.as_ref();
                 let history = route.map_or(streams::History::Unknown, |route| {
-                    let of_service = pool.history(NOW, &route.service, route.window(), false);
+                    let of_service = pool.history(NOW, &route.service, route.window());
                     streams.history_of(NOW, route, of_service)
                 });
                 let answer = streams.answer(stream, history);
-                let _build = streams::decide(route, &[answer]);
+                let _build = streams::decide(route, &answer, &[]);
             }
             Some(streams::Message::Began { stream, build }) => streams.record(NOW, stream, build),
             _ => {}
