gateway: an outage of the store counts only at daemons that it does not serve

What could follow: the store turns all daemons away but one. That one took the outage of the others for one of the fleet, let its last list count, and a stream of a version that had joined since went on at the old one.

Cause: whether the store is down was read from the heartbeats of others alone.

Change: the last list counts only if this daemon's own calls fail as well; else it asks for the list. Where several versions are known, no list is asked for, as none can make one of them.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -153,16 +153,19 @@
             is_complete,
         }) => (answers, is_complete),
     };
-    // In an outage of the store, a version that this daemon has not seen was listed
-    // before, and others have seen it.
-    let is_outage = is_complete && core.peers().is_store_outage(clock::now());
-    let own = if is_outage {
-        own(Until::StoreOutage)
-    } else {
-        if route.is_some() && !core.is_store_unavailable(clock::now()) {
+    // No reading of the list makes several versions one.
+    let several = Answer::History(History::Mixed);
+    let is_mixed = own(Until::Time(came_at)) == several || others.contains(&several);
+    let now = clock::now();
+    let own = match core.is_store_unavailable(now) {
+        // A version that this daemon has not seen was listed before, and others have
+        // seen it.
+        true if is_complete && core.peers().is_store_outage(now) => own(Until::StoreOutage),
+        false if route.is_some() && !is_mixed => {
             core.list_reads.wait_for(came_at, LIST_TIMEOUT).await;
+            own(Until::Time(came_at))
         }
-        own(Until::Time(came_at))
+        _ => own(Until::Time(came_at)),
     };
     let build = streams::decide(route.as_ref(), &own, &others);
     log::stream_without_record(&own, &others, build.as_ref());
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -376,6 +376,35 @@
     });
 }
 
+/// Guards against a daemon that the store serves, and that takes an outage of all others
+/// for one of its own: its list may be read, and is not.
+#[test]
+fn outage_of_other_daemons_makes_no_list_current() {
+    smol::block_on(async {
+        let replicas = start_replicas().await;
+        let (old, new) = replicas.split_at(2);
+        let store = store_of_one_version(old);
+        let handles = [store.handle(), store.handle()];
+        let gateways = [
+            Gateway::start(&handles[0]).await,
+            Gateway::start(&handles[1]).await,
+        ];
+        for gateway in &gateways {
+            wait_until("heartbeats", || gateway.daemon.live_peers() == 1).await;
+        }
+        wait_for_one_version(&gateways[0]).await;
+        handles[1].turn_away(true);
+        smol::Timer::after(Duration::from_millis(3000)).await;
+        store.hold_list(true);
+        wait_until("a read", || store.held() >= 1).await;
+        for replica in new {
+            store.publish_replica(&replica.record());
+        }
+        let request = taken_up("second", "first");
+        assert_not_resumable(&gateways[0], &replicas, &request).await;
+    });
+}
+
 /// Guards against a daemon that has just started and does not know a version that came
 /// and left before anyone recorded it.
 #[test]
