gateway: a read of the list without records is followed by a pause

A read that returns no record, though the store says that there are more, was repeated at once since the list counts as read only up to its end. Found by reading, not seen; no test holds such an answer.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -87,8 +87,11 @@
                         read.records.iter().for_each(&mut on_record);
                         offset = read.start_offset + read.records.len() as u64;
                         // The store may have more than one call takes.
-                        if offset >= read.end_offset {
+                        let has_all = offset >= read.end_offset;
+                        if has_all {
                             on_current(Reading::Continued, asked_at);
+                        }
+                        if has_all || read.records.is_empty() {
                             let pause = self.core.list_reads.pause(asked_at, self.read_delay);
                             pause.await;
                         }
