gateway: small answers share the bound of all

Each answer could keep 64 KB beside the budget, so that thousands of connections passed the memory of the process all the same. The quarter of the memory is now the bound of all answers; those of more than 64 KB leave a quarter of it to the others, so that large ones still end no small one.

`small_answer_beyond_the_bound` (an answer of one byte while 2 of 2 MB are kept) expects what the code before allowed to be refused; it was not run on that code. The cases of `answer_is_within` follow the new parts, with the edges on both sides. Gateway tests: 179 passed.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -1,16 +1,19 @@
 //! Memory for answers of replicas that a daemon keeps: bodies that are being read, events
 //! that wait for slow clients, and outputs of items.
 //!
-//! An answer may always keep a small part, so that a few large ones do not end the
-//! others. What it keeps beyond that counts against one budget of the daemon.
+//! Small answers have a part of the budget to themselves, so that a few large ones do
+//! not end the others.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
 
-/// Bytes that one answer may keep although the budget is spent.
-pub const GUARANTEED_BYTES: usize = 64 << 10;
+/// Maximum size of a small answer, in bytes.
+pub const SMALL_BYTES: usize = 64 << 10;
+
+/// Part of the budget that is left to small answers: one in this many bytes.
+const SMALL_DIVISOR: usize = 4;
 
 /// Bytes from which an event that waits for a client is counted by itself.
 const LARGE_EVENT_BYTES: usize = 4 << 10;
@@ -41,10 +44,12 @@
         self.kept.load(Ordering::Relaxed)
     }
 
-    /// Maximum number of bytes that answers keep beyond [`GUARANTEED_BYTES`] each.
-    #[must_use]
-    pub fn max_bytes(&self) -> usize {
-        self.max_bytes
+    /// Maximum of all that is kept if an answer grows to a size, in bytes.
+    fn max_bytes_for(&self, size: usize) -> usize {
+        match size {
+            0..=SMALL_BYTES => self.max_bytes,
+            _ => self.max_bytes - self.max_bytes / SMALL_DIVISOR,
+        }
     }
 
     /// Share of an answer that keeps nothing yet.
@@ -77,7 +82,7 @@
         let before = kept.fetch_add(bytes - self.bytes, Ordering::Relaxed);
         let all = before + bytes - self.bytes;
         self.bytes = bytes;
-        bytes <= GUARANTEED_BYTES || all <= self.budget.max_bytes
+        all <= self.budget.max_bytes_for(bytes)
     }
 
     /// Counts an event that leaves the buffer of its answer until its last use.
