gateway: asks of a new process do not repeat the numbers of the last one

Found by a review of the code, not seen in a run: a reply to an ask of an ended process, sent late by a peer that stood still, was taken for the reply to the ask of the same number of the process that has its address now. Numbers begin at random.

--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -42,7 +42,8 @@
     fn default() -> Self {
         Self {
             pending: Mutex::default(),
-            next_id: AtomicU32::default(),
+            // Replies to the asks of an earlier process may still come.
+            next_id: AtomicU32::new(rand::random()),
         }
     }
 }
