gateway: an item fails only by failures of its own runs

A failure without the id of the item, as the second copy of a refused reservation, counted as a failure of its run, and so did each status that is neither a success nor 422.

Change: an answer that does not name the attempt is a broken one, whatever its status; only 500 counts as a failure of an item. Headers of an item that concern a connection, a deadline or a last event are not sent, as the daemon sets its own.

Evidence: ends::failure_without_an_id and ends::unavailable_replica failed (the item was given up after three answers) and pass.

--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -37,7 +37,9 @@
 use crate::log;
 use crate::shard::Undecided;
 use crate::store::Store;
-use crate::upstream::{self, Message, ReserveReply, SendOptions, Slot, admit, send};
+use crate::upstream::{
+    self, Message, ReserveReply, SendOptions, Slot, admit, send, strip_hop_by_hop_headers,
+};
 
 /// Interval between checks for items to preempt or drop.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -554,8 +556,12 @@
         let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
         headers.append(name, HeaderValue::from_str(value).ok()?);
     }
+    strip_hop_by_hop_headers(&mut headers);
     headers.insert(header::HOST, HeaderValue::from_str(&submission.host).ok()?);
     let header_names = core.dialect.header_names();
+    // An item has no deadline of its own, and begins with its first event.
+    headers.remove(&header_names.deadline);
+    headers.remove(&header_names.last_event_id);
     headers.insert(
         header_names.attempt_id.clone(),
         HeaderValue::from_str(&item.id).ok()?,
@@ -671,7 +677,8 @@
                 StatusCode::UNPROCESSABLE_ENTITY => {
                     self.finish(ledger::Outcome::GivenUp, "cannot_be_done");
                 }
-                _ => self.record_failed_response(),
+                StatusCode::INTERNAL_SERVER_ERROR => self.record_failed_response(),
+                _ => self.record_broken(Outcome::Failed),
             },
             Err(outcome) => self.record_broken(outcome),
         }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -363,9 +363,8 @@
         record_limit(core, selection, named_limit(core, &head));
     }
     match head.status {
-        // Without an id it may be the second copy of the answer to a reservation call,
-        // whose promise says nothing of this request.
-        _ if echo != attempt && (echo.is_some() || is_not_run) => Err(Outcome::Broken),
+        // Without an id it may be the second copy of the answer to a reservation call.
+        _ if echo != attempt => Err(Outcome::Broken),
         _ if is_misdirected => Err(Outcome::Misdirected),
         _ if is_not_run => Err(Outcome::NotRun),
         _ if head.headers.contains_key(header::CONTENT_ENCODING) => Err(Outcome::Broken),
--- a/crates/gateway/tests/gateway/ends.rs
+++ b/crates/gateway/tests/gateway/ends.rs
@@ -63,6 +63,29 @@
     ]);
 }
 
+cases! {
+    /// Guards against an item that is given up for failures that are none of its own: an
+    /// answer without its id, and one that tells of no run.
+    fn only_failures_of_its_own_runs_end_an_item(answer: Action) {
+        smol::block_on(async {
+            let mut replicas = Vec::new();
+            for id in ["r1", "r2", "r3", "r4"] {
+                replicas.push(ScriptedReplica::start(id, vec![vec![answer.clone()]]).await);
+            }
+            let gateway = Gateway::start(&store(&replicas.iter().collect::<Vec<_>>())).await;
+            let submission = request("POST", "/items/", "job", "one\n");
+            assert_eq!(status(&gateway.fetch(&submission).await), 202);
+            let runs = || replicas.iter().map(|r| r.requests().len()).sum::<usize>();
+            // More than the route allows to fail.
+            wait_until("four runs of the item", || runs() > 3).await;
+            let lines = results(&gateway, "job", 0).await;
+            assert!(lines.is_empty(), "{lines:?}");
+        });
+    }
+    failure_without_an_id(Action::Send("HTTP/1.1 500 X\r\ncontent-length: 0\r\n\r\n".into()));
+    unavailable_replica(Action::Respond(503, "signature: s\r\ncontent-length: 0\r\n", ""));
+}
+
 /// See [`stream_goes_on_when_its_process_ends`].
 #[test]
 fn item_goes_on_when_its_process_ends() {
