gateway: an end is confirmed by a connection that the process had accepted before

Cause: the connection that confirmed the end of an answer was opened after it, so another process at the address confirmed it as well. It showed that someone listens there.

Change: with the head of an answer that ends with its connection, a second connection is opened over the same path. It ends with the process, so the answer is whole only if that one is still open; then it is kept for the next request, as before. The framing follows what the HTTP library makes of a head, not the presence of a header, and an answer without a body needs no confirmation.

Evidence: ends::stream_goes_on_when_its_process_is_replaced (left: ["a"], right: ["a", "b"]) and ends::answer_with_no_coding (200 for 502) failed and pass; 240 tests of the gateway pass.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -1,11 +1,12 @@
 //! How the answer of a replica is framed, and how it ended.
 
 use http::{header, response};
+use http_body::Body;
 
 /// How an answer states where its body ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Framing {
-    /// By its length.
+    /// By its length, also one of zero.
     Length,
     /// By a last chunk.
     Chunks,
@@ -14,11 +15,14 @@
 }
 
 impl Framing {
-    /// Framing that the head of an answer states.
-    pub(crate) fn of(head: &response::Parts) -> Self {
-        match &head.headers {
-            headers if headers.contains_key(header::TRANSFER_ENCODING) => Self::Chunks,
-            headers if headers.contains_key(header::CONTENT_LENGTH) => Self::Length,
+    /// Framing of an answer with a head and a body.
+    pub(crate) fn of(head: &response::Parts, body: &impl Body) -> Self {
+        let codings = head.headers.get_all(header::TRANSFER_ENCODING);
+        let last = codings.iter().next_back().and_then(|c| c.to_str().ok());
+        let last = last.and_then(|codings| codings.rsplit(',').next());
+        match last.map(str::trim) {
+            Some(coding) if coding.eq_ignore_ascii_case("chunked") => Self::Chunks,
+            None if body.is_end_stream() || body.size_hint().exact().is_some() => Self::Length,
             _ => Self::Connection,
         }
     }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -137,6 +137,15 @@
     pub passes_resets: bool,
 }
 
+/// Where the answers of a connection come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Origin {
+    /// Address of the process.
+    pub address: SocketAddr,
+    /// Relay through which the connection leads.
+    pub relay: Option<Relay>,
+}
+
 /// Connection to one address.
 #[derive(Debug)]
 pub struct Connection {
@@ -197,9 +206,12 @@
         }
     }
 
-    /// Address to which it leads.
-    pub(crate) fn address(&self) -> SocketAddr {
-        self.address
+    /// Where it leads, and how.
+    pub(crate) fn origin(&self) -> Origin {
+        Origin {
+            address: self.address,
+            relay: self.relay,
+        }
     }
 
     /// Whether the other side has not closed it, as far as it is known.
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -17,10 +17,11 @@
 use bitterncart_coordination::fleet::pool::Selection;
 use bitterncart_coordination::fleet::{Links, Peers, Pool};
 use compact_str::CompactString;
+use futures_lite::future;
 use smol::Executor;
 
 use crate::clock;
-use crate::connection::{Connection, Connector, Error};
+use crate::connection::{Connection, Connector, Error, Origin};
 use crate::log;
 use crate::metrics::Metrics;
 use crate::relay::{self, Failure};
@@ -28,8 +29,8 @@
 /// Timeout of a new connection to a replica.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Time in which a process that ends closes its listener behind its connections, and
-/// with it those that were not yet accepted.
+/// Time in which a process that ends closes all of its connections, with those that it
+/// has not accepted yet.
 const CLOSE_DELAY: Duration = Duration::from_millis(10);
 
 /// Bounds of the time in which this daemon must connect to a replica after a relay did:
@@ -406,25 +407,35 @@
         false
     }
 
-    /// Whether the process to which a connection led still accepts one over the same path.
-    /// That one is kept for reuse.
-    pub(crate) async fn is_still_accepted(&self, replica_id: &str, ended: &Connection) -> bool {
-        let address = ended.address();
-        let opened = match ended.relay() {
-            None => self.open_direct(address, CONNECT_TIMEOUT).await.ok(),
+    /// Opens a second connection to the process to which one leads, over the same path: it
+    /// ends with that process. `None` if it is refused, or a reset of the first one would
+    /// not be seen.
+    pub(crate) async fn open_witness(
+        self,
+        replica_id: CompactString,
+        of: Origin,
+    ) -> Option<Connection> {
+        match of.relay {
+            None => self.open_direct(of.address, CONNECT_TIMEOUT).await.ok(),
             Some(relay) if relay.passes_resets => {
                 let connector = &self.0.shared.connector;
-                let opened = relay::open(connector, relay.address, replica_id, address).await;
+                let opened = relay::open(connector, relay.address, &replica_id, of.address).await;
                 opened.ok()
             }
             // What broke behind this relay also ends in order.
             Some(_) => None,
-        };
-        let Some(opened) = opened else { return false };
+        }
+    }
+
+    /// Whether a witness is still open when the connection beside it has ended in order. It
+    /// is kept for reuse.
+    pub(crate) async fn is_confirmed_by(&self, witness: Connection) -> bool {
         smol::Timer::after(CLOSE_DELAY).await;
-        let is_open = opened.is_open();
+        // Timers come before what sockets have received.
+        future::yield_now().await;
+        let is_open = witness.is_open();
         if is_open {
-            self.0.shared.connector.release(opened);
+            self.0.shared.connector.release(witness);
         }
         is_open
     }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -12,10 +12,10 @@
 use bitterncart_coordination::fleet::pool::{Class, Selection};
 use bitterncart_coordination::fleet::{Outcome, Profile};
 use bytes::{Bytes, BytesMut};
-use compact_str::CompactString;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use smol::Task;
 
 use crate::answer::{Framing, Summary};
 use crate::clock::{self, with_timeout};
@@ -168,7 +168,9 @@
     metrics: Arc<Metrics>,
     watch: Watch,
     framing: Framing,
-    replica_id: CompactString,
+    /// Second connection to the process, opened with the head of an answer that ends with
+    /// its connection.
+    witness: Option<Task<Option<Connection>>>,
     /// Id of the event that is due, if the answer is a stream.
     due_event_id: u64,
     /// Time at which the replica stops its work.
@@ -357,6 +359,7 @@
     check_departure(core, selection, &head);
     let echo = head.headers.get(&header_names.attempt_id);
     let signed = head.headers.contains_key(&header_names.signature);
+    let framing = Framing::of(&head, &body);
     let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
     let is_not_run = is_misdirected || head.headers.contains_key(&header_names.not_run);
     if echo == attempt && !is_misdirected {
@@ -371,14 +374,17 @@
         status if status.is_success() && !(signed && echo.is_some()) => Err(Outcome::Broken),
         status if !signed && !status.is_server_error() => Err(Outcome::Broken),
         _ => Ok(Response {
-            framing: Framing::of(&head),
+            framing,
+            witness: (framing == Framing::Connection).then(|| {
+                let (id, origin) = (selection.id.clone(), connection.origin());
+                core.spawn(core.links.clone().open_witness(id, origin))
+            }),
             head,
             body,
             connection,
             splitter: Splitter::new(core.budget.share()),
             metrics: Arc::clone(&core.metrics),
             watch,
-            replica_id: selection.id.clone(),
             due_event_id: last_event_id(core, message).saturating_add(1),
             deadline,
         }),
@@ -530,24 +536,22 @@
         Ok(None)
     }
 
-    /// Whether an answer whose connection has ended in order is whole. One that has
-    /// neither a length nor chunks may be that of a process, or relay, that ended, or that
-    /// stopped at the deadline.
-    async fn is_whole<S: Store, D: Dialect>(&self, core: &Core<S, D>) -> bool {
+    /// Whether an answer whose body has ended in order is whole. One that has neither a
+    /// length nor chunks may be that of a process, or relay, that ended, or that stopped
+    /// at the deadline.
+    async fn is_whole<S: Store, D: Dialect>(&mut self, core: &Core<S, D>) -> bool {
         if self.connection.is_aborted() {
             return false;
         }
         let now = clock::now() + DEADLINE_MARGIN;
         let is_stopped = || self.deadline.is_some_and(|deadline| now >= deadline);
-        match self.framing {
-            Framing::Length | Framing::Chunks => true,
-            Framing::Connection if is_stopped() => false,
-            Framing::Connection => {
-                let links = &core.links;
-                links
-                    .is_still_accepted(&self.replica_id, &self.connection)
-                    .await
-            }
+        match self.witness.take() {
+            None => true,
+            Some(_) if is_stopped() => false,
+            Some(witness) => match witness.await {
+                Some(witness) => core.links.is_confirmed_by(witness).await,
+                None => false,
+            },
         }
     }
 
--- a/crates/gateway/tests/gateway/ends.rs
+++ b/crates/gateway/tests/gateway/ends.rs
@@ -63,6 +63,45 @@
     ]);
 }
 
+/// Guards against an end that another process confirms, which has taken the address of the
+/// one that ended while the daemon was suspended.
+#[test]
+fn stream_goes_on_when_its_process_is_replaced() {
+    smol::block_on(async {
+        let begun: &'static [fn() -> Action] = &[|| UNFRAMED, first, || PAUSE, || Action::End];
+        let replicas = start_scripted(begun).await;
+        let gateway = Gateway::start(&store(&replicas.iter().collect::<Vec<_>>())).await;
+        let mut stream = gateway.send(&post("/resumable/a", "id")).await;
+        let begun = read_first(&mut stream).await;
+        gateway.freeze(Duration::from_millis(400));
+        let has_ended = || replicas.iter().any(|replica| !replica.is_running());
+        wait_until("the process to end", has_ended).await;
+        let ended = replicas.iter().find(|replica| !replica.is_running());
+        let resumed = |_: &str| vec![UNFRAMED, second(), Action::Close];
+        let replaced = ended.expect("a process").restart(resumed).await;
+        let response = begun + &read(stream).await;
+        assert!(looks_complete(&response), "{response}");
+        assert_eq!(events(&response), ["a", "b"], "{response}");
+        drop(replaced);
+    });
+}
+
+cases! {
+    /// Guards against an answer that is cut off and counts as whole, as its framing is
+    /// taken for another one than it has.
+    fn answer_with_another_coding_ends_with_its_connection(head: &'static str) {
+        smol::block_on(async {
+            let head = Action::Respond(200, head, "");
+            let script = vec![head, Action::Send("o".into()), PAUSE, Action::End];
+            let replica = ScriptedReplica::start("r", vec![script]).await;
+            let gateway = Gateway::start(&store(&[&replica])).await;
+            let response = gateway.fetch(&post("/once/a", "id")).await;
+            assert_eq!(status(&response), 502, "{response}");
+        });
+    }
+    answer_with_no_coding("signature: s\r\ntransfer-encoding: identity\r\n");
+}
+
 cases! {
     /// Guards against an item that is given up for failures that are none of its own: an
     /// answer without its id, and one that tells of no run.
--- a/crates/gateway/tests/gateway/replica.rs
+++ b/crates/gateway/tests/gateway/replica.rs
@@ -83,8 +83,21 @@
         Self::serve_scripts(id, move |_, head| Some(script(head))).await
     }
 
+    /// Starts another process at the same address, which must be free again.
+    pub(crate) async fn restart(
+        &self,
+        script: impl Fn(&str) -> Vec<Action> + Clone + Send + Sync + 'static,
+    ) -> Self {
+        let listener = TcpListener::bind(self.address).await.expect("the port");
+        Self::serve_at(listener, &self.id, move |_, head| Some(script(head)))
+    }
+
     async fn serve_scripts(id: &str, script: impl Script) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        Self::serve_at(listener, id, script)
+    }
+
+    fn serve_at(listener: TcpListener, id: &str, script: impl Script) -> Self {
         let (process, alive) = async_channel::bounded(1);
         let replica = Self {
             address: listener.local_addr().expect("an address"),
