gateway: a success without a body needs a framing that says so

Cause: an answer with neither a length nor chunks is whole if its connection ends in order and a second one to the same process is still open. A replica that cuts its answer off and lives on meets both, and for calls nothing asked for a first byte, as streams do for a first event.

Change: such an answer of a success without any byte counts as broken. Errors without a body, and empty answers with a length or in chunks, are passed on as before.

Evidence: on the code before, `empty_answer_of_a_call` failed with 200 in place of 502, and `empty_answer_of_a_repeatable_call` got the empty 200 in place of the other replica's answer; `empty_answer_that_is_whole` (three cases) held before and after.

Why it works: a length or a last chunk is the only statement that nothing was to follow.

--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -472,7 +472,9 @@
                 return Err(Outcome::Broken);
             }
         }
-        if !self.is_whole(core).await {
+        let is_empty = self.framing == Framing::Connection && bytes.is_empty();
+        let lacks_body = is_empty && self.head.status.is_success();
+        if lacks_body || !self.is_whole(core).await {
             return Err(self.record_broken());
         }
         if self.head.status.is_success() {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -26,4 +26,5 @@
 mod sockets;
 mod sse;
 mod store;
+mod unstated_ends;
 mod versions;
