gateway: a stream or item whose end is not stated is resumed to confirm it

The replica ended an answer with neither a length nor chunks behind an event, in order, and lived on.

Cause: the end of a connection was believed if its process was alive. That tells an ended process from a living one, and says nothing about a living one that cuts its answer off.

Change: `fleet::ends`. The end of a resumable stream or an item is complete if the answer states it, by its length or last chunk. Else the request is sent to the same replica once more, behind the last event: what follows is relayed; an answer that states its end confirms it, as does the third answer in a row that ends behind the same event, the first of which brought it. So replicas that never state an end are served, too. The same replica is asked, as then no further one runs the request, and it holds the prompt. Streams that cannot be resumed are as before. Counter `ends_questioned_total`, outcome `unconfirmed`. An item of which only the end is missing and that no answer confirms begins anew, in place of being resumed until its give-up time.

Evidence: on the code before, seven of the tests of `unstated_ends` fail, e.g. `stream_that_ends_too_early`: left Some(["a"]), right Some(["a", "b"]); `item_that_ends_too_early`: left ["0 one a"], right ["0 one a,b"].

--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 pub mod catalog;
 pub mod checkpoint;
 mod datagram;
+pub mod ends;
 pub mod links;
 pub mod manifest;
 pub mod ownership;
@@ -31,6 +32,7 @@
 
 pub use backlog::{Backlog, Group, Queued};
 pub use catalog::Catalog;
+pub use ends::Ends;
 pub use links::Links;
 pub use manifest::{Batch, Kind, Limits, Manifest, Route};
 pub use ownership::{Candidate, CutOff, Member, View};
--- a/crates/coordination/src/fleet/retry.rs
+++ b/crates/coordination/src/fleet/retry.rs
@@ -27,6 +27,8 @@
     Silent,
     /// The replica answered with an error of its own; the request may have run.
     Failed,
+    /// The stream ended in order, but nothing says that it is complete.
+    Unconfirmed,
 }
 
 impl Outcome {
@@ -51,6 +53,7 @@
             Self::LinkLost => "link_lost",
             Self::Silent => "silent",
             Self::Failed => "failed",
+            Self::Unconfirmed => "unconfirmed",
         }
     }
 }
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod catalog;
 mod checkpoint;
 mod departure;
+mod ends;
 mod links;
 mod manifest;
 mod odd_datagrams;
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -3,6 +3,8 @@
 use http::{header, response};
 use http_body::Body;
 
+use crate::sse::Event;
+
 /// How an answer states where its body ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Framing {
@@ -37,6 +39,16 @@
     }
 }
 
+/// What follows in a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Next {
+    Event(Event),
+    /// The stream is complete, as its framing states.
+    End,
+    /// The stream ended in order with its connection, and its process lives on.
+    UnstatedEnd,
+}
+
 /// Description of a complete answer for logs and metrics.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Summary {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -64,6 +64,11 @@
         ));
     }
 
+    /// Stream that is resumed to confirm its end.
+    pub(crate) fn end_questioned(&self) {
+        self.add("ends_questioned_total".into());
+    }
+
     pub(crate) fn request_refused(&self, code: Code) {
         self.add(format_compact!("refused_total{{code=\"{}\"}}", code.name()));
     }
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -4,7 +4,7 @@
 //! is retried at another replica if the kind of the route, the attempt limit and the
 //! deadline of the client allow it. Event streams are relayed as they arrive; a
 //! resumable stream that breaks continues at another replica after the last event that
-//! was relayed.
+//! was relayed, and one whose end is not stated at the same replica, to confirm the end.
 
 mod admission;
 
@@ -12,23 +12,23 @@
 use std::time::Duration;
 
 use async_channel::Sender;
+use bitterncart_coordination::fleet::ends::Verdict as EndVerdict;
 use bitterncart_coordination::fleet::pool::Key;
 use bitterncart_coordination::fleet::quarantine::{Subject, Verdict};
 use bitterncart_coordination::fleet::{
-    Attempts, Build, Decision, Fingerprint, Kind, Outcome, Profile, Route,
+    Attempts, Build, Decision, Ends, Fingerprint, Kind, Outcome, Profile, Route,
 };
 use bitterncart_protocol::Code;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header, response};
 
 use self::admission::Shortage;
-use crate::answer::Summary;
+use crate::answer::{Next, Summary};
 use crate::body::{Body, Part};
 use crate::clock::{self, with_timeout};
 use crate::core::Core;
 use crate::dialect::Dialect;
 use crate::log;
-use crate::sse::Event;
 use crate::store::Store;
 use crate::streams;
 use crate::upstream::{self, Message, SendOptions, Slot, send, strip_hop_by_hop_headers};
@@ -131,6 +131,8 @@
     /// Whether the client takes up a stream that an earlier attempt began.
     is_taken_up: bool,
     binding: Binding,
+    /// Ends of the stream that were not stated.
+    ends: Ends,
     /// Id of the last event that was relayed, or that the client has already
     /// received.
     last_event_id: Option<u64>,
@@ -176,6 +178,7 @@
             shortage: None,
             is_taken_up,
             binding: Binding::Free,
+            ends: Ends::default(),
             last_event_id,
             arrived,
             slot_wait: Duration::ZERO,
@@ -264,8 +267,8 @@
                     if self.route.kind.is_stream() && response.head.status.is_success() =>
                 {
                     match self.first_event(response).await {
-                        Ok((response, event)) => {
-                            return self.stream_response(slot, response, event);
+                        Ok((response, first)) => {
+                            return self.stream_response(slot, response, first);
                         }
                         Err(outcome) => self.record_failure(&slot, outcome),
                     }
@@ -327,14 +330,14 @@
         }
     }
 
-    /// Waits for the first event; `None` if the stream is complete without one.
+    /// Waits for the first event, or the end of a stream without one.
     async fn first_event(
         &self,
         mut response: upstream::Response,
-    ) -> Result<(upstream::Response, Option<Event>), Outcome> {
+    ) -> Result<(upstream::Response, Next), Outcome> {
         let timeout = self.attempt_timeout(self.remaining());
         match with_timeout(timeout, response.next_event(&self.core)).await {
-            Some(Ok(event)) => Ok((response, event)),
+            Some(Ok(first)) => Ok((response, first)),
             Some(Err(outcome)) => Err(outcome),
             None => Err(Outcome::Silent),
         }
@@ -352,7 +355,11 @@
         let mut pool = self.core.pool();
         match outcome {
             Outcome::Misdirected => pool.record_misdirected(slot.selection.key),
-            Outcome::NotRun | Outcome::Failed | Outcome::Quarantined | Outcome::LinkLost => {}
+            Outcome::NotRun
+            | Outcome::Failed
+            | Outcome::Quarantined
+            | Outcome::LinkLost
+            | Outcome::Unconfirmed => {}
             _ => pool.record_failure(now, slot.selection.key),
         }
         drop(pool);
@@ -443,7 +450,7 @@
         mut self,
         slot: Slot<S, D>,
         upstream: upstream::Response,
-        first: Option<Event>,
+        first: Next,
     ) -> Response<Body> {
         let mut response = Response::new(());
         *response.status_mut() = upstream.head.status;
@@ -470,12 +477,48 @@
         &mut self,
         slot: Slot<S, D>,
         response: upstream::Response,
-        first: Option<Event>,
+        first: Next,
         sender: &Sender<Part>,
     ) -> Relayed {
-        let Some(first) = first else {
-            return Relayed::Complete;
-        };
+        match first {
+            Next::End => return Relayed::Complete,
+            Next::UnstatedEnd => {}
+            Next::Event(_) => self.record_begun(&slot).await,
+        }
+        let (mut slot, mut response) = (slot, response);
+        let mut next = Some(Ok(first));
+        loop {
+            let outcome = match next {
+                Some(Ok(Next::Event(event))) => {
+                    self.record_event();
+                    if sender.send(Part::Event(event.bytes)).await.is_err() {
+                        return Relayed::ClientLeft;
+                    }
+                    None
+                }
+                Some(Ok(Next::UnstatedEnd)) => match self.judge_end(&response) {
+                    EndVerdict::Complete => return self.complete_stream(&slot, response),
+                    EndVerdict::Resume => Some(Outcome::Unconfirmed),
+                    EndVerdict::Unfounded => Some(Outcome::Broken),
+                },
+                Some(Ok(Next::End)) => return self.complete_stream(&slot, response),
+                Some(Err(outcome)) => Some(outcome),
+                None => Some(Outcome::Silent),
+            };
+            if let Some(outcome) = outcome {
+                drop(response);
+                match self.go_on(slot, outcome).await {
+                    Some(resumed) => (slot, response) = resumed,
+                    None => return Relayed::Broken,
+                }
+            }
+            next = with_timeout(self.idle_timeout(), response.next_event(&self.core)).await;
+        }
+    }
+
+    /// Records which build began a stream, for this daemon and for those at which the
+    /// client may take it up.
+    async fn record_begun(&mut self, slot: &Slot<S, D>) {
         self.time_to_first = clock::now().saturating_sub(self.arrived);
         let build = slot.selection.build();
         let is_resumable = self.route.kind == Kind::Resumable;
@@ -484,40 +527,61 @@
             streams::record(&self.core, stream, build).await;
         }
         self.binding = Binding::of_stream(build);
-        let (mut slot, mut response) = (slot, response);
-        self.record_event();
-        if sender.send(Part::Event(first.bytes)).await.is_err() {
-            return Relayed::ClientLeft;
+    }
+
+    /// What follows an end that the answer did not state. Only a stream that can be resumed
+    /// can be asked about.
+    fn judge_end(&mut self, response: &upstream::Response) -> EndVerdict {
+        match self.route.kind {
+            Kind::Resumable => self
+                .ends
+                .record(self.last_event_id.unwrap_or(0), response.has_events()),
+            _ => EndVerdict::Complete,
         }
-        loop {
-            let next = with_timeout(self.idle_timeout(), response.next_event(&self.core));
-            let outcome = match next.await {
-                Some(Ok(Some(event))) => {
-                    self.record_event();
-                    match sender.send(Part::Event(event.bytes)).await {
-                        Ok(()) => continue,
-                        Err(_) => return Relayed::ClientLeft,
-                    }
-                }
-                Some(Ok(None)) => {
-                    self.core.pool().record_success(slot.selection.key);
-                    let last_event_id = self.last_event_id.unwrap_or(0);
-                    self.record_answer(&slot, response.summary(last_event_id));
-                    response.release_connection(&self.core);
-                    return Relayed::Complete;
-                }
-                Some(Err(outcome)) => outcome,
-                None => Outcome::Silent,
-            };
-            drop(response);
-            if self.record_failure(&slot, outcome) != Decision::Retry {
-                return Relayed::Broken;
-            }
-            drop(slot);
-            match self.resume().await {
-                Some((next_slot, next_response)) => (slot, response) = (next_slot, next_response),
-                None => return Relayed::Broken,
-            }
+    }
+
+    fn complete_stream(&mut self, slot: &Slot<S, D>, response: upstream::Response) -> Relayed {
+        self.core.pool().record_success(slot.selection.key);
+        let last_event_id = self.last_event_id.unwrap_or(0);
+        self.record_answer(slot, response.summary(last_event_id));
+        response.release_connection(&self.core);
+        Relayed::Complete
+    }
+
+    /// Continues a stream whose answer ended with an outcome: at the same replica if the
+    /// end is to be confirmed, else at another one. `None` if no further attempt is
+    /// allowed.
+    async fn go_on(
+        &mut self,
+        slot: Slot<S, D>,
+        outcome: Outcome,
+    ) -> Option<(Slot<S, D>, upstream::Response)> {
+        let (slot, outcome) = match outcome {
+            Outcome::Unconfirmed => match self.resume_at_same(slot).await {
+                Ok(resumed) => return Some(resumed),
+                Err(failed) => failed,
+            },
+            outcome => (slot, outcome),
+        };
+        if self.record_failure(&slot, outcome) != Decision::Retry {
+            return None;
+        }
+        drop(slot);
+        self.resume().await
+    }
+
+    /// Resumes a stream at the replica whose answer did not state its end; no other
+    /// replica gets to run the request for that.
+    async fn resume_at_same(
+        &mut self,
+        slot: Slot<S, D>,
+    ) -> Result<(Slot<S, D>, upstream::Response), (Slot<S, D>, Outcome)> {
+        self.core.metrics.end_questioned();
+        let (slot, reservation) = self.acquire_slot_again(slot).await?;
+        match self.send_attempt(&slot, reservation).await {
+            Ok(response) if response.head.status.is_success() => Ok((slot, response)),
+            Ok(_) => Err((slot, Outcome::Failed)),
+            Err(outcome) => Err((slot, outcome)),
         }
     }
 
--- a/crates/gateway/src/online/admission.rs
+++ b/crates/gateway/src/online/admission.rs
@@ -135,6 +135,42 @@
         }
     }
 
+    /// Acquires a slot once more at the replica of one that was used, within the time of
+    /// the admission queue. Returns the used slot if the replica takes no more requests.
+    pub(super) async fn acquire_slot_again(
+        &mut self,
+        slot: Slot<S, D>,
+    ) -> Result<(Slot<S, D>, Option<HeaderValue>), (Slot<S, D>, Outcome)> {
+        let begun = clock::now();
+        let until = begun + MAX_QUEUE_WAIT.min(self.remaining() / 2);
+        let acquired = loop {
+            let backend = self.route.backend_of(&slot.selection.service);
+            let (Some(backend), Some(next)) = (backend, self.select_same(&slot)) else {
+                return Err((slot, Outcome::Unconfirmed));
+            };
+            if clock::now() >= until {
+                break (next.admitted(), None);
+            }
+            match self.reserve_at(backend, next).await {
+                Acquired::Slot(next, reservation) => break (next, reservation),
+                _ => drop(smol::Timer::after(POLL_INTERVAL).await),
+            }
+        };
+        self.slot_wait += clock::now().saturating_sub(begun);
+        Ok(acquired)
+    }
+
+    /// Selects the replica of a slot again, if it still accepts requests.
+    fn select_same(&self, slot: &Slot<S, D>) -> Option<Slot<S, D>> {
+        let (now, key) = (clock::now(), slot.selection.key);
+        let selection = match &self.binding {
+            Binding::Free => self.core.pool().select_at(now, key),
+            Binding::Build(build) => self.core.pool().select_build_at(now, key, build),
+            Binding::Unknown => None,
+        }?;
+        Some(Slot::new(&self.core, selection, Class::Online))
+    }
+
     fn check_links(&self) -> Result<(), Shortage> {
         if self.core.links.has_no_path() {
             return Err(Shortage::NoLinks);
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -15,12 +15,14 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::checkpoint::{INTERVAL as CHECKPOINT_INTERVAL, Output};
+use bitterncart_coordination::fleet::ends::Verdict as EndVerdict;
 use bitterncart_coordination::fleet::manifest::Backend;
 use bitterncart_coordination::fleet::peers::short_hash;
 use bitterncart_coordination::fleet::pool::{Class, Key as Replica, Selection};
 use bitterncart_coordination::fleet::schedule::start_order;
 use bitterncart_coordination::fleet::{
-    Eligibility, Estimator, Fingerprint, Manifest, Outcome, Profile, Route, proportional_share,
+    Eligibility, Ends, Estimator, Fingerprint, Manifest, Outcome, Profile, Route,
+    proportional_share,
 };
 use bitterncart_state::ledger::{self, Decision, Job, Op, OutputPart, Progress, Submission};
 use bytes::Bytes;
@@ -28,6 +30,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use smol::Task;
 
+use crate::answer::Next;
 use crate::budget::Share;
 use crate::checkpoint;
 use crate::clock::{self, with_timeout};
@@ -60,7 +63,7 @@
 /// Delay before an item or a ledger write is retried after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// Maximum number of doublings of [`RETRY_DELAY`], one for each output that was too large.
+/// Maximum number of doublings of [`RETRY_DELAY`], one for each output that was dropped.
 const MAX_RETRY_DOUBLINGS: u32 = 6;
 
 /// Delay before it is checked again whether an item with a quarantined prompt part
@@ -98,9 +101,12 @@
     /// A part of the output is being stored.
     checkpointing: bool,
     failures: u8,
-    /// Number of outputs that were too large. The stored one may be the beginning of such
-    /// an output, and is not resumed here.
-    oversized: u32,
+    /// Ends of its answers that were not stated.
+    ends: Ends,
+    /// Number of outputs that were dropped, as they were too large or nothing confirmed
+    /// their end. The stored one may be the beginning of such an output, and is not
+    /// resumed here.
+    restarts: u32,
     /// Time before which the item is not started again.
     retry_at: Duration,
     /// Time from which it has waited for a slot at the build that wrote its output.
@@ -117,16 +123,16 @@
 }
 
 impl Run {
-    /// Drops an output that is too large.
+    /// Drops the output.
     fn restart(&mut self) {
         self.output = Output::default();
         self.share = None;
-        self.oversized = self.oversized.saturating_add(1);
+        self.restarts = self.restarts.saturating_add(1);
     }
 
     /// Delay before the next attempt.
     fn retry_delay(&self) -> Duration {
-        RETRY_DELAY * (1 << self.oversized.min(MAX_RETRY_DOUBLINGS))
+        RETRY_DELAY * (1 << self.restarts.min(MAX_RETRY_DOUBLINGS))
     }
 }
 
@@ -460,7 +466,7 @@
     } = &mut *runs;
     let run = runs.entry(candidate.id.clone()).or_default();
     let stored = job.progress.get(&candidate.id.1);
-    let stored = stored.filter(|_| run.oversized == 0);
+    let stored = stored.filter(|_| run.restarts == 0);
     let selected = select_replica(core, route, backend, reserve, (run, estimator), stored);
     let Some((selection, output)) = selected else {
         return false;
@@ -652,10 +658,22 @@
 }
 
 impl<S: Store, D: Dialect> Attempt<S, D> {
-    async fn run(mut self) {
+    async fn run(self) {
+        let mut attempt = self;
+        while let Some(unconfirmed) = attempt.exchange().await {
+            attempt = unconfirmed;
+        }
+    }
+
+    /// Sends the request and receives the output. Returns the attempt if it is to be
+    /// resumed, to confirm its end.
+    async fn exchange(mut self) -> Option<Self> {
         let reservation = match self.reserve_slot().await {
             Ok(reservation) => reservation,
-            Err(outcome) => return self.record_broken(outcome),
+            Err(outcome) => {
+                self.record_broken(outcome);
+                return None;
+            }
         };
         self.slot.set_admitted();
         let options = SendOptions {
@@ -673,7 +691,7 @@
         .await;
         match response {
             Ok(response) => match response.head.status {
-                status if status.is_success() => self.receive_events(response).await,
+                status if status.is_success() => return self.receive_events(response).await,
                 StatusCode::UNPROCESSABLE_ENTITY => {
                     self.finish(ledger::Outcome::GivenUp, "cannot_be_done");
                 }
@@ -682,6 +700,7 @@
             },
             Err(outcome) => self.record_broken(outcome),
         }
+        None
     }
 
     /// Reserves the slot, so that an item never waits in the queue of a replica
@@ -707,46 +726,77 @@
         }
     }
 
-    async fn receive_events(self, mut response: upstream::Response) {
+    async fn receive_events(self, mut response: upstream::Response) -> Option<Self> {
         loop {
             match with_timeout(STREAM_IDLE_TIMEOUT, response.next_event(&self.core)).await {
-                Some(Ok(Some(event))) => {
+                Some(Ok(Next::Event(event))) => {
                     let mut runs = self.core.runs();
-                    let Some(run) = runs.runs.get_mut(&self.id) else {
-                        return;
-                    };
+                    let run = runs.runs.get_mut(&self.id)?;
                     let data = event.data();
                     if !run
                         .output
                         .fits(&data, self.core.settings.max_output_bytes())
                     {
                         drop(runs);
-                        return self.record_too_large();
+                        self.record_too_large();
+                        return None;
                     }
                     run.output.push(&data);
                     let share = run.share.get_or_insert_with(|| self.core.budget.share());
                     if !share.resize(run.output.kept_bytes()) {
                         drop(runs);
-                        return self.record_too_large();
+                        self.record_too_large();
+                        return None;
                     }
+                    drop(runs);
+                    continue;
                 }
-                Some(Ok(None)) => {
-                    let (output, last_event_id) = self.completed_output();
-                    let summary = response.summary(last_event_id);
-                    let (job, index) = &self.id;
-                    log::item_completed(job, *index, &self.slot.selection, summary);
-                    self.core.metrics.answer_ended(summary.framing);
-                    response.release_connection(&self.core);
-                    self.core.pool().record_success(self.slot.selection.key);
-                    let outcome = ledger::Outcome::Completed(output);
-                    return self.finish(outcome, "completed");
-                }
-                Some(Err(outcome)) => return self.record_broken(outcome),
-                None => return self.record_broken(Outcome::Silent),
+                Some(Ok(Next::UnstatedEnd)) => match self.judge_end(&response) {
+                    EndVerdict::Complete => self.complete(response),
+                    EndVerdict::Resume => return self.resumed(),
+                    EndVerdict::Unfounded => self.record_unfounded(),
+                },
+                Some(Ok(Next::End)) => self.complete(response),
+                Some(Err(outcome)) => self.record_broken(outcome),
+                None => self.record_broken(Outcome::Silent),
             }
+            return None;
         }
     }
 
+    /// Attempt that goes on behind the last event at the same replica.
+    fn resumed(mut self) -> Option<Self> {
+        let last_event_id = self.core.runs().runs.get(&self.id)?.output.last_event_id();
+        let name = self.core.dialect.header_names().last_event_id.clone();
+        self.message
+            .headers
+            .insert(name, HeaderValue::from(last_event_id));
+        self.core.metrics.end_questioned();
+        log::item_run_ended(&self.id.0, self.id.1, Outcome::Unconfirmed.name());
+        Some(self)
+    }
+
+    /// What follows an end of the item that the answer did not state.
+    fn judge_end(&self, response: &upstream::Response) -> EndVerdict {
+        let mut runs = self.core.runs();
+        let Some(run) = runs.runs.get_mut(&self.id) else {
+            return EndVerdict::Resume;
+        };
+        let last_event_id = run.output.last_event_id();
+        run.ends.record(last_event_id, response.has_events())
+    }
+
+    fn complete(self, response: upstream::Response) {
+        let (output, last_event_id) = self.completed_output();
+        let summary = response.summary(last_event_id);
+        let (job, index) = &self.id;
+        log::item_completed(job, *index, &self.slot.selection, summary);
+        self.core.metrics.answer_ended(summary.framing);
+        response.release_connection(&self.core);
+        self.core.pool().record_success(self.slot.selection.key);
+        self.finish(ledger::Outcome::Completed(output), "completed");
+    }
+
     /// Returns the output of a completed item with its last event id, and records its
     /// run time.
     fn completed_output(&self) -> (Arc<str>, u64) {
@@ -814,12 +864,21 @@
         self.record_broken(Outcome::Broken);
     }
 
+    /// Records that no answer behind the stored output confirms its end. The item begins
+    /// anew, for answers that bring its events and end behind the last one.
+    fn record_unfounded(self) {
+        if let Some(run) = self.core.runs().runs.get_mut(&self.id) {
+            run.restart();
+        }
+        self.record_broken(Outcome::Unconfirmed);
+    }
+
     /// Records an attempt that ended without a response or with a broken stream.
     fn record_broken(self, outcome: Outcome) {
         let mut pool = self.core.pool();
         match outcome {
             Outcome::Misdirected => pool.record_misdirected(self.slot.selection.key),
-            Outcome::NotRun | Outcome::Quarantined | Outcome::LinkLost => {}
+            Outcome::NotRun | Outcome::Quarantined | Outcome::LinkLost | Outcome::Unconfirmed => {}
             _ => pool.record_failure(clock::now(), self.slot.selection.key),
         }
         drop(pool);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use smol::Task;
 
-use crate::answer::{Framing, Summary};
+use crate::answer::{Framing, Next, Summary};
 use crate::clock::{self, with_timeout};
 use crate::connection::{Connection, Error};
 use crate::core::Core;
@@ -25,7 +25,7 @@
 use crate::dialect::{Dialect, HeaderNames};
 use crate::log;
 use crate::metrics::Metrics;
-use crate::sse::{Event, Splitter};
+use crate::sse::Splitter;
 use crate::store::Store;
 use crate::tokens;
 
@@ -38,6 +38,9 @@
 /// Maximum size of the response to a reservation call.
 const MAX_RESERVATION_BYTES: usize = 16 << 10;
 
+/// Id of the first event of a stream.
+const FIRST_EVENT_ID: u64 = 1;
+
 /// Time before its deadline at which a replica may stop, as its clock and the time that
 /// it is given are not exact.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
@@ -485,7 +488,7 @@
         Ok((self.head, share.into_held(bytes.freeze()), summary))
     }
 
-    /// Waits for the next event; `None` if the stream is complete.
+    /// Waits for what follows in the stream.
     ///
     /// # Errors
     ///
@@ -495,13 +498,13 @@
     pub(crate) async fn next_event<S: Store, D: Dialect>(
         &mut self,
         core: &Core<S, D>,
-    ) -> Result<Option<Event>, Outcome> {
+    ) -> Result<Next, Outcome> {
         loop {
             match self.splitter.next_event() {
                 Some(event) if event.id == Some(self.due_event_id) => {
                     self.due_event_id = self.due_event_id.saturating_add(1);
                     self.watch.record_event();
-                    return Ok(Some(event));
+                    return Ok(Next::Event(event));
                 }
                 Some(_) => return Err(Outcome::Broken),
                 None => {}
@@ -515,12 +518,16 @@
                 return Err(Outcome::Broken);
             }
         }
-        let lacks_events = self.framing == Framing::Connection && !self.watch.has_events();
+        let end = match self.framing {
+            Framing::Connection => Next::UnstatedEnd,
+            Framing::Length | Framing::Chunks => Next::End,
+        };
+        let lacks_events = end == Next::UnstatedEnd && self.due_event_id == FIRST_EVENT_ID;
         if self.splitter.has_partial_event() || lacks_events || !self.is_whole(core).await {
             return Err(self.record_broken());
         }
         self.watch.record_complete();
-        Ok(None)
+        Ok(end)
     }
 
     /// Reads on in the body; `None` at its end.
@@ -575,6 +582,11 @@
         }
     }
 
+    /// Whether the answer has brought an event.
+    pub(crate) fn has_events(&self) -> bool {
+        self.watch.has_events()
+    }
+
     /// Returns the connection to the idle ones; the body must have been read to
     /// its end.
     pub(crate) fn release_connection<S: Store, D: Dialect>(self, core: &Core<S, D>) {
--- a/crates/gateway/tests/gateway/unstated_ends.rs
+++ b/crates/gateway/tests/gateway/unstated_ends.rs
@@ -4,12 +4,157 @@
 
 use bitterncart_testing::cases;
 
-use crate::harness::{Gateway, post, status, store, wait_until};
-use crate::replica::{Action, ScriptedReplica};
+use crate::batch::results;
+use crate::harness::{Gateway, post, request, status, store, wait_until};
+use crate::replica::{Action, ScriptedReplica, header};
 
 /// Head of an answer that ends with its connection.
 const UNFRAMED: Action = Action::Respond(200, "signature: s\r\nconnection: close\r\n", "");
+const CHUNKED: Action = Action::Respond(200, "signature: s\r\ntransfer-encoding: chunked\r\n", "");
 const LAST_CHUNK: &str = "0\r\n\r\n";
+const FIRST: &str = "id: 1\ndata: a\n\n";
+const SECOND: &str = "id: 2\ndata: b\n\n";
+
+/// Time in which what was sent arrives.
+const PAUSE: Action = Action::Wait(Duration::from_millis(50));
+
+fn send(bytes: &str) -> Action {
+    Action::Send(bytes.to_owned())
+}
+
+fn chunk(event: &str) -> Action {
+    Action::Send(format!("{:x}\r\n{event}\r\n", event.len()))
+}
+
+/// Events of a complete stream; `None` if it does not end as complete.
+fn complete_events(response: &str) -> Option<Vec<&str>> {
+    let is_complete = status(response) == 200 && response.ends_with(LAST_CHUNK);
+    let lines = response.lines();
+    is_complete.then(|| lines.filter_map(|l| l.strip_prefix("data: ")).collect())
+}
+
+/// Chooses the script of a replica by the last event that a request names.
+type Script = fn(Option<&str>) -> Vec<Action>;
+
+/// Two replicas that serve streams and items with a script, and their requests.
+struct Replicas(Vec<ScriptedReplica>);
+
+impl Replicas {
+    async fn start(script: Script) -> Self {
+        let mut replicas = Vec::new();
+        for id in ["r1", "r2"] {
+            let script = move |head: &str| script(header(head, "last-event").as_deref());
+            replicas.push(ScriptedReplica::start_with(id, script).await);
+        }
+        Self(replicas)
+    }
+
+    async fn gateway(&self) -> Gateway {
+        Gateway::start(&store(&self.0.iter().collect::<Vec<_>>())).await
+    }
+
+    /// Number of requests at each replica that got one.
+    fn requests(&self) -> Vec<usize> {
+        let counts = self.0.iter().map(|replica| replica.requests().len());
+        counts.filter(|count| *count > 0).collect()
+    }
+}
+
+/// Ends behind the first event although there is another one.
+fn ends_early(last: Option<&str>) -> Vec<Action> {
+    match last {
+        None => vec![UNFRAMED, send(FIRST), PAUSE, Action::Close],
+        Some("1") => vec![CHUNKED, chunk(SECOND), send(LAST_CHUNK)],
+        Some(_) => vec![CHUNKED, send(LAST_CHUNK)],
+    }
+}
+
+/// Ends each answer behind an event, and the last one without one.
+fn ends_behind_each_event(last: Option<&str>) -> Vec<Action> {
+    match last {
+        None => vec![UNFRAMED, send(FIRST), PAUSE, Action::Close],
+        Some("1") => vec![UNFRAMED, send(SECOND), PAUSE, Action::Close],
+        Some(_) => vec![UNFRAMED, Action::Close],
+    }
+}
+
+/// States no end, and is whole with its second event.
+fn states_no_end(last: Option<&str>) -> Vec<Action> {
+    match last {
+        None => vec![UNFRAMED, send(FIRST), send(SECOND), Action::Close],
+        Some(_) => vec![UNFRAMED, Action::Close],
+    }
+}
+
+/// Is whole with its second event, and says so when it is asked.
+fn states_its_end_when_asked(last: Option<&str>) -> Vec<Action> {
+    match last {
+        None => vec![UNFRAMED, send(FIRST), send(SECOND), Action::Close],
+        Some(_) => vec![CHUNKED, send(LAST_CHUNK)],
+    }
+}
+
+cases! {
+    /// Guards against a stream that ends as complete before its last event, as a replica
+    /// that lives on ended its answer too early. One replica runs all of it.
+    fn stream_ends_behind_its_last_event(script: Script, requests: usize) {
+        smol::block_on(async {
+            let replicas = Replicas::start(script).await;
+            let gateway = replicas.gateway().await;
+            let response = gateway.fetch(&post("/resumable/a", "id")).await;
+            assert_eq!(complete_events(&response), Some(vec!["a", "b"]), "{response}");
+            assert_eq!(replicas.requests(), [requests]);
+        });
+    }
+    stream_that_ends_too_early(ends_early, 2);
+    stream_that_ends_too_early_behind_each_event(ends_behind_each_event, 4);
+    stream_that_states_no_end(states_no_end, 3);
+    stream_that_states_its_end_when_asked(states_its_end_when_asked, 2);
+}
+
+cases! {
+    /// Guards against an item that is completed with a part of its output, as a replica
+    /// that lives on ended its answer too early, and against one that never ends.
+    fn item_ends_behind_its_last_event(script: Script) {
+        smol::block_on(async {
+            let replicas = Replicas::start(script).await;
+            let gateway = replicas.gateway().await;
+            let job = request("POST", "/items/", "job", "one\n");
+            assert_eq!(status(&gateway.fetch(&job).await), 202);
+            assert_eq!(results(&gateway, "job", 1).await, ["0 one a,b"]);
+        });
+    }
+    item_that_ends_too_early(ends_early);
+    item_that_ends_too_early_behind_each_event(ends_behind_each_event);
+    item_that_states_no_end(states_no_end);
+    item_that_states_its_end_when_asked(states_its_end_when_asked);
+}
+
+/// Guards against a stream that ends as complete because the replica that was asked for
+/// more answered with an error.
+#[test]
+fn stream_is_not_confirmed_by_an_error() {
+    smol::block_on(async {
+        let script = |last: Option<&str>| match last {
+            None => vec![UNFRAMED, send(FIRST), PAUSE, Action::Close],
+            Some(_) => vec![Action::Respond(
+                500,
+                "signature: s\r\ncontent-length: 5\r\n",
+                "error",
+            )],
+        };
+        let replicas = Replicas::start(script).await;
+        let gateway = replicas.gateway().await;
+        let response = gateway.fetch(&post("/resumable/a", "id")).await;
+        assert_eq!(complete_events(&response), None, "{response}");
+        assert!(!response.contains("error"), "{response}");
+        let received: usize = replicas.requests().iter().sum();
+        assert_eq!(
+            received, 3,
+            "one stream, asked for more once at each replica"
+        );
+    });
+}
 
 cases! {
     /// Guards against a call that is answered as a success of no bytes, as its replica ended
