gateway: metric of the longest time for which the thread was held

No log line or counter tells a daemon whose one thread is held by a task from one that waits for the network: both answer late. The scheduler of batch items wakes on a timer anyway; the longest time for which it was late is `scheduling_delay_max_ms`.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -22,6 +23,8 @@
     counts: Mutex<BTreeMap<CompactString, u64>>,
     /// Milliseconds to the first event or the complete response.
     latencies: Mutex<BTreeMap<CompactString, Histogram<u32>>>,
+    /// Longest time for which a timer was late, in milliseconds.
+    scheduling_delay_ms: AtomicU64,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -149,10 +152,18 @@
         ));
     }
 
+    /// Time for which a timer was late, as other tasks held the thread.
+    pub(crate) fn scheduling_delay(&self, delay: Duration) {
+        let ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        self.scheduling_delay_ms.fetch_max(ms, Ordering::Relaxed);
+    }
+
     /// Renders all metrics as text, one value a line.
     pub(crate) fn text(&self) -> String {
         let mut text = String::new();
+        let delay_ms = self.scheduling_delay_ms.load(Ordering::Relaxed);
         // Writing to a string does not fail.
+        let _ = writeln!(text, "bitterncart_scheduling_delay_max_ms {delay_ms}");
         for (name, value) in lock(&self.counts).iter() {
             let _ = writeln!(text, "bitterncart_{name} {value}");
         }
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -262,7 +262,10 @@
     core.spawn(purge_ended_jobs(core.clone())).detach();
     let mut next_checkpoint = clock::now();
     for poll in 0_u32.. {
+        let due = clock::now() + POLL_INTERVAL;
         smol::Timer::after(POLL_INTERVAL).await;
+        core.metrics
+            .scheduling_delay(clock::now().saturating_sub(due));
         if clock::now() >= next_checkpoint {
             next_checkpoint = clock::now() + CHECKPOINT_INTERVAL;
             checkpoint::store_outputs(&core);
