Bodies that come at once are bounded together, also of the store, peers and clients

Cause: answers of the store (4 MB each), of peers (8 MB each) and bodies of clients (the limit of the manifest) were bounded one by one; any number of them could be read at once.

Change: `collect::collect` reads each of them within its limit and a budget: an eighth of the memory for the answers of the store, another for the bodies of clients and the answers of peers, beside the quarter for answers of replicas. Bodies count until their last use. A client is told 503, `memory_limited` (1313): nothing has run. A call to the store fails with an unknown outcome.

Evidence: with the check of the budget taken out, `answers_at_once_are_bounded_together` fails with "24 answers are kept" (at most 5 fit), `bodies_at_once_are_bounded_together` with "20 bodies are kept" (at most 9 fit).

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -1,5 +1,5 @@
-//! Memory for answers of replicas that a daemon keeps: bodies that are being read, events
-//! that wait for slow clients, and outputs of items.
+//! Memory for what other processes send and a daemon keeps: bodies that are being read,
+//! events that wait for slow clients, and outputs of items.
 //!
 //! Small answers have a part of the budget to themselves, so that a few large ones do
 //! not end the others.
@@ -18,10 +18,14 @@
 /// Bytes from which an event that waits for a client is counted by itself.
 const LARGE_EVENT_BYTES: usize = 4 << 10;
 
-/// Share of the memory of the process that answers may take: one in this many bytes.
+/// Share of the memory of the process that answers of replicas may take: one in this many
+/// bytes.
 const MEMORY_DIVISOR: usize = 4;
 
-/// Memory that the answers of one daemon may take together.
+/// Likewise for the answers of the store, and for requests with answers of peers.
+const CALLS_MEMORY_DIVISOR: usize = 8;
+
+/// Memory that the answers, or requests, of one kind may take together.
 #[derive(Clone, Debug)]
 pub struct Budget {
     kept: Arc<AtomicUsize>,
@@ -29,12 +33,24 @@
 }
 
 impl Budget {
-    /// Budget of a process with a limit of its memory, in bytes.
+    /// Budget for the answers of replicas, in a process with a limit of its memory, in
+    /// bytes.
     #[must_use]
     pub fn of_memory(memory_bytes: usize) -> Self {
+        Self::new(memory_bytes / MEMORY_DIVISOR)
+    }
+
+    /// Budget for the answers of the store, or for requests with the answers of peers, in
+    /// a process with a limit of its memory, in bytes.
+    #[must_use]
+    pub fn of_calls(memory_bytes: usize) -> Self {
+        Self::new(memory_bytes / CALLS_MEMORY_DIVISOR)
+    }
+
+    fn new(max_bytes: usize) -> Self {
         Self {
             kept: Arc::default(),
-            max_bytes: memory_bytes / MEMORY_DIVISOR,
+            max_bytes,
         }
     }
 
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -61,6 +61,8 @@
     pub metrics: Arc<Metrics>,
     /// Memory for the answers that are kept.
     pub budget: Budget,
+    /// Memory for the bodies of requests and of the answers of peers.
+    pub calls_budget: Budget,
     /// Links to the replicas.
     pub links: links::Monitor,
     pub shards: Vec<Shard>,
@@ -146,6 +148,7 @@
             connector,
             metrics,
             budget: Budget::of_memory(settings.memory_bytes()),
+            calls_budget: Budget::of_calls(settings.memory_bytes()),
             settings,
             links,
             shards,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -8,12 +8,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 
 use crate::body::Body;
 use crate::clock::with_timeout;
+use crate::collect::collect;
 use crate::connection::{Connection, Error};
 use crate::core::Core;
 use crate::dialect::Dialect;
@@ -110,11 +110,9 @@
     let name = core.dialect.header_names().long_poll.clone();
     let wait_ms = HeaderValue::from(wait.as_millis() as u64);
     request.headers_mut().insert(name, wait_ms);
-    let (mut head, body) = connection.send(request).await?.into_parts();
-    let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-    let bytes: Bytes = collected
-        .map_err(|e| Error::Broken(e.to_string()))?
-        .to_bytes();
+    let (mut head, mut body) = connection.send(request).await?.into_parts();
+    let bytes = collect(&mut body, MAX_RESPONSE_BYTES, &core.calls_budget).await;
+    let bytes = bytes.map_err(|e| Error::Broken(e.to_string()))?;
     core.connector.release(connection);
     strip_hop_by_hop_headers(&mut head.headers);
     Ok(Response::from_parts(head, Body::full(bytes)))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod catalog;
 mod checkpoint;
 mod clock;
+pub mod collect;
 pub mod connection;
 mod core;
 mod crash;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -16,7 +16,7 @@
 
 use bitterncart_coordination::fleet::{Kind, Manifest, Route};
 use bitterncart_protocol::Code;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_lite::future;
 use http::{HeaderValue, Request, Response, StatusCode, Version, header};
 use http_body_util::BodyExt;
@@ -29,6 +29,7 @@
 use crate::body::Body;
 use crate::bounded::Bounded;
 use crate::clock::{self, with_timeout};
+use crate::collect::{self, collect};
 use crate::connection::configure_socket;
 use crate::core::Core;
 use crate::dialect::Dialect;
@@ -275,16 +276,21 @@
 ///
 /// # Errors
 ///
-/// If it is too large, or does not end in time.
+/// If it is too large, does not end in time, or there is no memory for it.
 pub(crate) async fn read_body<S: Store, D: Dialect>(
     core: &Core<S, D>,
     body: &mut Incoming,
 ) -> Result<Bytes, Code> {
     let limits = core.manifest().map(|manifest| manifest.limits);
     let max_bytes = limits.map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.max_body);
-    with_timeout(BODY_TIMEOUT, collect_body(body, max_bytes))
-        .await
-        .unwrap_or(Err(Code::SlowSender))
+    let collected = with_timeout(BODY_TIMEOUT, collect(body, max_bytes, &core.calls_budget));
+    match collected.await {
+        Some(Ok(bytes)) => Ok(bytes),
+        Some(Err(collect::Error::TooLarge)) => Err(Code::BodyTooLarge),
+        Some(Err(collect::Error::MemoryLimited)) => Err(Code::MemoryLimited),
+        Some(Err(collect::Error::Broken(_))) => Err(Code::MalformedRequest),
+        None => Err(Code::SlowSender),
+    }
 }
 
 /// Reads the rest of a request body and discards it, as a response before the end of the
@@ -294,17 +300,3 @@
     // The rest is of no use either.
     let _end = with_timeout(BODY_TIMEOUT, discarded).await;
 }
-
-async fn collect_body(body: &mut Incoming, max_bytes: usize) -> Result<Bytes, Code> {
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Code::MalformedRequest)?;
-        if let Ok(data) = frame.into_data() {
-            bytes.extend_from_slice(&data);
-        }
-        if bytes.len() > max_bytes {
-            return Err(Code::BodyTooLarge);
-        }
-    }
-    Ok(bytes.freeze())
-}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod batch;
 mod behind;
+mod bodies;
 mod bounded;
 mod budget;
 mod crash;
