--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -12,7 +12,9 @@
 use bitterncart_coordination::fleet::pool::{Class, Selection};
 use bitterncart_coordination::fleet::{Outcome, Profile};
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header, response};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, header, response,
+};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use smol::Task;
@@ -264,8 +266,10 @@
         );
         let (head, body) = connection.send(request).await?.into_parts();
         check_departure(core, selection, &head);
-        let echo = head.headers.get(&core.dialect.header_names().attempt_id);
-        if echo.is_some_and(|id| !id.is_empty()) {
+        let ids = head
+            .headers
+            .get_all(&core.dialect.header_names().attempt_id);
+        if ids.iter().any(|id| !id.is_empty()) {
             // The call has no id that its response could echo.
             return Err(Error::Broken("late response to an earlier request".into()));
         }
@@ -360,7 +364,7 @@
     };
     let (head, body) = response.into_parts();
     check_departure(core, selection, &head);
-    let echo = head.headers.get(&header_names.attempt_id);
+    let echo = sole_value(&head.headers, &header_names.attempt_id);
     let signed = head.headers.contains_key(&header_names.signature);
     let framing = Framing::of(&head, &body);
     let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
@@ -394,6 +398,13 @@
     }
 }
 
+/// Value of a header that occurs once. The heads of two answers that run together have two
+/// ids, of which the second may be that of the body.
+fn sole_value<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a HeaderValue> {
+    let mut values = headers.get_all(name).into_iter();
+    values.next().filter(|_| values.next().is_none())
+}
+
 /// Id of the event behind which a stream is resumed; 0 for none.
 fn last_event_id<S: Store, D: Dialect>(core: &Core<S, D>, message: &Message) -> u64 {
     let id = message
--- a/crates/gateway/tests/gateway/ends.rs
+++ b/crates/gateway/tests/gateway/ends.rs
@@ -202,15 +202,15 @@
 }
 
 /// Daemon that reaches its replicas through two scripted relays only.
-struct Relayed {
-    gateway: Gateway,
+pub(crate) struct Relayed {
+    pub gateway: Gateway,
     relays: [ScriptedRelay; 2],
     store: MemoryStore,
     _links: Vec<Link>,
 }
 
 impl Relayed {
-    async fn start(replicas: &[ScriptedReplica]) -> Self {
+    pub(crate) async fn start(replicas: &[ScriptedReplica]) -> Self {
         let links: Vec<Link> = replicas.iter().map(Link::start).collect();
         let store = store(&replicas.iter().collect::<Vec<_>>());
         let gateway = Gateway::start(&store.seen_over(&links)).await;
