tests: longest time for which endless bytes hold the thread of a daemon

The tests read the metric `scheduling_delay_max_ms` (client of the store: a timer of its own) while bytes come for 1.5 s; a thread that serves one source only is held for all of that time.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod discovery;
 mod ends;
 mod harness;
+mod held_thread;
 mod link;
 mod links;
 mod odd_records;
