--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod held_thread;
 mod link;
 mod links;
+mod memory_peak;
 mod odd_records;
 mod online;
 mod oversized;
