--- a/crates/gateway/tests/gateway/ends.rs
+++ b/crates/gateway/tests/gateway/ends.rs
@@ -277,29 +277,38 @@
     relay_hides_a_reset_of_a_call("/once/a");
 }
 
-/// See [`stream_goes_on_when_a_relay_hides_a_reset`]; a daemon that relays resets the
-/// connection to the one that asked it.
-#[test]
-fn stream_goes_on_when_its_replica_resets_it_behind_a_relay() {
-    smol::block_on(async {
-        let begun: &[fn() -> Action] = &[|| UNFRAMED, first, || PAUSE, || Action::Reset];
-        let replicas = start_scripted(begun).await;
-        let links: Vec<Link> = replicas.iter().map(Link::start).collect();
-        let store = store(&replicas.iter().collect::<Vec<_>>());
-        let relay = Gateway::start(&store).await;
-        let gateway = Gateway::start(&store.seen_over(&links)).await;
-        wait_until("heartbeats", || gateway.daemon.live_peers() == 1).await;
-        links.iter().for_each(|link| link.set(State::Silent));
-        let is_served = || {
-            let response = smol::block_on(gateway.fetch(&post("/idempotent/a", "before")));
-            status(&response) == 200
-        };
-        wait_until("a request to be served during the cut", is_served).await;
-        let response = gateway.fetch(&post("/resumable/a", "id")).await;
-        assert!(looks_complete(&response), "{response}");
-        assert_eq!(events(&response), ["a", "b"], "{response}");
-        drop(relay);
-    });
+cases! {
+    /// See [`stream_goes_on_when_a_relay_hides_a_reset`]; a daemon that relays resets the
+    /// connection to the one that asked it.
+    fn daemon_passes_a_reset_on(path: &str) {
+        smol::block_on(async {
+            let begun: &[fn() -> Action] = &[|| UNFRAMED, first, || PAUSE, || Action::Reset];
+            let replicas = start_scripted(begun).await;
+            let links: Vec<Link> = replicas.iter().map(Link::start).collect();
+            let store = store(&replicas.iter().collect::<Vec<_>>());
+            let relay = Gateway::start(&store).await;
+            let gateway = Gateway::start(&store.seen_over(&links)).await;
+            wait_until("heartbeats", || gateway.daemon.live_peers() == 1).await;
+            links.iter().for_each(|link| link.set(State::Silent));
+            let is_served = || {
+                let response = smol::block_on(gateway.fetch(&post("/idempotent/a", "before")));
+                status(&response) == 200
+            };
+            wait_until("a request to be served during the cut", is_served).await;
+            let response = gateway.fetch(&post(path, "id")).await;
+            match path {
+                "/resumable/a" => {
+                    assert!(looks_complete(&response), "{response}");
+                    assert_eq!(events(&response), ["a", "b"], "{response}");
+                }
+                _ => assert!(!looks_complete(&response), "{response}"),
+            }
+            drop(relay);
+        });
+    }
+    stream_goes_on_when_its_replica_resets_it_behind_a_relay("/resumable/a");
+    stream_that_its_replica_resets_behind_a_relay_is_broken("/stream/a");
+    call_that_its_replica_resets_behind_a_relay_is_broken("/once/a");
 }
 
 /// Reads an answer until it holds the first event.
