tests: a thread that is still held counts as held; a whole stream ends right behind its last event

- `held_thread` read the metric of a daemon whose thread was held: it had recorded nothing yet, and the test passed.
The thread must have a turn first.

--- a/crates/gateway/tests/gateway/held_thread.rs
+++ b/crates/gateway/tests/gateway/held_thread.rs
@@ -5,7 +5,7 @@
 use bitterncart_testing::cases;
 use futures_lite::{AsyncWriteExt, future};
 
-use crate::harness::{Gateway, post, status, store, wait_until};
+use crate::harness::{Gateway, WAIT_TIMEOUT, post, status, store, wait_until};
 use crate::link::{Link, State};
 use crate::replica::{Action, ScriptedReplica};
 
@@ -18,8 +18,22 @@
 const OK_RESPONSE: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
 const CHUNKED: Action = Action::Respond(200, "signature: s\r\ntransfer-encoding: chunked\r\n", "");
 
-/// Longest delay of a timer of a daemon so far, in milliseconds.
-fn held_ms(gateway: &Gateway) -> u64 {
+/// Time in which the daemon's timers have a turn again.
+const TIMER_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Longest delay of a timer of a daemon so far, in milliseconds. A thread that is still
+/// held has recorded nothing, so it must have a turn first.
+async fn held_ms(gateway: &Gateway) -> u64 {
+    let turn = async {
+        gateway.processor_time().await;
+        smol::Timer::after(TIMER_INTERVAL).await;
+        true
+    };
+    let timer = async {
+        smol::Timer::after(WAIT_TIMEOUT).await;
+        false
+    };
+    assert!(future::or(turn, timer).await, "the thread is still held");
     let text = gateway.daemon.metrics_text();
     let name = "bitterncart_scheduling_delay_max_ms ";
     let line = text.lines().find_map(|line| line.strip_prefix(name));
@@ -44,14 +58,14 @@
         smol::block_on(async {
             let replica = start(begun, endless).await;
             let gateway = Gateway::start(&store(&[&replica])).await;
-            let before = held_ms(&gateway);
+            let before = held_ms(&gateway).await;
             let _streams = [
                 gateway.send(&post("/once/endless", "e1")).await,
                 gateway.send(&post("/stream/endless", "e2")).await,
                 gateway.send(&post("/idempotent/endless", "e3")).await,
             ];
             smol::Timer::after(TIME).await;
-            let held = held_ms(&gateway);
+            let held = held_ms(&gateway).await;
             println!("held for {held} ms ({before} ms before), {} bytes", replica.endless_bytes());
             assert!(held <= MAX_HELD_MS, "{held} ms");
         });
@@ -88,7 +102,7 @@
                 gateway.send(&post("/stream/endless", "e2")).await,
             ];
             smol::Timer::after(TIME).await;
-            let held = [held_ms(&gateway), held_ms(&relay)];
+            let held = [held_ms(&gateway).await, held_ms(&relay).await];
             println!("held for {held:?} ms, {} bytes", replica.endless_bytes());
             assert!(held.iter().all(|held| *held <= MAX_HELD_MS), "{held:?} ms");
         });
@@ -115,7 +129,7 @@
                 smol::Timer::after(TIME).await;
             };
             future::or(write, timer).await;
-            let held = held_ms(&gateway);
+            let held = held_ms(&gateway).await;
             println!("held for {held} ms");
             assert!(held <= MAX_HELD_MS, "{held} ms");
         });
--- a/crates/gateway/tests/gateway/replica.rs
+++ b/crates/gateway/tests/gateway/replica.rs
@@ -180,7 +180,7 @@
     })
 }
 
-/// Whether a request resumes behind the last event of a whole stream.
+/// Whether a request resumes right behind the last event of a whole stream.
 fn has_ended_behind(actions: &[Action], head: &str) -> bool {
     let resumed = header(head, "last-event").and_then(|id| id.parse().ok());
     let ids = actions.iter().flat_map(|action| match action {
@@ -188,7 +188,7 @@
         Action::Send(text) => event_ids(text),
         _ => Vec::new(),
     });
-    matches!(actions.last(), Some(Action::Finish)) && resumed >= Some(ids.max().unwrap_or(0))
+    matches!(actions.last(), Some(Action::Finish)) && resumed.is_some() && resumed == ids.max()
 }
 
 fn event_ids(text: &str) -> Vec<u64> {
