tests: one copy of the answers, requests and readings that the gateway's tests share

They are in `replica`, `harness` and `bitterncart_testing::memory` now. No assertion, bound or literal changes; only tests do.

--- a/crates/gateway/tests/gateway/answers.rs
+++ b/crates/gateway/tests/gateway/answers.rs
@@ -5,13 +5,12 @@
 use bitterncart_testing::cases;
 
 use crate::batch::results;
-use crate::harness::{Gateway, post, request, status, store, wait_until};
-use crate::replica::{Action, ScriptedReplica};
+use crate::harness::{Gateway, looks_complete, post, request, sized, status, store, wait_until};
+use crate::replica::{Action, RESERVED, ScriptedReplica};
 
 /// Head of an answer that ends with its connection.
 const UNFRAMED: Action = Action::Respond(200, "signature: s\r\n", "");
 const CHUNKED: Action = Action::Respond(200, "signature: s\r\ntransfer-encoding: chunked\r\n", "");
-const RESERVED: Action = Action::Respond(200, "content-length: 2\r\n", "p7");
 
 /// Most bytes of one endless answer that are taken, with those in socket buffers.
 const MAX_TAKEN_BYTES: usize = 24 << 20;
@@ -19,16 +18,6 @@
 /// Requests that are sent while an endless answer comes.
 const MEANWHILE: usize = 20;
 
-fn sized(path: &str) -> String {
-    post(path, "id").replacen("\r\n", "\r\nsize: 1\r\n", 1)
-}
-
-/// Whether an answer to the client looks complete.
-fn looks_complete(response: &str) -> bool {
-    let is_chunked = response.contains("transfer-encoding: chunked");
-    status(response) == 200 && (!is_chunked || response.ends_with("0\r\n\r\n"))
-}
-
 cases! {
     /// The end of the connection is the end of the answer, if it is not inside an
     /// event and no reset.
@@ -121,17 +110,17 @@
     endless_interim_heads_of_a_call(post("/once/a", "id"), |_| vec![INTERIM_HEADS]);
     endless_interim_heads_of_a_stream(post("/stream/a", "id"), |_| vec![INTERIM_HEADS]);
     endless_interim_heads_after_a_reservation(
-        sized("/once/a"),
+        sized("/once/a", "id"),
         |head| after_reservation(head, vec![INTERIM_HEADS])
     );
     endless_body_of_a_call(post("/once/a", "id"), |_| endless_body(UNFRAMED));
     endless_body_of_a_stream(post("/stream/a", "id"), |_| endless_body(UNFRAMED));
     endless_head_after_a_reservation(
-        sized("/once/a"),
+        sized("/once/a", "id"),
         |head| after_reservation(head, ENDLESS_HEAD.to_vec())
     );
     endless_body_after_a_reservation(
-        sized("/once/a"),
+        sized("/once/a", "id"),
         |head| after_reservation(head, endless_body(UNFRAMED))
     );
 }
@@ -142,7 +131,7 @@
         smol::block_on(async {
             let replica = ScriptedReplica::start_with("r", script).await;
             let gateway = Gateway::start(&store(&[&replica])).await;
-            gateway.fetch(&sized("/once/a")).await;
+            gateway.fetch(&sized("/once/a", "id")).await;
             let ended = replica.disconnects();
             assert!(ended > 0, "the connection stays open");
             let taken = replica.endless_bytes() / ended;
--- a/crates/gateway/tests/gateway/behind.rs
+++ b/crates/gateway/tests/gateway/behind.rs
@@ -12,10 +12,9 @@
 use crate::batch::results;
 use crate::harness::{Gateway, manifest, request, route, status, store, wait_until};
 use crate::owner::{record_result, send_heartbeats_as_owner};
-use crate::replica::{Action, ScriptedReplica};
+use crate::replica::{Action, OK_RESPONSE, ScriptedReplica};
 use crate::store::{Fault, MemoryStore};
 
-const OK_RESPONSE: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
 const EVENTS: &str = "signature: s\r\ncontent-type: text/event-stream\r\nconnection: close\r\n";
 const COMPLETE: Action = Action::Respond(200, EVENTS, "id: 1\ndata: a\n\n");
 
--- a/crates/gateway/tests/gateway/copies.rs
+++ b/crates/gateway/tests/gateway/copies.rs
@@ -6,11 +6,9 @@
 
 use crate::batch::results;
 use crate::ends::Relayed;
-use crate::harness::{Gateway, post, request, status, store};
-use crate::replica::{Action, ScriptedReplica};
+use crate::harness::{Gateway, request, sized, status, store};
+use crate::replica::{Action, OK_RESPONSE, RESERVED, ScriptedReplica};
 
-const RESERVED: Action = Action::Respond(200, "content-length: 2\r\n", "p7");
-const OK_RESPONSE: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
 const COMPLETE: Action = Action::Respond(
     200,
     "signature: s\r\ncontent-length: 15\r\n",
@@ -28,17 +26,9 @@
 /// Time in which what was sent arrives.
 const PAUSE: Action = Action::Wait(Duration::from_millis(30));
 
-fn send(bytes: &str) -> Action {
-    Action::Send(bytes.to_owned())
-}
-
 fn half(copy: &str) -> [Action; 2] {
     let (first, second) = copy.split_at(copy.len() / 2);
-    [send(first), send(second)]
-}
-
-fn sized(id: &str) -> String {
-    post("/once/a", id).replacen("\r\n", "\r\nsize: 1\r\n", 1)
+    [Action::send(first), Action::send(second)]
 }
 
 /// Number of requests that reached the replica as work.
@@ -69,9 +59,9 @@
 
 /// The copy comes once the next request was sent; its replica is still at work.
 fn copy_at_work(reservation: &str, copies: &[&str]) -> Script {
-    let copies = copies.iter().map(|copy| send(copy));
+    let copies = copies.iter().map(|copy| Action::send(copy));
     Script {
-        reservation: vec![send(reservation)],
+        reservation: vec![Action::send(reservation)],
         work: copies.chain([Action::AwaitDisconnect]).collect(),
     }
 }
@@ -80,7 +70,7 @@
 fn split_copy_at_work() -> Script {
     let [first, second] = half(FULL);
     Script {
-        reservation: vec![send(FULL), first],
+        reservation: vec![Action::send(FULL), first],
         work: vec![second, Action::AwaitDisconnect],
     }
 }
@@ -88,7 +78,7 @@
 /// The copy comes while the connection is idle.
 fn copy_when_idle() -> Script {
     Script {
-        reservation: vec![send(FULL), PAUSE, send(FULL)],
+        reservation: vec![Action::send(FULL), PAUSE, Action::send(FULL)],
         work: vec![Action::AwaitDisconnect],
     }
 }
@@ -100,7 +90,7 @@
         smol::block_on(async {
             let replica = script.start().await;
             let gateway = Gateway::start(&store(&[&replica])).await;
-            let response = gateway.fetch(&sized("id")).await;
+            let response = gateway.fetch(&sized("/once/a", "id")).await;
             assert!(matches!(status(&response), 502 | 504), "{response}");
             assert_eq!(runs(&replica), 1);
         });
@@ -120,13 +110,13 @@
 fn copy_of_a_grant_reaches_the_next_reservation() {
     smol::block_on(async {
         let script = Script {
-            reservation: vec![send(GRANT), send(GRANT)],
+            reservation: vec![Action::send(GRANT), Action::send(GRANT)],
             work: vec![OK_RESPONSE],
         };
         let replica = script.start().await;
         let gateway = Gateway::start(&store(&[&replica])).await;
         for n in 0..4 {
-            let response = gateway.fetch(&sized(&format!("id{n}"))).await;
+            let response = gateway.fetch(&sized("/once/a", &format!("id{n}"))).await;
             let is_own = response.contains(&format!("attempt: id{n}\r\n"));
             assert!(is_own || status(&response) != 200, "{response}");
             assert!(!matches!(status(&response), 503 | 429), "{response}");
@@ -147,7 +137,7 @@
         });
         let replicas = [replica.await];
         let relayed = Relayed::start(&replicas).await;
-        let response = relayed.gateway.fetch(&sized("id")).await;
+        let response = relayed.gateway.fetch(&sized("/once/a", "id")).await;
         assert!(matches!(status(&response), 502 | 504), "{response}");
         let heads = replicas[0].requests();
         let once = heads.iter().filter(|head| head.starts_with("POST /once/"));
@@ -161,9 +151,9 @@
 fn copy_of_a_refusal_is_no_answer_to_an_item() {
     smol::block_on(async {
         let scripts = vec![
-            vec![send(FULL)],
+            vec![Action::send(FULL)],
             vec![RESERVED],
-            vec![send(FULL), PAUSE, Action::Close],
+            vec![Action::send(FULL), PAUSE, Action::Close],
             vec![RESERVED],
             vec![COMPLETE],
         ];
--- a/crates/gateway/tests/gateway/crash.rs
+++ b/crates/gateway/tests/gateway/crash.rs
@@ -7,8 +7,8 @@
 use bitterncart_testing::cases;
 use futures_lite::future;
 
-use crate::harness::{Gateway, WAIT_TIMEOUT, post, request, status, store, wait_until};
-use crate::replica::{Action, ScriptedReplica, header};
+use crate::harness::{Gateway, WAIT_TIMEOUT, post, request, sized, status, store, wait_until};
+use crate::replica::{Action, OK_RESPONSE, RESERVED, ScriptedReplica, header};
 
 /// Part of the prompt that ends a replica.
 const BAD: &str = "7";
@@ -19,8 +19,6 @@
 /// Path of requests that end a replica.
 const CRASHING_PATH: &str = "/idempotent/crash";
 
-const OK_RESPONSE: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
-const RESERVED: Action = Action::Respond(200, "content-length: 2\r\n", "p7");
 const EVENTS: &str = "signature: s\r\ncontent-type: text/event-stream\r\nconnection: close\r\n";
 const COMPLETE: Action = Action::Respond(200, EVENTS, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 
@@ -193,10 +191,6 @@
     with_prompt(request, &format!("{SHARED},{BAD}"))
 }
 
-fn sized(path: &str) -> String {
-    post(path, "id").replacen("\r\n", "\r\nsize: 1\r\n", 1)
-}
-
 cases! {
     /// No replica ends, nothing is reserved, and the answer says so.
     fn is_refused_with_its_own_code(request: String) {
@@ -218,8 +212,8 @@
     stream_is_refused(post("/stream/a", "id"));
     resumable_stream_is_refused(post("/resumable/a", "id"));
     continued_stream_is_refused(post("/resumable/a", "id").replacen("\r\n", "\r\nlast-event: 3\r\n", 1));
-    call_with_reservation_is_refused(sized("/once/a"));
-    stream_with_reservation_is_refused(sized("/resumable/a"));
+    call_with_reservation_is_refused(sized("/once/a", "id"));
+    stream_with_reservation_is_refused(sized("/resumable/a", "id"));
 }
 
 /// Requests with the other parts of the bad ones are not affected.
--- a/crates/gateway/tests/gateway/cut_heads.rs
+++ b/crates/gateway/tests/gateway/cut_heads.rs
@@ -6,10 +6,9 @@
 
 use crate::batch::results;
 use crate::ends::Relayed;
-use crate::harness::{Gateway, post, request, status, store};
-use crate::replica::{Action, ScriptedReplica};
+use crate::harness::{Gateway, looks_complete, post, request, sized, status, store};
+use crate::replica::{Action, OK_RESPONSE, ScriptedReplica};
 
-const OK_RESPONSE: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
 const COMPLETE: Action = Action::Respond(
     200,
     "signature: s\r\ncontent-length: 15\r\n",
@@ -47,12 +46,6 @@
     vec![Action::Send(CUT[n].replace("ID", id)), pause, Action::Close]
 }
 
-/// Whether an answer looks like a success that is complete.
-fn looks_complete(response: &str) -> bool {
-    let is_chunked = response.contains("transfer-encoding: chunked");
-    status(response) == 200 && (!is_chunked || response.ends_with("0\r\n\r\n"))
-}
-
 /// How the connection leads to the replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Way {
@@ -143,8 +136,7 @@
             });
             let replica = replica.await;
             let gateway = Gateway::start(&store(&[&replica])).await;
-            let sized = post("/once/a", "id").replacen("\r\n", "\r\nsize: 1\r\n", 1);
-            let response = gateway.fetch(&sized).await;
+            let response = gateway.fetch(&sized("/once/a", "id")).await;
             assert_eq!(status(&response), 200, "{cut_answer:?}: {response}");
             let heads = replica.requests();
             let runs = heads.iter().filter(|head| head.starts_with("POST /once/"));
--- a/crates/gateway/tests/gateway/departure.rs
+++ b/crates/gateway/tests/gateway/departure.rs
@@ -6,13 +6,12 @@
 use bitterncart_coordination::fleet::Replica;
 use bitterncart_testing::cases;
 
-use crate::harness::{Gateway, post, request, status, store, wait_until};
-use crate::replica::{Action, ScriptedReplica};
+use crate::harness::{Gateway, post, request, sized, status, store, wait_until};
+use crate::replica::{Action, OK_RESPONSE, RESERVED, ScriptedReplica};
 
 const EVENTS: &str = "signature: s\r\ncontent-type: text/event-stream\r\nconnection: close\r\n";
 const LEAVING_EVENTS: &str =
     "signature: s\r\nleaving: 1\r\ncontent-type: text/event-stream\r\nconnection: close\r\n";
-const OK_RESPONSE: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
 const LEAVING_OK: Action = Action::Respond(
     200,
     "signature: s\r\nleaving: 1\r\ncontent-length: 2\r\n",
@@ -21,7 +20,6 @@
 const LEAVING_REFUSAL: Action =
     Action::Respond(503, "not-run: 1\r\nleaving: 1\r\ncontent-length: 0\r\n", "");
 const LEAVING_RESERVED: Action = Action::Respond(200, "leaving: 1\r\ncontent-length: 2\r\n", "p7");
-const RESERVED: Action = Action::Respond(200, "content-length: 2\r\n", "p7");
 const COMPLETE: Action = Action::Respond(200, EVENTS, "id: 1\ndata: a\n\n");
 const LEAVING_COMPLETE: Action = Action::Respond(200, LEAVING_EVENTS, "id: 1\ndata: a\n\n");
 
@@ -54,10 +52,6 @@
     wait_until("a replica that stays", is_served).await;
 }
 
-fn sized(path: &str, id: &str) -> String {
-    request("POST", path, id, "body").replacen("\r\n", "\r\nsize: 1\r\n", 1)
-}
-
 cases! {
     /// The first request gets the answer that announces the departure.
     fn gets_no_later_requests(near: fn(&str) -> Vec<Action>, first: String) {
--- a/crates/gateway/tests/gateway/discovery.rs
+++ b/crates/gateway/tests/gateway/discovery.rs
@@ -4,11 +4,9 @@
 use bitterncart_gateway::store::Topic;
 
 use crate::harness::{Gateway, manifest, post, status, store, wait_until};
-use crate::replica::{Action, ScriptedReplica};
+use crate::replica::{OK_RESPONSE, ScriptedReplica};
 use crate::store::MemoryStore;
 
-const OK_RESPONSE: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
-
 #[test]
 fn request_without_manifest_is_unavailable() {
     smol::block_on(async {
--- a/crates/gateway/tests/gateway/ends.rs
+++ b/crates/gateway/tests/gateway/ends.rs
@@ -7,7 +7,7 @@
 use smol::net::TcpStream;
 
 use crate::batch::{results, submit};
-use crate::harness::{Gateway, post, request, status, store, wait_until};
+use crate::harness::{Gateway, looks_complete, post, request, sized, status, store, wait_until};
 use crate::link::{Link, State};
 use crate::relay::ScriptedRelay;
 use crate::replica::{Action, ScriptedReplica, header};
@@ -30,12 +30,6 @@
     Action::Send(SECOND.to_owned())
 }
 
-/// What an answer to the client says of its end.
-fn looks_complete(response: &str) -> bool {
-    let is_chunked = response.contains("transfer-encoding: chunked");
-    status(response) == 200 && (!is_chunked || response.ends_with("0\r\n\r\n"))
-}
-
 fn events(response: &str) -> Vec<&str> {
     let lines = response.lines();
     lines.filter_map(|l| l.strip_prefix("data: ")).collect()
@@ -415,8 +409,7 @@
             };
             let replica = ScriptedReplica::start_with("r", script).await;
             let gateway = Gateway::start(&store(&[&replica])).await;
-            let request = post("/once/a", "id").replacen("\r\n", "\r\nsize: 1\r\n", 1);
-            let response = gateway.fetch(&request).await;
+            let response = gateway.fetch(&sized("/once/a", "id")).await;
             assert_eq!(status(&response), 502, "{response}");
         });
     }
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -293,6 +293,17 @@
     request("POST", path, id, "body")
 }
 
+/// Request that reserves a slot.
+pub(crate) fn sized(path: &str, id: &str) -> String {
+    post(path, id).replacen("\r\n", "\r\nsize: 1\r\n", 1)
+}
+
+/// Whether a response looks like a success that is complete.
+pub(crate) fn looks_complete(response: &str) -> bool {
+    let is_chunked = response.contains("transfer-encoding: chunked");
+    status(response) == 200 && (!is_chunked || response.ends_with("0\r\n\r\n"))
+}
+
 /// Status code of a response; 0 if there is none.
 pub(crate) fn status(response: &str) -> u16 {
     response
--- a/crates/gateway/tests/gateway/held_thread.rs
+++ b/crates/gateway/tests/gateway/held_thread.rs
@@ -7,7 +7,7 @@
 
 use crate::harness::{Gateway, WAIT_TIMEOUT, post, status, store, wait_until};
 use crate::link::{Link, State};
-use crate::replica::{Action, ScriptedReplica};
+use crate::replica::{Action, OK_RESPONSE, ScriptedReplica};
 
 /// Time for which bytes come.
 const TIME: Duration = Duration::from_millis(1500);
@@ -15,7 +15,6 @@
 /// Time for which a thread is held that serves one source of bytes at least.
 const MAX_HELD_MS: u64 = TIME.as_millis() as u64 / 2;
 
-const OK_RESPONSE: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
 const CHUNKED: Action = Action::Respond(200, "signature: s\r\ntransfer-encoding: chunked\r\n", "");
 
 /// Time in which the daemon's timers have a turn again.
--- a/crates/gateway/tests/gateway/links.rs
+++ b/crates/gateway/tests/gateway/links.rs
@@ -9,16 +9,14 @@
 use crate::batch::{results, submit};
 use crate::harness::{Gateway, post, status, store, wait_until};
 use crate::link::{Link, State};
-use crate::replica::{Action, ScriptedReplica, header};
+use crate::replica::{Action, OK_RESPONSE, RESERVED, ScriptedReplica, header};
 use crate::store::MemoryStore;
 
-const OK_RESPONSE: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
 const OK_AND_CLOSE: Action = Action::Respond(
     200,
     "signature: s\r\nconnection: close\r\ncontent-length: 2\r\n",
     "ok",
 );
-const RESERVED: Action = Action::Respond(200, "content-length: 2\r\n", "p7");
 
 /// Requests that are served in a row before a daemon counts as recovered.
 const REQUESTS: usize = 10;
--- a/crates/gateway/tests/gateway/memory_peak.rs
+++ b/crates/gateway/tests/gateway/memory_peak.rs
@@ -3,11 +3,12 @@
 
 use std::time::Duration;
 
+use bitterncart_testing::memory;
 use futures_lite::AsyncWriteExt;
 
 use crate::harness::{Gateway, post, request, status, store, wait_until};
 use crate::link::{Link, State};
-use crate::replica::{Action, ScriptedReplica};
+use crate::replica::{Action, OK_RESPONSE, ScriptedReplica};
 use crate::store::MemoryStore;
 
 /// Endless answers, or bodies, at once.
@@ -19,17 +20,8 @@
 /// Time for which bytes come.
 const TIME: Duration = Duration::from_secs(4);
 
-const OK_RESPONSE: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
 const UNFRAMED: Action = Action::Respond(200, "signature: s\r\n", "");
 
-/// Peak of the resident memory of the process so far, in megabytes.
-fn peak_mb() -> u64 {
-    let status = std::fs::read_to_string("/proc/self/status").expect("the status of the process");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let kb = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
-    kb.map_or(0, |kb: u64| kb >> 10)
-}
-
 /// Replica whose answers to `/endless` and to items have no end.
 async fn start(id: &str) -> ScriptedReplica {
     ScriptedReplica::start_with(id, |head| match head {
@@ -57,14 +49,14 @@
 
 /// Sends endless calls and streams, and prints the peak.
 async fn measure_answers(gateway: &Gateway, name: &str) {
-    let before = peak_mb();
+    let before = memory::peak_mb();
     let mut streams = Vec::new();
     for n in 0..COUNT {
         let path = ["/once/endless", "/stream/endless", "/resumable/endless"][n % 3];
         streams.push(gateway.send(&post(path, &format!("e{n}"))).await);
     }
     smol::Timer::after(TIME).await;
-    println!("{name}: {before} MB before, peak {} MB", peak_mb());
+    println!("{name}: {before} MB before, peak {} MB", memory::peak_mb());
 }
 
 #[test]
@@ -105,14 +97,14 @@
         let replicas = replicas().await;
         let gateway = Gateway::start_with(&store_of(&replicas), SETTINGS).await;
         wait_until("the daemon to be ready", || gateway.daemon.is_ready()).await;
-        let before = peak_mb();
+        let before = memory::peak_mb();
         let items: String = (0..COUNT).map(|n| format!("one{n}\n")).collect();
         let job = request("POST", "/items/", "job", &items);
         while status(&gateway.fetch(&job).await) != 202 {
             smol::Timer::after(Duration::from_millis(20)).await;
         }
         smol::Timer::after(TIME).await;
-        println!("items: {before} MB before, peak {} MB", peak_mb());
+        println!("items: {before} MB before, peak {} MB", memory::peak_mb());
     });
 }
 
@@ -123,7 +115,7 @@
         let replicas = replicas().await;
         let gateway = Gateway::start_with(&store_of(&replicas), SETTINGS).await;
         wait_until("the daemon to be ready", || gateway.daemon.is_ready()).await;
-        let before = peak_mb();
+        let before = memory::peak_mb();
         let head = "POST /items/ HTTP/1.1\r\nhost: a.example\r\nattempt: id\r\n\
                     transfer-encoding: chunked\r\n\r\n";
         let chunk = format!("10000\r\n{}\r\n", "x".repeat(1 << 16));
@@ -137,6 +129,9 @@
             clients.push(stream);
         }
         smol::Timer::after(TIME).await;
-        println!("bodies of jobs: {before} MB before, peak {} MB", peak_mb());
+        println!(
+            "bodies of jobs: {before} MB before, peak {} MB",
+            memory::peak_mb()
+        );
     });
 }
--- a/crates/gateway/tests/gateway/odd_records.rs
+++ b/crates/gateway/tests/gateway/odd_records.rs
@@ -5,11 +5,9 @@
 use bitterncart_testing::cases;
 
 use crate::harness::{Gateway, manifest, post, request, status, store, wait_until};
-use crate::replica::{Action, ScriptedReplica};
+use crate::replica::{OK_RESPONSE, ScriptedReplica};
 use crate::store::Fault;
 
-const OK_RESPONSE: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
-
 /// Value of a counter of the daemon; 0 if it has none.
 fn counter(gateway: &Gateway, name: &str) -> u64 {
     let text = gateway.daemon.metrics_text();
--- a/crates/gateway/tests/gateway/replica.rs
+++ b/crates/gateway/tests/gateway/replica.rs
@@ -20,6 +20,13 @@
 /// Headers and body of an answer behind the last event of a stream.
 const END_OF_STREAM: &str = "signature: s\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n";
 
+/// Success of a call.
+pub(crate) const OK_RESPONSE: Action =
+    Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
+
+/// Grant of a reservation.
+pub(crate) const RESERVED: Action = Action::Respond(200, "content-length: 2\r\n", "p7");
+
 /// Action of a script.
 #[derive(Clone, Debug)]
 pub(crate) enum Action {
@@ -44,6 +51,13 @@
     End,
 }
 
+impl Action {
+    /// Sends raw bytes.
+    pub(crate) fn send(bytes: &str) -> Self {
+        Self::Send(bytes.to_owned())
+    }
+}
+
 /// Chooses the script of a request by its number and head.
 trait Script: Fn(usize, &str) -> Option<Vec<Action>> + Clone + Send + Sync + 'static {}
 
--- a/crates/gateway/tests/gateway/reservation.rs
+++ b/crates/gateway/tests/gateway/reservation.rs
@@ -2,22 +2,16 @@
 
 use std::time::Duration;
 
-use crate::harness::{Gateway, request, status, store, wait_until};
-use crate::replica::{Action, ScriptedReplica, header};
+use crate::harness::{Gateway, request, sized, status, store, wait_until};
+use crate::replica::{Action, OK_RESPONSE, RESERVED, ScriptedReplica, header};
 
-const RESERVED: Action = Action::Respond(200, "content-length: 2\r\n", "p7");
 const FULL: Action = Action::Respond(503, "not-run: 1\r\ncontent-length: 0\r\n", "");
-const OK_RESPONSE: Action = Action::Respond(200, "signature: s\r\ncontent-length: 2\r\n", "ok");
 const COMPLETE: Action = Action::Respond(
     200,
     "signature: s\r\ncontent-type: text/event-stream\r\nconnection: close\r\n",
     "id: 1\ndata: a\n\n",
 );
 
-fn sized(path: &str, id: &str) -> String {
-    request("POST", path, id, "body").replacen("\r\n", "\r\nsize: 1\r\n", 1)
-}
-
 /// Script that answers reservation calls with `reply` and requests with status
 /// 200.
 fn reserves(head: &str, reply: Action) -> Vec<Action> {
--- a/crates/gateway/tests/gateway/unstated_ends.rs
+++ b/crates/gateway/tests/gateway/unstated_ends.rs
@@ -18,10 +18,6 @@
 /// Time in which what was sent arrives.
 const PAUSE: Action = Action::Wait(Duration::from_millis(50));
 
-fn send(bytes: &str) -> Action {
-    Action::Send(bytes.to_owned())
-}
-
 fn chunk(event: &str) -> Action {
     Action::Send(format!("{:x}\r\n{event}\r\n", event.len()))
 }
@@ -63,17 +59,17 @@
 /// Ends behind the first event although there is another one.
 fn ends_early(last: Option<&str>) -> Vec<Action> {
     match last {
-        None => vec![UNFRAMED, send(FIRST), PAUSE, Action::Close],
-        Some("1") => vec![CHUNKED, chunk(SECOND), send(LAST_CHUNK)],
-        Some(_) => vec![CHUNKED, send(LAST_CHUNK)],
+        None => vec![UNFRAMED, Action::send(FIRST), PAUSE, Action::Close],
+        Some("1") => vec![CHUNKED, chunk(SECOND), Action::send(LAST_CHUNK)],
+        Some(_) => vec![CHUNKED, Action::send(LAST_CHUNK)],
     }
 }
 
 /// Ends each answer behind an event, and the last one without one.
 fn ends_behind_each_event(last: Option<&str>) -> Vec<Action> {
     match last {
-        None => vec![UNFRAMED, send(FIRST), PAUSE, Action::Close],
-        Some("1") => vec![UNFRAMED, send(SECOND), PAUSE, Action::Close],
+        None => vec![UNFRAMED, Action::send(FIRST), PAUSE, Action::Close],
+        Some("1") => vec![UNFRAMED, Action::send(SECOND), PAUSE, Action::Close],
         Some(_) => vec![UNFRAMED, Action::Close],
     }
 }
@@ -81,7 +77,12 @@
 /// States no end, and is whole with its second event.
 fn states_no_end(last: Option<&str>) -> Vec<Action> {
     match last {
-        None => vec![UNFRAMED, send(FIRST), send(SECOND), Action::Close],
+        None => vec![
+            UNFRAMED,
+            Action::send(FIRST),
+            Action::send(SECOND),
+            Action::Close,
+        ],
         Some(_) => vec![UNFRAMED, Action::Close],
     }
 }
@@ -89,8 +90,13 @@
 /// Is whole with its second event, and says so when it is asked.
 fn states_its_end_when_asked(last: Option<&str>) -> Vec<Action> {
     match last {
-        None => vec![UNFRAMED, send(FIRST), send(SECOND), Action::Close],
-        Some(_) => vec![CHUNKED, send(LAST_CHUNK)],
+        None => vec![
+            UNFRAMED,
+            Action::send(FIRST),
+            Action::send(SECOND),
+            Action::Close,
+        ],
+        Some(_) => vec![CHUNKED, Action::send(LAST_CHUNK)],
     }
 }
 
@@ -136,7 +142,7 @@
 fn stream_is_not_confirmed_by_an_error() {
     smol::block_on(async {
         let script = |last: Option<&str>| match last {
-            None => vec![UNFRAMED, send(FIRST), PAUSE, Action::Close],
+            None => vec![UNFRAMED, Action::send(FIRST), PAUSE, Action::Close],
             Some(_) => vec![Action::Respond(
                 500,
                 "signature: s\r\ncontent-length: 5\r\n",
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -5,6 +5,7 @@
 //! with the inputs of a strategy, [`mutation`] changes valid inputs.
 
 mod fuzz;
+pub mod memory;
 pub mod mutation;
 
 pub use fuzz::fuzz;
