--- a/crates/coordination/src/fleet/manifest.rs
+++ b/crates/coordination/src/fleet/manifest.rs
@@ -11,6 +11,8 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use super::customer::Customers;
+
 /// Upper bound of the durations of a manifest. Sums of a few of them do not overflow.
 pub const MAX_DURATION: Duration = Duration::from_secs(365 * 24 * 60 * 60);
 
@@ -50,7 +52,8 @@
     pub due: Duration,
     /// Time from the first submission after which an item may be abandoned.
     pub give_up: Duration,
-    /// Quota of tokens in unfinished items of the whole fleet; `None` for no limit.
+    /// Quota of tokens in unfinished items of the whole fleet, for each customer if the
+    /// manifest names customers; `None` for no limit.
     pub max_tokens: Option<u64>,
 }
 
@@ -90,6 +93,8 @@
     pub priority: u32,
     /// Deadlines and quota of batch jobs.
     pub batch: Batch,
+    /// Whether requests need no key although the manifest names customers.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -112,6 +117,7 @@
                 give_up: MAX_DURATION,
                 max_tokens: None,
             },
+            is_public: false,
         }
     }
 
@@ -159,6 +165,8 @@
     pub routes: Vec<Route>,
     /// Limits for clients.
     pub limits: Limits,
+    /// Customers with their keys; `None` if requests need no key.
+    pub customers: Option<Customers>,
 }
 
 impl Manifest {
--- a/crates/coordination/tests/fleet/manifest.rs
+++ b/crates/coordination/tests/fleet/manifest.rs
@@ -27,6 +27,7 @@
             head: std::time::Duration::ZERO,
             idle: std::time::Duration::ZERO,
         },
+        customers: None,
     }
 }
 
--- a/crates/coordination/tests/fleet/retry.rs
+++ b/crates/coordination/tests/fleet/retry.rs
@@ -23,6 +23,7 @@
         max_attempts,
         priority: 0,
         batch: Batch::default(),
+        is_public: false,
     }
 }
 
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -19,6 +19,8 @@
     pub attempt_id: HeaderName,
     /// Credentials of the caller.
     pub caller: HeaderName,
+    /// Name of the customer, as replicas get it.
+    pub customer: HeaderName,
     /// Remaining time until the deadline of a request, in milliseconds.
     pub deadline: HeaderName,
     /// Id of the replica that a request is addressed to.
@@ -80,6 +82,10 @@
     /// Header names.
     fn header_names(&self) -> &HeaderNames;
 
+    /// Key of a customer in the credentials of a request; `None` if they are of another
+    /// kind.
+    fn parse_key<'a>(&self, credentials: &'a HeaderValue) -> Option<&'a [u8]>;
+
     /// Recognizes a call about a batch job.
     fn parse_call(&self, method: &Method, uri: &Uri) -> Option<Call>;
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -75,6 +75,11 @@
     #[serde(default = "Settings::default_call_bytes")]
     #[schemars(range(min = 4096))]
     pub call_bytes: usize,
+    /// Age of the manifest, in milliseconds, beyond which no request with a customer's key
+    /// may run, as the key may have been withdrawn; by default there is no bound.
+    #[serde(default)]
+    #[schemars(range(min = 100, max = 86_400_000))]
+    pub max_manifest_age_ms: Option<u64>,
     /// Time from the start of a shutdown until the process is killed, in seconds.
     #[serde(default = "Settings::default_stop_s")]
     #[schemars(range(min = 1.0, max = 600.0))]
@@ -126,6 +131,12 @@
         Duration::from_secs_f64(self.stop_s)
     }
 
+    /// Maximum age of the manifest at which requests with keys may run; `None` for no bound.
+    #[must_use]
+    pub fn max_manifest_age(&self) -> Option<Duration> {
+        self.max_manifest_age_ms.map(Duration::from_millis)
+    }
+
     /// Retention of an ended job, counted from its submission.
     #[must_use]
     pub fn retention(&self) -> Duration {
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -35,6 +35,7 @@
         Self(Arc::new(HeaderNames {
             attempt_id: HeaderName::from_static("attempt"),
             caller: HeaderName::from_static("caller"),
+            customer: HeaderName::from_static("customer"),
             deadline: HeaderName::from_static("deadline"),
             expected_replica: HeaderName::from_static("expect-replica"),
             not_run: HeaderName::from_static("not-run"),
@@ -54,6 +55,10 @@
         &self.0
     }
 
+    fn parse_key<'a>(&self, credentials: &'a HeaderValue) -> Option<&'a [u8]> {
+        credentials.as_bytes().strip_prefix(b"key ")
+    }
+
     fn parse_call(&self, method: &Method, uri: &Uri) -> Option<Call> {
         let job = uri.path().strip_prefix("/jobs/")?.into();
         match *method {
@@ -132,6 +137,7 @@
             give_up: Duration::from_secs(60),
             max_tokens: None,
         },
+        is_public: false,
     }
 }
 
@@ -151,6 +157,7 @@
             head: Duration::from_secs(3),
             idle: Duration::from_secs(15),
         },
+        customers: None,
     }
 }
 
--- a/crates/protocol/src/code.rs
+++ b/crates/protocol/src/code.rs
@@ -100,6 +100,7 @@
     NotFound = 1006, "not_found", 404, NotRun, false, "Check the path and the id.";
     MethodNotAllowed = 1007, "method_not_allowed", 405, NotRun, false, "Use the method that the API names for this path.";
     BadItem = 1008, "bad_item", 400, NotRun, false, "Correct the batch line that the message names.";
+    HeadTooLarge = 1009, "head_too_large", 431, NotRun, false, "Send a request with a smaller head.";
     UnknownModel = 1101, "unknown_model", 404, NotRun, false, "Use a model that GET /v1/models lists.";
     UnknownService = 1102, "unknown_service", 404, NotRun, false, "Use a service that the environment document states.";
     NotBatchModel = 1103, "not_batch_model", 400, NotRun, false, "Use a model whose document entry has a batch section.";
@@ -120,6 +121,7 @@
     StreamNotResumable = 1311, "stream_not_resumable", 503, NotRun, true, "Send the request again from its beginning; no replica can continue the stream.";
     LinksLost = 1312, "links_lost", 503, NotRun, true, "Come back after the Retry-After seconds; no instance reaches the replicas.";
     MemoryLimited = 1313, "memory_limited", 503, NotRun, true, "Come back after the Retry-After seconds; the requests that the instance holds take its memory.";
+    ConfigurationStale = 1314, "configuration_stale", 503, NotRun, true, "Come back after the Retry-After seconds; the instance cannot confirm that its configuration is current.";
     KeyConflict = 1401, "key_conflict", 422, NotRun, false, "Use a new Idempotency-Key for another request.";
     VersionConflict = 1402, "version_conflict", 409, NotRun, false, "Read the current version, compare, and publish again on top of it.";
     JobTerminal = 1403, "job_terminal", 409, NotRun, false, "The job has ended; read its results.";
