Customers: keys are checked and kept out, jobs and quotas belong to customers

Jobs carry their customer behind the stored fields, calls about them take its keys alone, and quotas and reported tokens count by customer.

--- a/crates/coordination/src/fleet/freshness.rs
+++ b/crates/coordination/src/fleet/freshness.rs
@@ -9,10 +9,59 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
+use super::datagram::Mark;
+
 /// Share of the maximum age up to which requests are served. The rest covers clocks that
 /// run at different rates and requests that are being read when the age is reached.
 const SERVED_SHARE: f64 = 0.9;
 
+/// Share of the maximum age from which peers are asked: the store did not answer a long
+/// poll that is far shorter.
+const ASK_SHARE: f64 = 0.4;
+
+const MARK: Mark = Mark(0xa8);
+
+/// Message between daemons about the age of their manifests.
+///
+/// The age of the asker counts from its ask, so that a reply that waited in a socket while
+/// the asker was suspended shows no more than it knew when it was asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Asks a peer for the age of its manifest.
+    Ask {
+        /// Number that the reply repeats.
+        id: u32,
+    },
+    /// Answers an ask.
+    Reply {
+        /// Number of the ask.
+        id: u32,
+        /// Version of the manifest.
+        version: u64,
+        /// Age of the manifest, in milliseconds, rounded up.
+        age_ms: u32,
+    },
+}
+
+impl Message {
+    /// Encodes the message as a datagram.
+    ///
+    /// # Errors
+    ///
+    /// If a field cannot be serialized.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        MARK.encode(self)
+    }
+
+    /// Decodes a datagram; `None` if it is no message about the age of a manifest.
+    #[must_use]
+    pub fn decode(datagram: &[u8]) -> Option<Self> {
+        MARK.decode(datagram)
+    }
+}
+
 /// Age of the manifest of one daemon.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Freshness {
@@ -30,6 +79,21 @@
         }
     }
 
+    /// Records the reply of a peer with the same version to an ask sent at `asked_at`. The
+    /// peer's age was at least `age` when it read the ask.
+    pub fn confirm_by_peer(&mut self, asked_at: Duration, age: Duration) {
+        if let Some(at) = asked_at.checked_sub(age) {
+            self.confirm(at);
+        }
+    }
+
+    /// Whether peers should be asked for the age of their manifests.
+    #[must_use]
+    pub fn is_ask_due(&self, now: Duration, max_age: Duration) -> bool {
+        self.age(now)
+            .is_some_and(|age| age >= max_age.mul_f64(ASK_SHARE))
+    }
+
     /// Records whether the newest record could be read.
     pub fn record_readable(&mut self, is_readable: bool) {
         self.is_unreadable = !is_readable;
--- a/crates/coordination/tests/fleet/checkpoint.rs
+++ b/crates/coordination/tests/fleet/checkpoint.rs
@@ -31,6 +31,7 @@
             path: "/".into(),
             submitted_ms: 0,
             items: vec![item],
+            customer: None,
         };
         let mut log = Self {
             ledger: Ledger::default(),
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -15,7 +15,8 @@
 use bitterncart_coordination::fleet::pool::Key as Replica;
 use bitterncart_coordination::fleet::quarantine::{Subject, Verdict};
 use bitterncart_coordination::fleet::{
-    Catalog, CutOff, Heartbeat, Manifest, Peers, Pool, Profile, admission_queue, ownership,
+    Catalog, CutOff, Freshness, Heartbeat, Manifest, Peers, Pool, Profile, admission_queue,
+    ownership,
 };
 use bitterncart_protocol::hash;
 use event_listener::Event;
@@ -24,6 +25,7 @@
 use crate::availability::Availability;
 use crate::budget::Budget;
 use crate::clock::{self, with_timeout};
+use crate::confirmation::Confirmations;
 use crate::connection::Connector;
 use crate::crash;
 use crate::datagram::Socket;
@@ -74,6 +76,9 @@
     /// Notified when the manifest or the replicas have been read.
     configured: Event,
     manifest: RwLock<Option<Arc<Manifest>>>,
+    freshness: Mutex<Freshness>,
+    /// Asks of peers for the age of their manifest.
+    pub confirmations: Confirmations,
     peers: Arc<Mutex<Peers>>,
     cut_off: Mutex<CutOff>,
     ownership_table: Mutex<ownership::Table>,
@@ -136,6 +141,7 @@
             store,
             dialect,
             tokens: Tokens::new(Arc::clone(&socket)),
+            confirmations: Confirmations::new(Arc::clone(&socket)),
             streams: streams::Registry::new(Arc::clone(&socket)),
             socket,
             crashes: crash::Monitor::new(
@@ -157,6 +163,7 @@
             load_lock: smol::lock::Mutex::new(()),
             configured: Event::new(),
             manifest: RwLock::default(),
+            freshness: Mutex::default(),
             peers,
             cut_off: Mutex::default(),
             ownership_table: Mutex::default(),
@@ -327,6 +334,20 @@
         is_newer
     }
 
+    /// Age of the manifest.
+    pub(crate) fn freshness(&self) -> MutexGuard<'_, Freshness> {
+        self.freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether requests with keys may run: no key that the manifest holds has been
+    /// withdrawn for longer than the settings allow.
+    pub(crate) fn is_manifest_current(&self) -> bool {
+        let max_age = self.current_settings().max_manifest_age();
+        self.freshness().is_served(clock::now(), max_age)
+    }
+
     /// Whether the daemon is shutting down and starts no new work.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
@@ -384,6 +405,7 @@
             && self.replicas_known.load(Ordering::Relaxed)
             && self.manifest().is_some()
             && !self.is_helpless()
+            && !self.lacks_current_keys()
     }
 
     /// Whether this daemon can send no request to a replica, not even through a peer,
@@ -393,6 +415,15 @@
         self.links.has_no_path() && self.peers().live(clock::now()).any(has_link)
     }
 
+    /// Whether requests need keys and the daemon must refuse them. Clients are then better
+    /// served elsewhere.
+    fn lacks_current_keys(&self) -> bool {
+        let needs_keys = self
+            .manifest()
+            .is_some_and(|manifest| manifest.customers.is_some());
+        needs_keys && !self.is_manifest_current()
+    }
+
     /// Records a successful call to the store.
     pub(crate) fn record_store_success(&self) {
         if let Some(failed_for) = self.store_availability.record_success() {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -29,7 +29,7 @@
 use crate::settings::Settings;
 use crate::shard::Shard;
 use crate::store::{Failure, Store, Topic};
-use crate::{catalog, gossip, runner, shard, watch};
+use crate::{catalog, confirmation, gossip, runner, shard, watch};
 
 /// Time after the start of the shutdown for which connections are still
 /// accepted. The load balancer checks readiness once a second and takes a daemon
@@ -108,6 +108,7 @@
             .detach();
         core.spawn(core.links.clone().run()).detach();
         core.spawn(watch::manifest(core.clone())).detach();
+        core.spawn(confirmation::maintain(core.clone())).detach();
         core.spawn(watch::replicas(core.clone())).detach();
         core.spawn(watch::expire(core.clone())).detach();
         core.spawn(runner::schedule(core.clone())).detach();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,15 +11,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bitterncart_coordination::fleet::freshness::Message as FreshnessMessage;
 use bitterncart_coordination::fleet::links;
 use bitterncart_coordination::fleet::peers::{Ownership, Usage, heartbeat_period};
 use bitterncart_coordination::fleet::rate_limit::{self, Message};
 use bitterncart_coordination::fleet::streams::Message as StreamMessage;
 use bitterncart_coordination::fleet::{Group, Heartbeat, Kind, Queued, Route};
+use compact_str::CompactString;
 use futures_lite::future;
 use smol::net::UdpSocket;
 
 use crate::clock;
+use crate::confirmation;
 use crate::core::Core;
 use crate::dialect::Dialect;
 use crate::log;
@@ -59,6 +62,9 @@
             Ok((size, from)) if let Some(message) = StreamMessage::decode(&buffer[..size]) => {
                 streams::handle(&core, message, from).await;
             }
+            Ok((size, from)) if let Some(message) = FreshnessMessage::decode(&buffer[..size]) => {
+                confirmation::handle(&core, message, from).await;
+            }
             Ok((size, _)) => match Heartbeat::decode(&buffer[..size]) {
                 Ok(heartbeat) if heartbeat.from != core.peer_address() => {
                     let now = clock::now();
@@ -241,17 +247,26 @@
 }
 
 /// Shards that this daemon owns and has loaded, with the open tokens of each
-/// batch route.
+/// batch route, or of each customer on it.
 fn owned_shards<S: Store, D: Dialect>(core: &Core<S, D>) -> Vec<Ownership> {
     let manifest = core.manifest();
+    let has_customers = manifest.as_ref().is_some_and(|m| m.customers.is_some());
     let routes = manifest.iter().flat_map(|m| &m.routes);
     let routes: Vec<&Route> = routes.filter(|r| r.kind == Kind::Batch).collect();
     let serving = core.shards.iter().filter(|shard| shard.is_serving());
     let ownership = |shard: &Shard| {
         let ledger = shard.ledger();
-        let tokens = routes.iter().map(|route| {
-            let tokens = ledger.open_tokens(&route.host, &route.prefix);
-            (ownership::route_hash(route), tokens)
+        let tokens = routes.iter().flat_map(|route| {
+            if has_customers {
+                let by_customer = ledger.open_tokens_by_customer(&route.host, &route.prefix);
+                let of_customer = |(customer, tokens): (CompactString, u64)| {
+                    (ownership::route_hash(route, Some(&customer)), tokens)
+                };
+                by_customer.into_iter().map(of_customer).collect()
+            } else {
+                let tokens = ledger.open_tokens(&route.host, &route.prefix, None);
+                vec![(ownership::route_hash(route, None), tokens)]
+            }
         });
         Ownership {
             shard: shard.number(),
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bitterncart_coordination::fleet::{Kind, Manifest, Route};
+use bitterncart_coordination::fleet::{Customer, Kind, Manifest, Route};
 use bitterncart_protocol::code::Ran;
 use bitterncart_protocol::{Code, hash};
 use bitterncart_state::ledger::{Decision, Job, Op, Quota, Submission};
@@ -24,6 +24,7 @@
 use crate::core::Core;
 use crate::dialect::{Call, Dialect};
 use crate::forward::{self, Failure};
+use crate::identity::{self, Access};
 use crate::log;
 use crate::online::error_response;
 use crate::ownership;
@@ -58,8 +59,8 @@
     &core.shards[index as usize]
 }
 
-/// Token quota of a route for a job in the shard `target`; `None` without a
-/// limit.
+/// Token quota of a route, or of a customer on it, for a job in the shard `target`; `None`
+/// without a limit.
 ///
 /// # Errors
 ///
@@ -68,14 +69,20 @@
     core: &Core<S, D>,
     route: &Route,
     target: &Shard,
+    customer: Option<&Customer>,
 ) -> Result<Option<Quota>, Code> {
     let Some(max_tokens) = route.batch.max_tokens else {
         return Ok(None);
     };
-    let route_hash = ownership::route_hash(route);
+    let customer = customer.map(|customer| customer.name.as_str());
+    let route_hash = ownership::route_hash(route, customer);
     let tokens = |shard: &Shard| {
         let is_loaded = shard.is_loaded();
-        let read = is_loaded.then(|| shard.ledger().open_tokens(&route.host, &route.prefix));
+        let open_tokens = || {
+            let ledger = shard.ledger();
+            ledger.open_tokens(&route.host, &route.prefix, customer)
+        };
+        let read = is_loaded.then(open_tokens);
         if shard.is_serving() {
             return read;
         }
@@ -93,9 +100,21 @@
         other_shards_tokens: other_shards_tokens.ok_or(Code::LogUnavailable)?,
         host: route.host.clone(),
         prefix: route.prefix.clone(),
+        customer: customer.map(CompactString::from),
     }))
 }
 
+/// Where a job is submitted, according to one version of the manifest.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Target<'a> {
+    /// Batch route.
+    pub route: &'a Route,
+    /// Version of the manifest.
+    pub version: u64,
+    /// Whose job it is.
+    pub access: &'a Access,
+}
+
 /// The owner of a job's shard has a later manifest, in which the job has no batch route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Outdated {
@@ -103,19 +122,18 @@
     pub version: u64,
 }
 
-/// Submits a job to the owner of its shard, or to the ledger if that fails. `route` is
-/// that of the manifest with `version`.
+/// Submits a job to the owner of its shard, or to the ledger if that fails.
 ///
 /// # Errors
 ///
 /// If the job has no batch route in a later manifest. It was not accepted.
 pub(crate) async fn submit<S: Store, D: Dialect>(
     core: &Core<S, D>,
-    route: &Route,
-    version: u64,
+    target: &Target<'_>,
     message: &Message,
     endpoint: Endpoint,
 ) -> Result<Response<Body>, Outdated> {
+    let version = target.version;
     let Some(id) = job_id(core, message) else {
         return Ok(reject(core, "", Code::BadHeader));
     };
@@ -136,7 +154,7 @@
             Err(Failure::Unknown) => is_certain = false,
         }
     }
-    Ok(decide(core, route, message, &id, is_certain).await)
+    Ok(decide(core, target, message, &id, is_certain).await)
 }
 
 /// Handles a submission of a peer to this daemon as the owner of the job's shard.
@@ -146,8 +164,15 @@
 ) -> Response<Body> {
     let (mut head, mut body) = request.into_parts();
     let submission = submission::Submission::parse(&head.headers);
-    let route = submission.as_ref().and_then(|job| job.route(core));
-    let (Some(submission), Some(route)) = (submission, route) else {
+    let found = submission.as_ref().and_then(|job| job.route(core));
+    let (Some(submission), Some((manifest, route))) = (submission, found) else {
+        server::discard_body(body).await;
+        return submission::not_decided(core);
+    };
+    let endpoint = Endpoint::Peers;
+    let headers = &mut head.headers;
+    let Ok(access) = identity::identify(core, &manifest, &route, headers, endpoint) else {
+        // The caller has identified the customer by another version of the manifest.
         server::discard_body(body).await;
         return submission::not_decided(core);
     };
@@ -165,7 +190,14 @@
         body,
     };
     match job_id(core, &message) {
-        Some(id) => decide(core, &route, &message, &id, true).await,
+        Some(id) => {
+            let target = Target {
+                route: &route,
+                version: manifest.version,
+                access: &access,
+            };
+            decide(core, &target, &message, &id, true).await
+        }
         None => reject(core, "", Code::BadHeader),
     }
 }
@@ -182,12 +214,12 @@
 /// not accepted the job, it is not reported as refused.
 async fn decide<S: Store, D: Dialect>(
     core: &Core<S, D>,
-    route: &Route,
+    target: &Target<'_>,
     message: &Message,
     id: &CompactString,
     is_certain: bool,
 ) -> Response<Body> {
-    let code = match accept(core, route, message, id).await {
+    let code = match accept(core, target, message, id).await {
         Ok(()) => return empty_response(StatusCode::ACCEPTED),
         // The owner may still accept the job.
         Err(code) if !is_certain && code.ran() == Ran::NotRun => Code::AppendUnknown,
@@ -199,13 +231,17 @@
 /// Accepts a job at this daemon.
 async fn accept<S: Store, D: Dialect>(
     core: &Core<S, D>,
-    route: &Route,
+    target: &Target<'_>,
     message: &Message,
     id: &CompactString,
 ) -> Result<(), Code> {
+    let Target { route, access, .. } = *target;
+    let customer = access.customer();
     let shard = shard_of(core, id);
-    if shard.ledger().job(id).is_some() {
-        return Ok(());
+    match shard.ledger().job(id).map(|job| access.includes(job)) {
+        Some(true) => return Ok(()),
+        Some(false) => return Err(Code::KeyConflict),
+        None => {}
     }
     if core.is_store_unavailable(clock::now()) || !shard.wait_until_loaded(LOAD_TIMEOUT).await {
         return Err(Code::LogUnavailable);
@@ -220,8 +256,9 @@
         path: message.uri.path().into(),
         submitted_ms: clock::wall().as_millis() as u64,
         items,
+        customer: customer.map(|customer| customer.name.clone()),
     };
-    let op = Op::Accept(submission, quota(core, route, shard)?);
+    let op = Op::Accept(submission, quota(core, route, shard, customer)?);
     match shard.submit(op, clock::now() + WRITE_TIMEOUT).await {
         Ok(Decision::QuotaExceeded) => Err(Code::TokenLimited),
         Ok(Decision::TooLarge) => Err(Code::BodyTooLarge),
@@ -265,6 +302,7 @@
     core: &Core<S, D>,
     call: Call,
     message: Message,
+    access: &Access,
     endpoint: Endpoint,
 ) -> Response<Body> {
     let shard = shard_of(core, call.job());
@@ -284,6 +322,11 @@
     if !shard.wait_until_loaded(LOAD_TIMEOUT).await {
         return reject(core, call.job(), Code::LogUnavailable);
     }
+    match read_job(core, call.job(), |job| access.includes(job)).await {
+        Ok(true) => {}
+        Ok(false) => return reject(core, call.job(), Code::NotFound),
+        Err(code) => return reject(core, call.job(), code),
+    }
     match call {
         Call::Results { job, after } => results(core, &job, after, wait).await,
         Call::ItemBody { job, item } => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,7 @@
 //! [`Store`].
 //!
 //! The tasks of a daemon run on one executor and share its state. A task that
-//! needs several locks takes them in this order: manifest, ledger, runs, peers,
+//! needs several locks takes them in this order: manifest, freshness, ledger, runs, peers,
 //! cut-off daemons, ownership table, pool, admission queue, quarantine, streams,
 //! buckets, asks, links, idle connections. The catalog and the times of list reads are
 //! locked alone.
@@ -21,6 +21,7 @@
 mod checkpoint;
 mod clock;
 pub mod collect;
+mod confirmation;
 pub mod connection;
 mod core;
 mod crash;
@@ -28,6 +29,7 @@
 mod datagram;
 mod forward;
 mod gossip;
+mod identity;
 mod invalid;
 mod jobs;
 mod links;
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -57,6 +57,14 @@
 /// that is due is another request.
 const MIN_QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(10);
 
+/// What tells callers apart: their credentials, or the customer that took their place.
+fn caller<'a>(dialect: &impl Dialect, headers: &'a HeaderMap) -> &'a [u8] {
+    let names = dialect.header_names();
+    let credentials = headers.get(&names.caller);
+    let caller = credentials.or_else(|| headers.get(&names.customer));
+    caller.map_or(&[][..], HeaderValue::as_bytes)
+}
+
 /// Profile of a client's request.
 fn profile(dialect: &impl Dialect, message: &Message) -> Profile {
     let header = |name| {
@@ -72,7 +80,7 @@
             header(&header::HOST),
             uri.path().as_bytes(),
             uri.query().unwrap_or_default().as_bytes(),
-            header(&dialect.header_names().caller),
+            caller(dialect, &message.headers),
             &message.body,
         ]),
         is_item: false,
@@ -211,7 +219,7 @@
     fn stream_of(&self, attempt: &str) -> Fingerprint {
         let headers = &self.message.headers;
         let header = |name| headers.get(name).map_or(&[][..], HeaderValue::as_bytes);
-        let caller = header(&self.core.dialect.header_names().caller);
+        let caller = caller(&self.core.dialect, headers);
         Fingerprint::of(&[header(&header::HOST), caller, attempt.as_bytes()])
     }
 
--- a/crates/gateway/src/ownership.rs
+++ b/crates/gateway/src/ownership.rs
@@ -64,7 +64,11 @@
     View::new(core.peer_address(), now, &peers, &table).target(shard.number(), shard.is_owned())
 }
 
-/// Hash that identifies a route in gossip datagrams.
-pub(crate) fn route_hash(route: &Route) -> u32 {
-    short_hash(&[route.host.as_bytes(), route.prefix.as_bytes()])
+/// Hash that identifies a route, or a customer on it, in gossip datagrams.
+pub(crate) fn route_hash(route: &Route, customer: Option<&str>) -> u32 {
+    let (host, prefix) = (route.host.as_bytes(), route.prefix.as_bytes());
+    match customer {
+        Some(customer) => short_hash(&[host, prefix, customer.as_bytes()]),
+        None => short_hash(&[host, prefix]),
+    }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -33,6 +33,7 @@
 use crate::connection::configure_socket;
 use crate::core::Core;
 use crate::dialect::Dialect;
+use crate::identity;
 use crate::jobs::{self, Outdated};
 use crate::log;
 use crate::online::{self, error_response};
@@ -227,7 +228,7 @@
         Err(code) => return reject(core, code),
     };
     strip_hop_by_hop_headers(&mut head.headers);
-    let message = Message {
+    let mut message = Message {
         profile: Arc::default(),
         method: head.method,
         uri: head.uri,
@@ -235,8 +236,13 @@
         body,
     };
     if let Some(call) = core.dialect.parse_call(&message.method, &message.uri) {
-        return jobs::handle_call(core, call, message, endpoint).await;
+        return match identity::identify_call(core, &mut message.headers, endpoint) {
+            Ok(access) => jobs::handle_call(core, call, message, &access, endpoint).await,
+            Err(code) => reject(core, code),
+        };
     }
+    let caller = &core.dialect.header_names().caller;
+    let credentials = message.headers.get(caller).cloned();
     loop {
         let Some(manifest) = core.manifest() else {
             return reject(core, Code::NoConfiguration);
@@ -247,20 +253,53 @@
             // decides by that.
             _ if endpoint == Endpoint::Peers => return reject(core, Code::OwnerUnreachable),
             Some(route) => {
-                let request = online::Request::new(core, route.clone(), message, arrived);
-                return request.serve().await;
+                return serve_online(core, &manifest, route, message, arrived).await;
             }
             None => return reject(core, Code::NotFound),
         };
-        match jobs::submit(core, route, manifest.version, &message, endpoint).await {
+        let headers = &mut message.headers;
+        let access = match identity::identify(core, &manifest, route, headers, endpoint) {
+            Ok(access) => access,
+            Err(code) => return reject(core, code),
+        };
+        let target = jobs::Target {
+            route,
+            version: manifest.version,
+            access: &access,
+        };
+        match jobs::submit(core, &target, &message, endpoint).await {
             Ok(response) => return response,
             Err(Outdated { version })
-                if core.wait_for_manifest(version, MANIFEST_TIMEOUT).await => {}
+                if core.wait_for_manifest(version, MANIFEST_TIMEOUT).await =>
+            {
+                // The customer is identified anew, by the later version.
+                let credentials = credentials.clone();
+                let restored = credentials.map(|value| (caller.clone(), value));
+                message.headers.extend(restored);
+            }
             Err(_) => return reject(core, Code::NoConfiguration),
         }
     }
 }
 
+/// Serves an online request of a client.
+async fn serve_online<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    manifest: &Manifest,
+    route: &Route,
+    mut message: Message,
+    arrived: Duration,
+) -> Response<Body> {
+    let endpoint = Endpoint::Clients;
+    match identity::identify(core, manifest, route, &mut message.headers, endpoint) {
+        Ok(_) => {
+            let request = online::Request::new(core, route.clone(), message, arrived);
+            request.serve().await
+        }
+        Err(code) => reject(core, code),
+    }
+}
+
 fn find_route<'a>(manifest: &'a Manifest, message: &Message) -> Option<&'a Route> {
     let host = message.headers.get(header::HOST)?.to_str().ok()?;
     manifest.route(host, message.uri.path())
--- a/crates/gateway/src/submission.rs
+++ b/crates/gateway/src/submission.rs
@@ -8,7 +8,7 @@
 
 use std::sync::Arc;
 
-use bitterncart_coordination::fleet::{Kind, Route};
+use bitterncart_coordination::fleet::{Kind, Manifest, Route};
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri, header};
 
 use crate::body::Body;
@@ -70,13 +70,17 @@
         })
     }
 
-    /// Batch route of the job; `None` if this daemon must not decide.
-    pub(crate) fn route<S: Store, D: Dialect>(&self, core: &Core<S, D>) -> Option<Route> {
+    /// Manifest and batch route of the job; `None` if this daemon must not decide.
+    pub(crate) fn route<S: Store, D: Dialect>(
+        &self,
+        core: &Core<S, D>,
+    ) -> Option<(Arc<Manifest>, Route)> {
         let manifest = core.manifest()?;
         let host = self.host.to_str().ok()?;
         let route = manifest.route(host, self.uri.path())?;
         let may_decide = manifest.version >= self.manifest_version && route.kind == Kind::Batch;
-        may_decide.then(|| route.clone())
+        let route = route.clone();
+        may_decide.then_some((manifest, route))
     }
 }
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -157,6 +157,7 @@
     let on_record = |record: &Record| match S::parse_manifest(record) {
         Ok(Some(parsed)) => {
             let version = parsed.manifest.version;
+            core.freshness().record_readable(true);
             invalid.remove(&record.key);
             if core.install_manifest(parsed.manifest) {
                 log::manifest_installed(version);
@@ -166,12 +167,15 @@
             }
         }
         Ok(None) => {}
-        Err(reason) => invalid.record(&record.key, &reason),
+        Err(reason) => {
+            core.freshness().record_readable(false);
+            invalid.record(&record.key, &reason);
+        }
     };
     tail.run(
         |records| records.iter().for_each(on_record),
         on_record,
-        |_, _| {},
+        |_, asked_at| core.freshness().confirm(asked_at),
     )
     .await;
 }
--- a/crates/state/src/ledger/entry.rs
+++ b/crates/state/src/ledger/entry.rs
@@ -54,6 +54,30 @@
     pub submitted_ms: u64,
     /// Items, in the order of the submission.
     pub items: Vec<Item>,
+    /// Customer that submitted the job; `None` if the deployment named no customers then.
+    /// Follows the other fields in the stored form, where earlier versions do not expect
+    /// it.
+    #[serde(skip)]
+    pub customer: Option<CompactString>,
+}
+
+impl Submission {
+    pub(super) fn encode(&self) -> Vec<u8> {
+        let mut value = encode(self);
+        if let Some(customer) = &self.customer {
+            value.extend(encode(customer));
+        }
+        value
+    }
+
+    /// Decodes the stored form; `None` if it is invalid.
+    pub(super) fn decode(value: &[u8]) -> Option<Self> {
+        let (mut submission, rest): (Self, &[u8]) = postcard::take_from_bytes(value).ok()?;
+        if !rest.is_empty() {
+            submission.customer = Some(postcard::from_bytes(rest).ok()?);
+        }
+        Some(submission)
+    }
 }
 
 /// Final state of an item.
@@ -212,6 +236,12 @@
         self.submission.host == host && self.submission.path.starts_with(prefix)
     }
 
+    /// Whether the job belongs to a customer; every job does if `customer` is `None`.
+    #[must_use]
+    pub fn is_of(&self, customer: Option<&str>) -> bool {
+        customer.is_none() || self.submission.customer.as_deref() == customer
+    }
+
     /// Tokens of the items without a result; 0 if the job is cancelled.
     #[must_use]
     pub fn open_tokens(&self) -> u64 {
--- a/crates/state/src/ledger/plan.rs
+++ b/crates/state/src/ledger/plan.rs
@@ -13,7 +13,7 @@
 use super::limits::Limits;
 use super::state::{Ledger, encode, submission_records};
 
-/// Limit of queued batch tokens of a route.
+/// Limit of queued batch tokens of a route, or of a customer on it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Quota {
     /// Maximum tokens of unfinished items in the whole fleet.
@@ -24,6 +24,8 @@
     pub host: CompactString,
     /// Path prefix of the route.
     pub prefix: CompactString,
+    /// Customer whose tokens count; `None` if those of all jobs do.
+    pub customer: Option<CompactString>,
 }
 
 /// Change to a job.
@@ -74,8 +76,8 @@
     pub records: Vec<Record>,
     /// Decision of each planned operation, in the order of the operations.
     pub decisions: Vec<Decision>,
-    /// Tokens of the jobs accepted by this plan, by job id.
-    accepted_tokens: HashMap<CompactString, u64>,
+    /// Customer and tokens of the jobs accepted by this plan, by job id.
+    accepted_tokens: HashMap<CompactString, (Option<CompactString>, u64)>,
     /// Items that get a result by this plan.
     finished_items: HashSet<(CompactString, u32)>,
     /// Items whose output is extended by this plan, with [`OutputPart::after`].
@@ -186,9 +188,15 @@
         quota: Option<&Quota>,
     ) -> Decision {
         let tokens = sum(new.items.iter().map(|item| item.tokens));
-        let planned = sum(self.accepted_tokens.values().copied());
         let fits = quota.is_none_or(|quota| {
-            let queued = ledger.open_tokens(&quota.host, &quota.prefix);
+            let counts = |customer: &Option<CompactString>| {
+                quota.customer.is_none() || quota.customer == *customer
+            };
+            let accepted = self.accepted_tokens.values();
+            let accepted = accepted.filter(|(customer, _)| counts(customer));
+            let planned = sum(accepted.map(|(_, tokens)| *tokens));
+            let customer = quota.customer.as_deref();
+            let queued = ledger.open_tokens(&quota.host, &quota.prefix, customer);
             sum([quota.other_shards_tokens, queued, planned, tokens]) <= quota.max_tokens
         });
         match () {
@@ -197,7 +205,8 @@
             }
             () if !fits => Decision::QuotaExceeded,
             () => {
-                self.accepted_tokens.insert(new.id.clone(), tokens);
+                let accepted = (new.customer.clone(), tokens);
+                self.accepted_tokens.insert(new.id.clone(), accepted);
                 self.records.extend(submission_records(new));
                 Decision::Planned
             }
--- a/crates/state/src/ledger/state.rs
+++ b/crates/state/src/ledger/state.rs
@@ -10,7 +10,7 @@
 //! the log; reading it twice does not change the jobs. A record that cannot be
 //! decoded is counted and ignored.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use compact_str::{CompactString, format_compact};
 use serde::Deserialize;
@@ -128,7 +128,7 @@
             .flatten()
             .collect();
         self.parts.remove(&head_key);
-        let submission = postcard::from_bytes::<Submission>(&encoded).map_err(|_| Invalid)?;
+        let submission = Submission::decode(&encoded).ok_or(Invalid)?;
         if submission.id != id {
             return Err(Invalid);
         }
@@ -200,15 +200,36 @@
         self.jobs.get(key)
     }
 
-    /// Tokens of items without a result in jobs submitted to a host under a path prefix.
+    /// Tokens of items without a result in jobs that a customer, or anyone, submitted to a
+    /// host under a path prefix.
     #[must_use]
-    pub fn open_tokens(&self, host: &str, prefix: &str) -> u64 {
+    pub fn open_tokens(&self, host: &str, prefix: &str, customer: Option<&str>) -> u64 {
         let matching = self
             .jobs
             .values()
-            .filter(|job| job.matches_prefix(host, prefix));
+            .filter(|job| job.matches_prefix(host, prefix) && job.is_of(customer));
         matching.map(Job::open_tokens).fold(0, u64::saturating_add)
     }
+
+    /// Tokens of items without a result in jobs submitted to a host under a path prefix, by
+    /// customer. Jobs without a customer are left out.
+    #[must_use]
+    pub fn open_tokens_by_customer(
+        &self,
+        host: &str,
+        prefix: &str,
+    ) -> BTreeMap<CompactString, u64> {
+        let mut tokens: BTreeMap<CompactString, u64> = BTreeMap::new();
+        for job in self.jobs.values() {
+            if let Some(customer) = &job.submission.customer
+                && job.matches_prefix(host, prefix)
+            {
+                let sum = tokens.entry(customer.clone()).or_default();
+                *sum = sum.saturating_add(job.open_tokens());
+            }
+        }
+        tokens
+    }
 }
 
 fn append_output(job: &mut Job, value: &[u8]) -> Result<(), Invalid> {
@@ -255,7 +276,7 @@
 /// Records of a submission: its parts, followed by its head.
 pub(super) fn submission_records(submission: &Submission) -> Vec<Record> {
     let id = &submission.id;
-    let encoded = encode(submission);
+    let encoded = submission.encode();
     let mut records: Vec<Record> = encoded
         .chunks(PART_BYTES)
         .enumerate()
--- a/crates/state/tests/fuzz.rs
+++ b/crates/state/tests/fuzz.rs
@@ -19,6 +19,7 @@
         path: "/batch/".into(),
         submitted_ms: 1,
         items: (0..3).map(item).collect(),
+        customer: None,
     }
 }
 
@@ -85,7 +86,7 @@
                 }
             }
             ledger.apply(ledger.next(), &damaged(&result, &other));
-            let _open = ledger.open_tokens("batch.example", "/batch/");
+            let _open = ledger.open_tokens("batch.example", "/batch/", None);
             apply(&mut ledger, &Op::Accept(submission("job"), None));
             for item in 0..3 {
                 let end = Outcome::Completed("a".into());
--- a/crates/state/tests/ledger.rs
+++ b/crates/state/tests/ledger.rs
@@ -20,6 +20,7 @@
         path: "/batch/".into(),
         submitted_ms: 1,
         items: (0..items).map(item).collect(),
+        customer: None,
     }
 }
 
@@ -143,6 +144,7 @@
         other_shards_tokens,
         host: "batch.example".into(),
         prefix: "/batch/".into(),
+        customer: None,
     };
     Op::Accept(submission(id, 3, 1), Some(quota))
 }
@@ -478,3 +480,116 @@
     assert_eq!(plan.decisions, expected);
     assert!(!plan.records.iter().any(|r| r.key == "b/large/1"));
 }
+
+/// Submission as earlier versions store it.
+#[derive(serde::Serialize, serde::Deserialize)]
+struct EarlierSubmission {
+    id: String,
+    host: String,
+    path: String,
+    submitted_ms: u64,
+    items: Vec<bitterncart_state::ledger::Item>,
+}
+
+fn owned_submission(id: &str) -> Submission {
+    Submission {
+        customer: Some("acme".into()),
+        ..submission(id, 3, 10)
+    }
+}
+
+/// Guards against a job whose customer is lost with its daemon, and one that an earlier
+/// version cannot read.
+#[test]
+fn customer_follows_the_fields_of_earlier_versions() {
+    let mut topic = Topic::default();
+    let mut ledger = Ledger::default();
+    apply_ops(
+        &mut topic,
+        &mut ledger,
+        &[Op::Accept(owned_submission("j"), None)],
+    );
+    let restarted = restarted(&topic);
+    let job = restarted.job("j").expect("the job");
+    assert_eq!(job.submission, owned_submission("j"));
+    let part = topic
+        .records
+        .iter()
+        .find(|r| r.key == "b/j/0")
+        .expect("a part");
+    let value = part.value.as_deref().expect("a value");
+    let earlier: EarlierSubmission = postcard::from_bytes(value).expect("an earlier version");
+    assert_eq!((earlier.id.as_str(), earlier.items.len()), ("j", 3));
+}
+
+/// Guards against a job of an earlier version that can no longer be read.
+#[test]
+fn job_of_an_earlier_version_has_no_customer() {
+    let Submission {
+        id,
+        host,
+        path,
+        submitted_ms,
+        items,
+        ..
+    } = submission("j", 2, 10);
+    let earlier = EarlierSubmission {
+        id: id.to_string(),
+        host: host.to_string(),
+        path: path.to_string(),
+        submitted_ms,
+        items,
+    };
+    let record = |key: &str, value: Vec<u8>| Record {
+        key: key.into(),
+        value: Some(value),
+    };
+    let mut ledger = Ledger::default();
+    ledger.apply_newest(&record(
+        "b/j/0",
+        postcard::to_stdvec(&earlier).expect("a part"),
+    ));
+    ledger.apply_newest(&record("j/j", vec![1]));
+    assert_eq!(
+        ledger.job("j").expect("the job").submission,
+        submission("j", 2, 10)
+    );
+}
+
+/// Guards against a customer that fills the queue of the others, within one group of appends
+/// and over several.
+#[test]
+fn quota_of_a_customer_counts_its_jobs_alone() {
+    let accept = |id: &str, customer: &str| {
+        let quota = Quota {
+            max_tokens: 600,
+            other_shards_tokens: 0,
+            host: "batch.example".into(),
+            prefix: "/batch/".into(),
+            customer: Some(customer.into()),
+        };
+        let submission = Submission {
+            customer: Some(customer.into()),
+            ..submission(id, 3, 1)
+        };
+        Op::Accept(submission, Some(quota))
+    };
+    let (mut topic, mut ledger) = (Topic::default(), Ledger::default());
+    let ops = [
+        accept("a1", "a"),
+        accept("a2", "a"),
+        accept("a3", "a"),
+        accept("b1", "b"),
+    ];
+    let decisions = apply_ops(&mut topic, &mut ledger, &ops);
+    let (planned, exceeded) = (Decision::Planned, Decision::QuotaExceeded);
+    assert_eq!(decisions, [planned, planned, exceeded, planned]);
+    let decisions = apply_ops(
+        &mut topic,
+        &mut ledger,
+        &[accept("a4", "a"), accept("b2", "b")],
+    );
+    assert_eq!(decisions, [exceeded, planned]);
+    let tokens = ledger.open_tokens_by_customer("batch.example", "/batch/");
+    assert_eq!(tokens.into_values().collect::<Vec<_>>(), [600, 600]);
+}
--- a/crates/state/tests/odd_records.rs
+++ b/crates/state/tests/odd_records.rs
@@ -19,6 +19,7 @@
         path: "/batch/".into(),
         submitted_ms: 1,
         items: (0..2).map(item).collect(),
+        customer: None,
     }
 }
 
@@ -124,12 +125,16 @@
 fn endless_tokens_exceed_the_quota() {
     let mut ledger = Ledger::default();
     apply(&mut ledger, &Op::Accept(submission("one", u64::MAX), None));
-    assert_eq!(ledger.open_tokens("batch.example", "/batch/"), u64::MAX);
+    assert_eq!(
+        ledger.open_tokens("batch.example", "/batch/", None),
+        u64::MAX
+    );
     let quota = Quota {
         max_tokens: 100,
         other_shards_tokens: u64::MAX,
         host: "batch.example".into(),
         prefix: "/batch/".into(),
+        customer: None,
     };
     let records = apply(
         &mut ledger,
--- a/crates/state/tests/schedules.rs
+++ b/crates/state/tests/schedules.rs
@@ -62,6 +62,7 @@
         path: "/".into(),
         submitted_ms: 0,
         items: (0..ITEMS).map(item).collect(),
+        customer: None,
     }
 }
 
