--- a/crates/coordination/src/fleet/freshness.rs
+++ b/crates/coordination/src/fleet/freshness.rs
@@ -21,7 +21,7 @@
 /// poll that is far shorter.
 const ASK_SHARE: f64 = 0.4;
 
-const MARK: Mark = Mark(0xa8);
+const MARK: Mark = Mark(0xa9);
 
 /// Message between daemons about the age of their manifests.
 ///
