Allotments: token buckets of customers, and asks for their tokens between daemons

Cause: a customer's limit holds for the whole fleet, but nothing counted its requests. The request path does not call it yet. Conclusion: ready to be called by the module that identifies customers.

--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 //! the caller passes in time and randomness.
 
 pub mod admission_queue;
+pub mod allotment;
 pub mod backlog;
 pub mod catalog;
 pub mod checkpoint;
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -21,6 +21,7 @@
 use event_listener::Event;
 use smol::{Executor, Task};
 
+use crate::allotment::Allotments;
 use crate::availability::Availability;
 use crate::budget::Budget;
 use crate::clock::{self, with_timeout};
@@ -57,6 +58,7 @@
     /// Socket for datagrams to other daemons.
     pub socket: Arc<Socket>,
     pub tokens: Tokens,
+    pub allotments: Allotments,
     pub streams: streams::Registry,
     pub metrics: Arc<Metrics>,
     /// Memory for the answers that are kept.
@@ -136,6 +138,7 @@
             store,
             dialect,
             tokens: Tokens::new(Arc::clone(&socket)),
+            allotments: Allotments::new(&settings, Arc::clone(&socket)),
             streams: streams::Registry::new(Arc::clone(&socket)),
             socket,
             crashes: crash::Monitor::new(
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bitterncart_coordination::fleet::allotment::Message as AllotmentMessage;
 use bitterncart_coordination::fleet::links;
 use bitterncart_coordination::fleet::peers::{Ownership, Usage, heartbeat_period};
 use bitterncart_coordination::fleet::rate_limit::{self, Message};
@@ -19,6 +20,7 @@
 use futures_lite::future;
 use smol::net::UdpSocket;
 
+use crate::allotment;
 use crate::clock;
 use crate::core::Core;
 use crate::dialect::Dialect;
@@ -59,6 +61,9 @@
             Ok((size, from)) if let Some(message) = StreamMessage::decode(&buffer[..size]) => {
                 streams::handle(&core, message, from).await;
             }
+            Ok((size, from)) if let Some(message) = AllotmentMessage::decode(&buffer[..size]) => {
+                allotment::handle(&core, message, from).await;
+            }
             Ok((size, _)) => match Heartbeat::decode(&buffer[..size]) {
                 Ok(heartbeat) if heartbeat.from != core.peer_address() => {
                     let now = clock::now();
@@ -148,6 +153,7 @@
             core.shards.iter().for_each(|shard| shard.require_read(now));
         }
         ownership::update(&core, now);
+        allotment::update(&core, now);
         let heartbeat = build_heartbeat(&core, born_us, seq, now);
         let (local_peers, remote_peers) = live_peers(&core, now);
         local
@@ -158,6 +164,7 @@
             .await;
         if now.saturating_sub(inactive_sent_at) >= INACTIVE_PEER_INTERVAL {
             inactive_sent_at = now;
+            core.allotments.expire(now);
             let mut inactive = known_peers(&core);
             inactive.retain(|peer| !local_peers.contains(peer) && !remote_peers.contains(peer));
             let inactive: Vec<SocketAddr> = inactive.into_iter().collect();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,8 +10,10 @@
 //! needs several locks takes them in this order: manifest, ledger, runs, peers,
 //! cut-off daemons, ownership table, pool, admission queue, quarantine, streams,
 //! buckets, asks, links, idle connections. The catalog and the times of list reads are
-//! locked alone.
+//! locked alone,
+//! as are those of the allotments.
 
+mod allotment;
 mod answer;
 mod availability;
 mod body;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -407,6 +407,14 @@
     }
 }
 
+pub(crate) fn customer_refused(customer: &str) {
+    info!("requests of a customer pass its allotment", kv: { customer });
+}
+
+pub(crate) fn customer_refusals_ended(customer: &str, refused: u64) {
+    info!("requests of a customer are within its allotment again", kv: { customer, refused });
+}
+
 pub(crate) fn manifest_installed(version: u64) {
     info!("manifest in force", kv: { version });
 }
