--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -633,7 +633,8 @@
     error_response_after(core, code, random_duration(RETRY_AFTER_RANGE_S))
 }
 
-fn error_response_after<S: Store, D: Dialect>(
+/// Error response like [`error_response`], after which a client may retry in a given time.
+pub(crate) fn error_response_after<S: Store, D: Dialect>(
     core: &Core<S, D>,
     code: Code,
     retry_after: Duration,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -26,6 +26,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
+use crate::allotment;
 use crate::body::Body;
 use crate::bounded::Bounded;
 use crate::clock::{self, with_timeout};
@@ -36,7 +37,7 @@
 use crate::identity;
 use crate::jobs::{self, Outdated};
 use crate::log;
-use crate::online::{self, error_response};
+use crate::online::{self, error_response, error_response_after};
 use crate::relay;
 use crate::store::Store;
 use crate::submission;
@@ -292,7 +293,12 @@
 ) -> Response<Body> {
     let endpoint = Endpoint::Clients;
     match identity::identify(core, manifest, route, &mut message.headers, endpoint) {
-        Ok(_) => {
+        Ok(access) => {
+            if let Some(customer) = access.customer()
+                && let Err(retry_after) = allotment::acquire(core, customer).await
+            {
+                return reject_after(core, Code::RateLimited, retry_after);
+            }
             let request = online::Request::new(core, route.clone(), message, arrived);
             request.serve().await
         }
@@ -311,6 +317,16 @@
     error_response(core, code)
 }
 
+fn reject_after<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    code: Code,
+    retry_after: Duration,
+) -> Response<Body> {
+    core.metrics.request_refused(code);
+    log::request_refused("-", "-", code, Duration::ZERO);
+    error_response_after(core, code, retry_after)
+}
+
 /// Reads a request body.
 ///
 /// # Errors
