--- a/crates/gateway/src/online/admission.rs
+++ b/crates/gateway/src/online/admission.rs
@@ -73,7 +73,7 @@
     fn enqueue(core: &Core<S, D>, service: &str, objective_deadline: Duration) -> Option<Self> {
         let ticket = core
             .admission_queue()
-            .enqueue(service, objective_deadline)?;
+            .enqueue(service, objective_deadline, None)?;
         core.metrics.reservation("wait");
         Some(Self {
             core: core.clone(),
