tests: crowds of clients outside the limits against both daemons' programs

Cause: nothing checked what a daemon holds for clients that send heads over the limit or without end, empty lines without end, or nothing.

The soak can add settings and tells the id of a daemon's process.

--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -187,6 +187,7 @@
             slots: args.slots,
             framings,
             seed: args.seed,
+            settings: Vec::new(),
         },
         length: Duration::from_secs(args.seconds),
         kinds,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -61,6 +61,8 @@
     pub framings: Vec<Framing>,
     /// Seed.
     pub seed: u64,
+    /// Settings of the daemons beside those of each run.
+    pub settings: Vec<(String, u64)>,
 }
 
 /// Daemon with what the balancer knows of it.
@@ -216,10 +218,12 @@
             };
             let zone = ZONES[n % ZONES.len()];
             let settings = path(&format!("settings-{n}.json"));
-            fs::write(
-                &settings,
-                wire::settings(&format!("front-{n}"), zone, &addresses, STOP_TIME.as_secs()),
-            )?;
+            let text = wire::settings(&format!("front-{n}"), zone, &addresses, STOP_TIME.as_secs());
+            let mut values: serde_json::Value = serde_json::from_str(&text)?;
+            for (name, value) in &options.settings {
+                values[name.as_str()] = (*value).into();
+            }
+            fs::write(&settings, values.to_string())?;
             let log = path(&format!("daemon-{n}.txt"));
             let process = Process::new(&options.daemon, Vec::new(), log)
                 .env(wire::SETTINGS_VARIABLE, &settings.display().to_string());
@@ -294,6 +298,15 @@
         self.replicas.len()
     }
 
+    /// Process id of a daemon; `None` if it has ended.
+    pub fn daemon_id(&self, n: usize) -> Option<u32> {
+        let mut process = lock(&self.daemons[n].process);
+        match process.ended() {
+            Some(_) => None,
+            None => process.id(),
+        }
+    }
+
     /// Sends a signal to a daemon.
     pub fn signal_daemon(&self, n: usize, signal: Signal) {
         lock(&self.daemons[n].process).signal(signal);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,6 @@
 mod runs;
 pub mod soak;
 pub mod store;
-mod verdict;
+pub mod verdict;
 
 pub use answer::{FRAMINGS, Framing};
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -4,6 +4,7 @@
 //! test runner reports, filters and repeats each case by its name. [`fuzz`] calls a test
 //! with the inputs of a strategy, [`mutation`] changes valid inputs.
 
+pub mod crowd;
 mod fuzz;
 pub mod memory;
 pub mod mutation;
