transport::http: bound the size of a request head

Cause: the HTTP library of the own interface buffers a line until its end, so one header without end took 328,936 kB for 300 connections.

Change: the connection counts the bytes of a head, with empty lines before it, beneath the library and ends it at 24 KB with 1009 head_too_large (431). The limit of 10,000 connections is as before.

Closing silent connections first and a limit that follows the descriptors are not begun here.

--- a/crates/transport/src/http/deadline.rs
+++ b/crates/transport/src/http/deadline.rs
@@ -5,7 +5,8 @@
 //! idle between requests, reading a request head, or reading a body. The head
 //! has one deadline as a whole, so that sending single bytes does not extend
 //! it, while each read of a body extends the deadline. Each write that blocks
-//! has a time limit of its own.
+//! has a time limit of its own. The size of a head is limited here, too, as the HTTP
+//! library buffers a line until its end.
 
 use std::io;
 use std::pin::Pin;
@@ -29,6 +30,10 @@
 /// Time limit for one write to a caller that does not read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Maximum number of bytes read for a head, with empty lines before it: the 8 KB of the HTTP
+/// library, what its buffer reads along, and as much again.
+const MAX_HEAD_BYTES: usize = 24 << 10;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     Idle,
@@ -40,6 +45,8 @@
 struct State {
     phase: Phase,
     deadline: Instant,
+    /// Bytes read for the current head.
+    head_bytes: usize,
 }
 
 /// TCP stream of a caller with time limits; clones share their phase and deadline.
@@ -67,6 +74,7 @@
         let state = State {
             phase: Phase::Idle,
             deadline: Instant::now() + IDLE_TIMEOUT,
+            head_bytes: 0,
         };
         Self {
             stream,
@@ -91,10 +99,16 @@
         self.lock().phase == Phase::Head
     }
 
+    /// Whether a head was refused as it is too large.
+    pub(super) fn is_head_too_large(&self) -> bool {
+        self.lock().is_head_too_large()
+    }
+
     fn enter_phase(&self, phase: Phase, timeout: Duration) {
         let mut state = self.lock();
         state.phase = phase;
         state.deadline = Instant::now() + timeout;
+        state.head_bytes = 0;
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
@@ -102,30 +116,43 @@
     }
 
     /// Starts the head phase with the first byte of a request; extends the deadline of a body.
-    fn update_after_read(&self) {
+    fn update_after_read(&self, count: usize) {
         let now = Instant::now();
         let mut state = self.lock();
         match state.phase {
             Phase::Idle => {
                 state.phase = Phase::Head;
                 state.deadline = now + HEAD_TIMEOUT;
+                state.head_bytes = count;
             }
-            Phase::Head => {}
+            Phase::Head => state.head_bytes += count,
             Phase::Body => state.deadline = now + BODY_READ_TIMEOUT,
         }
     }
 }
 
+impl State {
+    fn is_head_too_large(&self) -> bool {
+        self.phase == Phase::Head && self.head_bytes >= MAX_HEAD_BYTES
+    }
+}
+
 impl AsyncRead for Stream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let deadline = self.lock().deadline;
+        let state = self.lock();
+        if state.is_head_too_large() {
+            let reason = "the request head is too large";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
+        }
+        let deadline = state.deadline;
+        drop(state);
         match Pin::new(&mut self.stream).poll_read(cx, buf) {
             Poll::Ready(Ok(n)) if n > 0 => {
-                self.update_after_read();
+                self.update_after_read(n);
                 Poll::Ready(Ok(n))
             }
             Poll::Pending => {
--- a/crates/transport/src/http/server.rs
+++ b/crates/transport/src/http/server.rs
@@ -134,7 +134,7 @@
             Ok(ConnectionStatus::Close) => return,
             Err(e) => {
                 if timed_stream.is_reading_head() {
-                    send_parse_error(stream, &e).await;
+                    send_parse_error(stream, &e, timed_stream.is_head_too_large()).await;
                 }
                 return;
             }
@@ -169,12 +169,15 @@
     }
 }
 
-/// Sends an error response for a request head that was malformed or arrived too slowly.
-async fn send_parse_error(mut stream: TcpStream, error: &http_types::Error) {
+/// Sends an error response for a request head that was malformed, arrived too slowly or is too
+/// large.
+async fn send_parse_error(mut stream: TcpStream, error: &http_types::Error, is_too_large: bool) {
     let timed_out = error
         .downcast_ref::<io::Error>()
         .is_some_and(|e| e.kind() == io::ErrorKind::TimedOut);
-    let code = if timed_out {
+    let code = if is_too_large {
+        Code::HeadTooLarge
+    } else if timed_out {
         Code::SlowSender
     } else {
         Code::MalformedRequest
