gateway::intake: bound heads, their time and memory, and connections

Cause: the HTTP library keeps up to 400 KB of a head that does not end and has one timeout for idle connections and heads; 4,000 connections were accepted whatever the process may have.

Change: gateway::intake accepts and serves connections (moved from server.rs). Heads with leading empty lines are counted beneath the library: the manifest's max_header_bytes (parsed now, default 16,384) and 8 KB; a deadline from the first byte, header_timeout_ms and an eighth and 500 ms; incomplete heads of an address together a sixteenth of memory_mb. Connections follow memory_mb and the new setting max_fds (4,096). When either runs short, connections that have been open longest without a whole request are closed; idle ones keep four fifths of the idle timeout. 431 and 408 carry 1009 and 1005.

--- a/crates/coordination/src/fleet/manifest.rs
+++ b/crates/coordination/src/fleet/manifest.rs
@@ -154,6 +154,8 @@
     pub head: Duration,
     /// Time after which an idle connection is closed.
     pub idle: Duration,
+    /// Maximum size of a request head, in bytes.
+    pub max_head: usize,
 }
 
 /// One version of the operator's configuration.
--- a/crates/coordination/tests/fleet/manifest.rs
+++ b/crates/coordination/tests/fleet/manifest.rs
@@ -26,6 +26,7 @@
             max_body: 1,
             head: std::time::Duration::ZERO,
             idle: std::time::Duration::ZERO,
+            max_head: 16 << 10,
         },
         customers: None,
     }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -24,8 +24,9 @@
 use crate::connection::Connector;
 use crate::core::Core;
 use crate::dialect::Dialect;
+use crate::intake::{Capacity, Registry, available_fds, listen};
 use crate::log;
-use crate::server::{self, ConnectionCount, Endpoint};
+use crate::server::{self, Endpoint};
 use crate::settings::Settings;
 use crate::shard::Shard;
 use crate::store::{Failure, Store, Topic};
@@ -56,7 +57,8 @@
 /// Running gateway daemon.
 pub struct Daemon<S: Store, D: Dialect> {
     core: Core<S, D>,
-    open_connections: ConnectionCount,
+    /// Connections of clients and of peers.
+    open: [Registry; 2],
 }
 
 impl<S: Store, D: Dialect> fmt::Debug for Daemon<S, D> {
@@ -90,16 +92,22 @@
         };
         let core = Core::new(settings, store, dialect, executor, connector);
         log::started(&core.settings.name);
-        let open_connections = ConnectionCount::default();
+        let memory = core.settings.memory_bytes();
+        let fds = available_fds(core.settings.max_fds);
+        let open = [
+            Registry::new(Capacity::of_clients(memory, fds)),
+            Registry::new(Capacity::of_peers(memory, fds)),
+        ];
+        let checks = || Registry::new(Capacity::of_checks());
         let listen = |listener, endpoint, open| {
-            core.spawn(server::listen(core.clone(), listener, endpoint, open))
+            core.spawn(listen(core.clone(), listener, endpoint, open))
                 .detach();
         };
-        listen(clients, Endpoint::Clients, Arc::clone(&open_connections));
-        listen(ready, Endpoint::Ready, ConnectionCount::default());
-        listen(peer_calls, Endpoint::Peers, Arc::clone(&open_connections));
+        listen(clients, Endpoint::Clients, open[0].clone());
+        listen(ready, Endpoint::Ready, checks());
+        listen(peer_calls, Endpoint::Peers, open[1].clone());
         if let Some(metrics) = metrics {
-            listen(metrics, Endpoint::Metrics, ConnectionCount::default());
+            listen(metrics, Endpoint::Metrics, checks());
         }
         core.socket.set(gossip_socket.clone());
         core.spawn(gossip::receive(core.clone(), gossip_socket.clone()))
@@ -117,10 +125,7 @@
         }
         core.spawn(follow_members(core.clone())).detach();
         core.spawn(catalog::maintain(core.clone())).detach();
-        Ok(Self {
-            core,
-            open_connections,
-        })
+        Ok(Self { core, open })
     }
 
     /// Address for clients, with the port that was bound.
@@ -179,7 +184,8 @@
     /// Shuts down gracefully: drains, waits for active requests and items up to
     /// the stop timeout, and returns.
     pub async fn stop(&self) {
-        let (core, open) = (&self.core, &self.open_connections);
+        let core = &self.core;
+        let open = || self.open.iter().map(Registry::open).sum::<usize>();
         log::stopping(&core.settings.name);
         let started = clock::now();
         core.start_draining();
@@ -192,12 +198,12 @@
                 .saturating_sub(STOP_MARGIN);
         let is_busy = || {
             let relayed = core.links.relayed().load(Ordering::Relaxed);
-            open.load(Ordering::Relaxed) + relayed > 0 || core.runs().has_active()
+            open() + relayed > 0 || core.runs().has_active()
         };
         while is_busy() && clock::now() < end {
             smol::Timer::after(POLL_INTERVAL).await;
         }
-        log::stopped(&core.settings.name, open.load(Ordering::Relaxed));
+        log::stopped(&core.settings.name, open());
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/intake/tracked.rs
@@ -0,0 +1,49 @@
+//! Body of a response that tells the meter of its connection when it ends.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Frame, SizeHint};
+
+use super::meter::Meter;
+use crate::body::{Body, Truncated};
+
+/// Body whose drop ends the request.
+pub(super) struct Tracked {
+    body: Body,
+    meter: Arc<Meter>,
+}
+
+impl Tracked {
+    pub(super) fn new(body: Body, meter: Arc<Meter>) -> Self {
+        Self { body, meter }
+    }
+}
+
+impl Drop for Tracked {
+    fn drop(&mut self) {
+        self.meter.response_ended();
+    }
+}
+
+impl http_body::Body for Tracked {
+    type Data = Bytes;
+    type Error = Truncated;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod datagram;
 mod forward;
 mod gossip;
+pub mod intake;
 mod invalid;
 mod jobs;
 mod links;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -103,6 +103,14 @@
     });
 }
 
+/// A connection was refused or closed as a bound was met.
+pub(crate) fn connection_closed(endpoint: &str, why: &str) {
+    if !rate_limit::try_acquire() {
+        return;
+    }
+    info!("connection closed at a bound", kv: { endpoint, why });
+}
+
 /// `suspects` are subjects of the requests that had not been answered for long.
 pub(crate) fn replica_ended(
     process: &Process,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -76,6 +76,13 @@
         self.add(format_compact!("refused_total{{code=\"{}\"}}", code.name()));
     }
 
+    /// Connection that was refused or closed as a bound was met.
+    pub(crate) fn connection_closed(&self, endpoint: &str, why: &str) {
+        self.add(format_compact!(
+            "connections_closed_total{{endpoint=\"{endpoint}\",why=\"{why}\"}}"
+        ));
+    }
+
     pub(crate) fn attempt_failed(&self, outcome: Outcome, decision: Decision) {
         let retried = decision == Decision::Retry;
         self.add(format_compact!(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,6 +30,7 @@
 use crate::connection::{Connection, Connector, Error, Relay, connect};
 use crate::core::Core;
 use crate::dialect::Dialect;
+use crate::intake::Metered;
 use crate::log;
 use crate::store::Store;
 
@@ -182,10 +183,11 @@
     let relay = async move {
         let _relayed = relayed;
         let upgraded = hyper::upgrade::on(request).await;
-        let stream = upgraded.map(Upgraded::downcast::<FuturesIo<Bounded<TcpStream>>>);
+        let stream = upgraded.map(Upgraded::downcast::<FuturesIo<Metered<Bounded<TcpStream>>>>);
         // A peer that has left needs no relay.
         if let Ok(Ok(peer)) = stream {
-            copy_both(peer.io.into_inner().into_inner(), &peer.read_buf, replica).await;
+            let stream = peer.io.into_inner().into_inner().into_inner();
+            copy_both(stream, &peer.read_buf, replica).await;
         }
     };
     core.spawn(relay).detach();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,4 +1,4 @@
-//! HTTP server of a daemon: accepts connections and dispatches requests.
+//! HTTP server of a daemon: dispatches requests. `crate::intake` accepts connections.
 //!
 //! A daemon listens at up to four addresses: for clients, for calls from peers,
 //! for readiness checks and for metrics. A request of a client or peer is read
@@ -7,30 +7,22 @@
 //! During a shutdown, responses carry `Connection: close`, and client and peer
 //! connections are then closed gracefully.
 
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::{Kind, Manifest, Route};
 use bitterncart_protocol::Code;
 use bytes::Bytes;
-use futures_lite::future;
 use http::{HeaderValue, Request, Response, StatusCode, Version, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use smol::net::{TcpListener, TcpStream};
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use smol::net::TcpListener;
 
 use crate::body::Body;
-use crate::bounded::Bounded;
 use crate::clock::{self, with_timeout};
 use crate::collect::{self, collect};
-use crate::connection::configure_socket;
 use crate::core::Core;
 use crate::dialect::Dialect;
 use crate::jobs::{self, Outdated};
@@ -41,34 +33,15 @@
 use crate::submission;
 use crate::upstream::{Message, strip_hop_by_hop_headers};
 
-/// Maximum number of open connections; further ones are closed immediately.
-const MAX_CONNECTIONS: usize = 4000;
-
-/// Delay after a failed accept, such as when file descriptors run out.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
-/// Connections that are accepted before other tasks have their turn.
-const ACCEPTS_PER_TURN: usize = 32;
-
 /// Timeout of reading a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Body limit while no manifest is known.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
 
-/// Idle timeout of a connection while no manifest is known.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(75);
-
-/// Idle timeout of a connection as a multiple of that in the manifest, which may
-/// change while the connection is open.
-const IDLE_TIMEOUT_FACTOR: u32 = 2;
-
 /// Time for which a job waits for a manifest that the owner of its shard has.
 const MANIFEST_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Number of open connections.
-pub(crate) type ConnectionCount = Arc<AtomicUsize>;
-
 /// Purpose of a listening address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Endpoint {
@@ -84,52 +57,17 @@
 
 impl Endpoint {
     /// Whether connections are accepted until the process ends.
-    fn stays_open(self) -> bool {
+    pub(crate) fn stays_open(self) -> bool {
         matches!(self, Self::Ready | Self::Metrics)
     }
-}
 
-/// Accepts connections at an address. Stops when client connections have to be
-/// closed, as new requests might not be finished; refused clients connect to
-/// another daemon.
-pub(crate) async fn listen<S: Store, D: Dialect>(
-    core: Core<S, D>,
-    listener: TcpListener,
-    endpoint: Endpoint,
-    open_connections: ConnectionCount,
-) {
-    for number in (0..ACCEPTS_PER_TURN).cycle() {
-        if number == 0 {
-            future::yield_now().await;
-        }
-        let close_requested = core.close_requested.listen();
-        if core.is_closing() && !endpoint.stays_open() {
-            return;
-        }
-        let close_signal = async {
-            close_requested.await;
-            None
-        };
-        let accepted = future::or(async { Some(listener.accept().await) }, close_signal).await;
-        let Some(accepted) = accepted else {
-            continue;
-        };
-        match accepted {
-            Ok((stream, _)) if open_connections.load(Ordering::Relaxed) < MAX_CONNECTIONS => {
-                open_connections.fetch_add(1, Ordering::Relaxed);
-                let open_connections = Arc::clone(&open_connections);
-                let core = core.clone();
-                let executor = Arc::clone(&core.executor);
-                let task = async move {
-                    serve_connection(core, stream, endpoint).await;
-                    open_connections.fetch_sub(1, Ordering::Relaxed);
-                };
-                executor.spawn(task).detach();
-            }
-            Ok(_) => {}
-            Err(_) => {
-                smol::Timer::after(ACCEPT_RETRY_DELAY).await;
-            }
+    /// Name in log lines and metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Clients => "clients",
+            Self::Peers => "peers",
+            Self::Ready => "ready",
+            Self::Metrics => "metrics",
         }
     }
 }
@@ -138,46 +76,8 @@
     TcpListener::bind(address).await
 }
 
-async fn serve_connection<S: Store, D: Dialect>(
-    core: Core<S, D>,
-    stream: TcpStream,
-    endpoint: Endpoint,
-) {
-    if configure_socket(&stream).is_err() {
-        return;
-    }
-    let close_requested = core.close_requested.listen();
-    let limits = core.manifest().map(|manifest| manifest.limits);
-    let idle_timeout = limits.map(|limits| limits.idle.max(limits.head) * IDLE_TIMEOUT_FACTOR);
-    let idle_timeout = idle_timeout
-        .filter(|idle| !idle.is_zero())
-        .unwrap_or(DEFAULT_IDLE_TIMEOUT);
-    let service = service_fn(|request| {
-        let core = core.clone();
-        async move { Ok::<_, Infallible>(respond(&core, request, endpoint).await) }
-    });
-    let mut connection = std::pin::pin!(
-        http1::Builder::new()
-            .timer(SmolTimer::new())
-            .header_read_timeout(idle_timeout)
-            .serve_connection(FuturesIo::new(Bounded::new(stream)), service)
-            .with_upgrades()
-    );
-    let closed = future::or(async { Some(connection.as_mut().await) }, async {
-        if !core.is_closing() {
-            close_requested.await;
-        }
-        None
-    })
-    .await;
-    if closed.is_none() {
-        connection.as_mut().graceful_shutdown();
-        // An error means that the client disconnected.
-        drop(connection.await);
-    }
-}
-
-async fn respond<S: Store, D: Dialect>(
+/// Answers a request according to the purpose of its address.
+pub(crate) async fn respond<S: Store, D: Dialect>(
     core: &Core<S, D>,
     request: Request<Incoming>,
     endpoint: Endpoint,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -67,6 +67,10 @@
     #[serde(default = "Settings::default_memory_mb")]
     #[schemars(range(min = 1.0, max = 1_000_000.0))]
     pub memory_mb: f64,
+    /// Descriptors that the process may have; 200 of them are reserved for files.
+    #[serde(default = "Settings::default_max_fds")]
+    #[schemars(range(min = 400, max = 1_000_000))]
+    pub max_fds: usize,
     /// Maximum size of a record of the store, with its key, in bytes.
     #[serde(default = "Settings::default_record_bytes")]
     #[schemars(range(min = 4096))]
@@ -107,6 +111,10 @@
         256.0
     }
 
+    fn default_max_fds() -> usize {
+        4096
+    }
+
     fn default_record_bytes() -> usize {
         256 << 10
     }
@@ -180,6 +188,7 @@
             ("partitions", self.partitions != new.partitions),
             ("shards", self.shards != new.shards),
             ("memory_mb", self.memory_mb != new.memory_mb),
+            ("max_fds", self.max_fds != new.max_fds),
             ("call_bytes", self.call_bytes != new.call_bytes),
             ("record_bytes", self.record_bytes != new.record_bytes),
         ];
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -156,6 +156,7 @@
             max_body: 1 << 20,
             head: Duration::from_secs(3),
             idle: Duration::from_secs(15),
+            max_head: 16 << 10,
         },
         customers: None,
     }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod ends;
 mod harness;
 mod held_thread;
+mod intake;
 mod link;
 mod links;
 mod memory_peak;
