gateway::intake: answer empty lines with 431, admit checks and peers first

Cause: after empty lines alone, the HTTP library takes the error of a refused head for an orderly end and closes before the 431. 16 connections for readiness checks, idle for 12 s each, could refuse the checks of several balancers, and idle peers those of a large fleet. Lines about closed connections took the place of those about requests.

Change: a close waits for a refusal that is to be written; 32 connections for readiness checks and for metrics, of which idle ones may be closed at once, and idle peers after 2 s; at most one line a second about closed connections.

Bodies keep the budget of calls (an eighth of memory_mb), apart from that of heads; bytes read beside a request that is served are bounded per connection only.

--- a/crates/gateway/src/intake/capacity.rs
+++ b/crates/gateway/src/intake/capacity.rs
@@ -21,6 +21,9 @@
 /// Minimum number of connections from clients and from peers.
 const MIN_CONNECTIONS: usize = 16;
 
+/// Number of connections for readiness checks, and for metrics.
+const CHECK_CONNECTIONS: usize = 32;
+
 /// Maximum number of connections from clients and from peers.
 const MAX_CONNECTIONS: usize = 4000;
 
@@ -51,7 +54,7 @@
     #[must_use]
     pub fn of_checks() -> Self {
         Self {
-            connections: MIN_CONNECTIONS,
+            connections: CHECK_CONNECTIONS,
             head_bytes: MIN_HEADS_BYTES,
         }
     }
--- a/crates/gateway/src/intake/meter.rs
+++ b/crates/gateway/src/intake/meter.rs
@@ -306,6 +306,11 @@
     }
 
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // After empty lines alone, the HTTP library takes the error for an orderly end and
+        // closes; the refusal is still to be written.
+        if self.meter.refusal().is_some() {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.inner).poll_close(cx)
     }
 }
--- a/crates/gateway/src/intake/serve.rs
+++ b/crates/gateway/src/intake/serve.rs
@@ -45,6 +45,10 @@
 /// change while the connection is open.
 const IDLE_TIMEOUT_FACTOR: u32 = 2;
 
+/// Time for which an idle connection of a peer is not closed for others. A fleet may have more
+/// peers than the connections that few descriptors permit, so it is short.
+const PEER_KEPT_IDLE: Duration = Duration::from_secs(2);
+
 /// Minimum of the maximum size of the HTTP library's buffer.
 const MIN_BUFFER_BYTES: usize = 64 << 10;
 
@@ -134,8 +138,14 @@
     };
     let bounds = Bounds::new(limits.max_head, limits.head);
     let evicted = ticket.eviction();
-    // Clients keep an idle connection for up to four fifths of the timeout.
-    let meter = Arc::new(Meter::new(ticket, bounds, limits.idle * 4 / 5));
+    let kept_idle = match endpoint {
+        // Clients may send on an idle connection for up to four fifths of the timeout.
+        Endpoint::Clients => limits.idle * 4 / 5,
+        Endpoint::Peers => PEER_KEPT_IDLE,
+        // A load balancer may open a connection for each check and leave it open.
+        Endpoint::Ready | Endpoint::Metrics => Duration::ZERO,
+    };
+    let meter = Arc::new(Meter::new(ticket, bounds, kept_idle));
     let service = service_fn(|request: Request<Incoming>| {
         let length = request.body().size_hint().exact();
         // A body without a stated length counts as complete.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,8 +9,8 @@
 //! The tasks of a daemon run on one executor and share its state. A task that
 //! needs several locks takes them in this order: manifest, ledger, runs, peers,
 //! cut-off daemons, ownership table, pool, admission queue, quarantine, streams,
-//! buckets, asks, links, idle connections. The catalog and the times of list reads are
-//! locked alone.
+//! buckets, asks, links, idle connections. The catalog, the times of list reads and the
+//! open connections of an address are locked alone.
 
 mod answer;
 mod availability;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::links::{Change, Check};
@@ -21,6 +22,7 @@
 use spdlog::{info, warn};
 
 use crate::answer::Summary;
+use crate::clock;
 use crate::connection::Error;
 use crate::store::Failure;
 
@@ -104,8 +106,12 @@
 }
 
 /// A connection was refused or closed as a bound was met.
+/// At most one line a second is written, apart from those about requests, as a crowd of clients
+/// would take their place; the metrics count all.
 pub(crate) fn connection_closed(endpoint: &str, why: &str) {
-    if !rate_limit::try_acquire() {
+    static SECOND: AtomicU64 = AtomicU64::new(u64::MAX);
+    let second = clock::now().as_secs();
+    if SECOND.swap(second, Ordering::Relaxed) == second {
         return;
     }
     info!("connection closed at a bound", kv: { endpoint, why });
--- a/crates/gateway/tests/gateway/intake.rs
+++ b/crates/gateway/tests/gateway/intake.rs
@@ -232,7 +232,7 @@
         for n in 1..5 {
             smol::Timer::after(Duration::from_millis(700)).await;
             let end = if n < 4 { 10 + n } else { request.len() };
-            let part = request[10 + n - 1..end].as_bytes();
+            let part = &request.as_bytes()[10 + n - 1..end];
             stream.write_all(part).await.expect("sent");
         }
         let mut response = String::new();
