--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,9 +9,8 @@
 //! The tasks of a daemon run on one executor and share its state. A task that
 //! needs several locks takes them in this order: manifest, freshness, ledger, runs, peers,
 //! cut-off daemons, ownership table, pool, admission queue, quarantine, streams,
-//! buckets, asks, links, idle connections. The catalog and the times of list reads are
-//! locked alone,
-//! as are those of the allotments.
+//! buckets, asks, links, idle connections. The catalog, the times of list reads, the
+//! open connections of an address and the allotments are locked alone.
 
 mod allotment;
 mod answer;
@@ -32,6 +31,7 @@
 mod forward;
 mod gossip;
 mod identity;
+pub mod intake;
 mod invalid;
 mod jobs;
 mod links;
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -16,7 +16,8 @@
 use bitterncart_coordination::fleet::pool::Key;
 use bitterncart_coordination::fleet::quarantine::{Subject, Verdict};
 use bitterncart_coordination::fleet::{
-    Attempts, Build, Decision, Ends, Fingerprint, Kind, Outcome, Profile, Route,
+    Attempts, Build, Customer, Decision, Ends, Fingerprint, Kind, Outcome, Profile, Route,
+    admission_queue,
 };
 use bitterncart_protocol::Code;
 use bytes::Bytes;
@@ -127,6 +128,8 @@
     core: Core<S, D>,
     route: Route,
     message: Message,
+    /// Customer in the admission queue; `None` if requests need no key.
+    customer: Option<admission_queue::Customer>,
     id: String,
     /// Time at which the client stops waiting.
     deadline: Duration,
@@ -156,6 +159,7 @@
         core: &Core<S, D>,
         route: Route,
         mut message: Message,
+        customer: Option<&Customer>,
         arrived: Duration,
     ) -> Self {
         let header_names = core.dialect.header_names();
@@ -173,11 +177,16 @@
             });
         let id = text(&header_names.attempt_id).unwrap_or("-").to_owned();
         let last_event_id = text(&header_names.last_event_id).and_then(|n| n.parse().ok());
+        let customer = customer.map(|customer| admission_queue::Customer {
+            id: customer.short_hash(),
+            priority: customer.priority.unwrap_or(route.priority),
+        });
         let is_taken_up = route.kind == Kind::Resumable && last_event_id.is_some_and(|id| id > 0);
         Self {
             core: core.clone(),
             route,
             message,
+            customer,
             id,
             deadline: arrived + allowed,
             attempts: Attempts::default(),
--- a/crates/gateway/src/online/admission.rs
+++ b/crates/gateway/src/online/admission.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::Outcome;
-use bitterncart_coordination::fleet::admission_queue::Ticket;
+use bitterncart_coordination::fleet::admission_queue::{Customer, Ticket};
 use bitterncart_coordination::fleet::manifest::Backend;
 use bitterncart_coordination::fleet::pool::{Class, Key};
 use http::HeaderValue;
@@ -70,10 +70,15 @@
 }
 
 impl<S: Store, D: Dialect> QueueGuard<S, D> {
-    fn enqueue(core: &Core<S, D>, service: &str, objective_deadline: Duration) -> Option<Self> {
+    fn enqueue(
+        core: &Core<S, D>,
+        service: &str,
+        objective_deadline: Duration,
+        customer: Option<Customer>,
+    ) -> Option<Self> {
         let ticket = core
             .admission_queue()
-            .enqueue(service, objective_deadline, None)?;
+            .enqueue(service, objective_deadline, customer)?;
         core.metrics.reservation("wait");
         Some(Self {
             core: core.clone(),
@@ -271,7 +276,8 @@
         if !self.may_use_offers() {
             return self.poll_for_slot(backend, until).await;
         }
-        let queued = QueueGuard::enqueue(&self.core, &backend.service, objective_deadline)
+        let (core, service) = (&self.core, &backend.service);
+        let queued = QueueGuard::enqueue(core, service, objective_deadline, self.customer)
             .ok_or(Shortage::NoReplica)?;
         while clock::now() < until {
             self.check_links()?;
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod ends;
 mod harness;
 mod held_thread;
+mod intake;
 mod keys;
 mod link;
 mod links;
