tests: a connection with an incomplete body may be closed, a complete one not

Cause: the bound between the two in gateway::intake had no test. Change: intake::incomplete_body_may_be_closed, at 0, 999, 1,000 and 1,001 of 1,000 bytes that are certainly missing.

--- a/crates/gateway/tests/gateway/intake.rs
+++ b/crates/gateway/tests/gateway/intake.rs
@@ -276,3 +276,29 @@
         );
     });
 }
+
+/// Guards against connections that wait for the rest of a body and are kept before those that
+/// have a request, and against one that is closed though its request is complete.
+#[test]
+fn incomplete_body_may_be_closed() {
+    let read = |meter: &Arc<Meter>, count: usize| {
+        let mut reader = Metered::new(Pieces(VecDeque::from([count])), Arc::clone(meter));
+        let mut cx = Context::from_waker(std::task::Waker::noop());
+        let polled = Pin::new(&mut reader).poll_read(&mut cx, &mut vec![0; count]);
+        assert!(matches!(polled, Poll::Ready(Ok(n)) if n == count));
+    };
+    for (body_bytes, expected) in [(0, true), (999, true), (1000, false), (1001, false)] {
+        let registry = registry(1, 1 << 20);
+        let bounds = Bounds::new(MAX_HEAD, 3 * S);
+        let meter = Arc::new(Meter::new(admit(&registry, S), bounds, S));
+        read(&meter, 100);
+        // Of the 1,100 bytes, up to 100 may have come with the head.
+        meter.head_received(Some(1100));
+        if body_bytes > 0 {
+            read(&meter, body_bytes);
+        }
+        let new = registry.admit(2 * S);
+        assert_eq!(new.is_some(), expected, "{body_bytes}");
+        assert_eq!(meter.ticket().is_evicted(), expected, "{body_bytes}");
+    }
+}
