tests: a head without end at the own interface gets 431

Cause: the limit of heads in transport::http was tested for memory only. Change: a head of 24,576 bytes without end in the malformed requests of bitterncart-trial.

--- a/crates/trial/tests/http.rs
+++ b/crates/trial/tests/http.rs
@@ -95,6 +95,8 @@
     }
     non_http_bytes(b"\x16\x03\x01 not http\r\n\r\n".to_vec(), 400, 1001);
     head_too_large(request(&format!("GET /healthz HTTP/1.1\r\nx: {}", "y".repeat(20_000)), ""), 400, 1001);
+    // All of it is read, so that no reset overtakes the response.
+    head_without_end(format!("{:y<24576}", "GET /healthz HTTP/1.1\r\nx: ").into_bytes(), 431, 1009);
     content_length_and_transfer_encoding(request("POST /v1/completions HTTP/1.1\r\ncontent-length: 3\r\ntransfer-encoding: chunked", "0\r\n\r\n"), 400, 1001);
     conflicting_content_lengths(request("POST /v1/completions HTTP/1.1\r\ncontent-length: 3\r\ncontent-length: 4", "{}  "), 400, 1004);
     unknown_transfer_encoding(request("POST /v1/completions HTTP/1.1\r\ntransfer-encoding: xchunked", "0\r\n\r\n"), 400, 1004);
