--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -84,6 +84,14 @@
     #[serde(default)]
     #[schemars(range(min = 100, max = 86_400_000))]
     pub max_manifest_age_ms: Option<u64>,
+    /// Whether the daemon learns how much each replica takes well, and chooses by that.
+    /// Otherwise it chooses by requests in flight; the default.
+    #[serde(default)]
+    pub learn_capacity: bool,
+    /// Whether batch items start and yield by the online load of the last seconds.
+    /// Otherwise they leave a fixed headroom; the default.
+    #[serde(default)]
+    pub forecast_demand: bool,
     /// Time from the start of a shutdown until the process is killed, in seconds.
     #[serde(default = "Settings::default_stop_s")]
     #[schemars(range(min = 1.0, max = 600.0))]
