tests: a daemon grants a customer's limit to asks over real sockets

Cause: only the simulation showed that asks are answered. Change: asks for a customer's tokens are sent to a daemon that holds each bucket.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of the gateway with scripted replicas and an in-memory store.
 
+mod allotment;
 mod answers;
 mod batch;
 mod behind;
