coordination: which batch runs yield, and which items do not start

Cause: items start in the troughs of the callers' load and are cut in the peaks.

Change: `fleet::demand` remembers the online load of the last 10 s and tells how long a slot stays free; `fleet::preemption` has the order in which runs yield, the rule for starts, and rounds in which daemons share a shortage once. Headroom and preemptions of the pool are in `pool/headroom.rs`, unchanged without a rhythm.

--- a/crates/coordination/src/fleet/pool.rs
+++ b/crates/coordination/src/fleet/pool.rs
@@ -18,6 +18,7 @@
 //! A replica that says in an answer that it is leaving gets no more requests,
 //! whatever the listing says, until another process takes its place.
 
+mod headroom;
 mod links;
 mod shortage;
 mod versions;
@@ -31,11 +32,12 @@
 use slotmap::{SlotMap, new_key_type};
 
 use self::versions::Versions;
-use super::backlog::{self, Backlog, Group, Queued};
+use super::backlog::{Backlog, Group};
+use super::demand::Demand;
 use super::peers::short_hash;
+use super::preemption::Rounds;
 use super::rate_limit::Limits;
 use super::replica::{Build, Process, Replica, Stage};
-use super::schedule::proportional_share;
 
 new_key_type! {
     /// Key of a replica in the pool.
@@ -108,12 +110,6 @@
 /// within it, about one of its several slots becomes free.
 const FULL_COOLDOWN: Duration = Duration::from_millis(100);
 
-/// Headroom as a share of the online requests at a replica: about as many
-/// arrive while batch items are being preempted. Preemption takes about 0.15 s
-/// for heartbeats, poll intervals and the end of a run, and an online request
-/// holds its slot for 0.7 s.
-const HEADROOM_SHARE: f64 = 0.2;
-
 /// Requests in flight at one replica.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -278,6 +274,10 @@
     /// Average time for which an online request of a service holds a slot.
     run_times: HashMap<CompactString, Duration>,
     versions: Versions,
+    /// Online load by service.
+    demand: HashMap<CompactString, Demand>,
+    replica_rounds: Rounds<Key>,
+    group_rounds: Rounds<Group>,
 }
 
 impl Pool {
@@ -294,6 +294,9 @@
             limits: Limits::default(),
             run_times: HashMap::new(),
             versions: Versions::default(),
+            demand: HashMap::new(),
+            replica_rounds: Rounds::default(),
+            group_rounds: Rounds::default(),
         }
     }
 
@@ -569,6 +572,20 @@
         self.select_batch_among(now, service, |_| true, reserve, random)
     }
 
+    /// Selects for a batch item the replica that ran it before, if it is of the build
+    /// and has more than `reserve` free slots.
+    pub fn select_batch_at(
+        &mut self,
+        now: Duration,
+        build: &Build,
+        key: Key,
+        reserve: u32,
+    ) -> Option<Selection> {
+        let process = self.entries.get(key)?.process_hash;
+        let is_same = |e: &Entry| e.process_hash == process && e.is_of_build(build);
+        self.select_batch_among(now, &build.service, is_same, reserve, 0.0)
+    }
+
     /// Selects like [`Self::select_batch`] a replica of one build.
     pub fn select_batch_build(
         &mut self,
@@ -612,33 +629,6 @@
         Some(self.assign_slot(key, Class::Batch))
     }
 
-    /// Replaces the queued online requests of all daemons.
-    pub fn set_backlog(&mut self, reports: impl IntoIterator<Item = Queued>) {
-        self.backlog.update(reports);
-    }
-
-    /// Slots of a service that batch items may take, by data centre, less
-    /// `reserve` at each replica.
-    fn batch_slots_by_group(
-        &self,
-        now: Duration,
-        service: &str,
-        reserve: u32,
-    ) -> HashMap<Group, u32> {
-        let mut slots: HashMap<Group, u32> = HashMap::new();
-        let of_service = self
-            .entries
-            .values()
-            .filter(|e| e.replica.service == service);
-        for e in of_service.filter(|e| e.accepts_requests(now) && now >= e.backoff_until) {
-            *slots.entry(e.group).or_default() += e.free_batch_slots(now, reserve);
-        }
-        for (group, free) in &mut slots {
-            *free = self.backlog.batch_slots(*group, *free);
-        }
-        slots
-    }
-
     /// Free slots for batch items; remote slots count [`REMOTE_SLOT_WEIGHT`] each.
     fn batch_weight(&self, now: Duration, entry: &Entry, reserve: u32) -> f64 {
         let free = f64::from(entry.free_batch_slots(now, reserve));
@@ -682,79 +672,6 @@
         }
     }
 
-    /// Overcommitted replicas where this daemon runs batch items, with the
-    /// number of its items to preempt there. Headroom for online requests
-    /// counts as used. The excess is divided among the daemons in proportion
-    /// to their batch items at the replica.
-    pub fn preemptions(&self, mut random: impl FnMut() -> f64) -> Vec<(Key, u32)> {
-        let entries = self.entries.iter().filter(|(_, e)| e.own.batch > 0);
-        let mut headroom_by_service: HashMap<&str, u32> = HashMap::new();
-        entries
-            .map(|(key, e)| {
-                let service = e.replica.service.as_str();
-                let headroom = *headroom_by_service
-                    .entry(service)
-                    .or_insert_with(|| self.online_headroom(service));
-                let excess = (e.total() + headroom).saturating_sub(e.replica.slots);
-                let batch = e.own.batch + e.peers.batch;
-                let preempted = proportional_share(excess.min(batch), e.own.batch, batch, random());
-                (key, preempted.min(e.own.batch))
-            })
-            .filter(|(_, preempted)| *preempted > 0)
-            .collect()
-    }
-
-    /// Items of this daemon to preempt for queued online requests: replicas of a
-    /// service in a data centre, and the number of items at any of them.
-    pub fn backlog_preemptions(
-        &mut self,
-        now: Duration,
-        mut random: impl FnMut() -> f64,
-    ) -> Vec<(Vec<Key>, u32)> {
-        let mut groups: HashMap<Group, (Vec<Key>, backlog::Usage)> = HashMap::new();
-        // An item at a limited replica has spent its token; its end would free none.
-        for (key, e) in self.entries.iter().filter(|(_, e)| e.limit.is_none()) {
-            let (replicas, usage) = groups.entry(e.group).or_default();
-            usage.own += e.own.batch;
-            usage.all += e.own.batch + e.peers.batch;
-            if e.accepts_requests(now) && now >= e.backoff_until {
-                usage.free += e.free_slots(now);
-            }
-            if e.own.batch > 0 {
-                replicas.push(key);
-            }
-        }
-        groups
-            .into_iter()
-            .map(|(group, (replicas, usage))| {
-                let count = self.backlog.start_round(now, group, usage, random());
-                (replicas, count)
-            })
-            .filter(|(_, count)| *count > 0)
-            .collect()
-    }
-
-    /// Headroom of each replica of a service: slots kept free of batch items
-    /// for the online requests that arrive next.
-    #[must_use]
-    pub fn online_headroom(&self, service: &str) -> u32 {
-        let entries = self.entries.values();
-        let of_service = entries.filter(|e| e.replica.service == service);
-        let (count, online) = of_service.fold((0_u32, 0_u32), |(count, online), e| {
-            (count + 1, online + e.own.online + e.peers.online)
-        });
-        (f64::from(online) / f64::from(count.max(1)) * HEADROOM_SHARE).round() as u32
-    }
-
-    /// Free slots for batch items at all replicas of a service, less `reserve`
-    /// at each replica.
-    #[must_use]
-    pub fn free_batch_slots(&self, now: Duration, service: &str, reserve: u32) -> u32 {
-        self.batch_slots_by_group(now, service, reserve)
-            .into_values()
-            .sum()
-    }
-
     /// Records a complete answer, which ends the replica's backoff.
     pub fn record_success(&mut self, key: Key) {
         if let Some(entry) = self.entries.get_mut(key) {
--- a/crates/coordination/src/fleet/schedule.rs
+++ b/crates/coordination/src/fleet/schedule.rs
@@ -54,7 +54,7 @@
 
 /// Expected time of an item relative to a run without preemption, as items are
 /// preempted by online requests from time to time.
-const PREEMPTION_FACTOR: f64 = 1.5;
+pub const PREEMPTION_FACTOR: f64 = 1.5;
 
 /// Assumed time to produce the events of an item again before a run was measured.
 const UNKNOWN_RERUN_TIME: Duration = Duration::from_secs(1);
@@ -101,12 +101,17 @@
     /// averages have a sample.
     #[must_use]
     pub fn remaining(&self, done: u64) -> Duration {
+        self.uninterrupted(done).mul_f64(PREEMPTION_FACTOR)
+    }
+
+    /// Estimated time of a run that finishes an item after `done` events; zero until
+    /// both averages have a sample.
+    #[must_use]
+    pub fn uninterrupted(&self, done: u64) -> Duration {
         let remaining_events = self
             .events_per_item
             .map_or(0.0, |all| (all - done as f64).max(1.0));
-        Duration::from_secs_f64(
-            remaining_events * self.seconds_per_event.unwrap_or(0.0) * PREEMPTION_FACTOR,
-        )
+        Duration::from_secs_f64(remaining_events * self.seconds_per_event.unwrap_or(0.0))
     }
 }
 
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -14,6 +14,7 @@
 mod out_of_step;
 mod ownership;
 mod pool;
+mod preemption;
 mod profile;
 mod quarantine;
 mod rate_limit;
