gateway: runs yield by the recent online load, counted by reason

Cause: the choice of runs to preempt lay in the runner, and cuts were counted without reason or events.

Change: `runner/yielding.rs` has the choice, `runner/placement.rs` the selection of a replica for an item, first the one that ran it before. Both apply only if the manifest names customers or the online load has a rhythm. Metrics `batch_runs_cut_total`, `batch_cut_events_total`, `batch_lost_events_total` by reason; a log line for each cut.

Conclusion: to be confirmed by the gateway's tests.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -197,6 +197,7 @@
         while is_busy() && clock::now() < end {
             smol::Timer::after(POLL_INTERVAL).await;
         }
+        runner::yielding::record_shutdown(core);
         log::stopped(&core.settings.name, open.load(Ordering::Relaxed));
     }
 }
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -227,6 +227,14 @@
     info!("run of an item ended", kv: { job, index, end });
 }
 
+/// A run was cut after `events` events, `lost` of which have to be produced again.
+pub(crate) fn run_cut(job: &str, index: u32, reason: &str, events: u64, lost: u64) {
+    if !rate_limit::try_acquire() {
+        return;
+    }
+    info!("run of an item was cut", kv: { job, index, reason, events, lost });
+}
+
 /// An item was completed by the answer of a replica.
 pub(crate) fn item_completed(job: &str, index: u32, selection: &Selection, summary: Summary) {
     if !rate_limit::try_acquire() {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::links::Check;
+use bitterncart_coordination::fleet::preemption::Reason;
 use bitterncart_coordination::fleet::{Decision, Outcome, Route};
 use bitterncart_protocol::Code;
 use compact_str::{CompactString, format_compact};
@@ -137,6 +138,19 @@
         self.add("batch_gave_way_total".into());
     }
 
+    /// Run of an item that was cut after `events` events, `lost` of which have to be
+    /// produced again.
+    pub(crate) fn run_cut(&self, reason: Reason, events: u64, lost: u64) {
+        let reason = reason.name();
+        self.add(format_compact!(
+            "batch_runs_cut_total{{reason=\"{reason}\"}}"
+        ));
+        let name = format_compact!("batch_cut_events_total{{reason=\"{reason}\"}}");
+        self.add_count(name, events);
+        let name = format_compact!("batch_lost_events_total{{reason=\"{reason}\"}}");
+        self.add_count(name, lost);
+    }
+
     pub(crate) fn checkpoint(&self, end: &str) {
         self.add(format_compact!("checkpoints_total{{end=\"{end}\"}}"));
     }
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -9,6 +9,9 @@
 //! Completed output is kept until the ledger has recorded it. Failed attempts are counted
 //! in the ledger, so that the attempt limit holds across daemons.
 
+mod placement;
+pub(crate) mod yielding;
+
 use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -18,7 +21,8 @@
 use bitterncart_coordination::fleet::ends::Verdict as EndVerdict;
 use bitterncart_coordination::fleet::manifest::Backend;
 use bitterncart_coordination::fleet::peers::short_hash;
-use bitterncart_coordination::fleet::pool::{Class, Key as Replica, Selection};
+use bitterncart_coordination::fleet::pool::{Class, Key as Replica};
+use bitterncart_coordination::fleet::preemption::{Reason, Work};
 use bitterncart_coordination::fleet::schedule::start_order;
 use bitterncart_coordination::fleet::{
     Eligibility, Ends, Estimator, Fingerprint, Manifest, Outcome, Profile, Route,
@@ -30,6 +34,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use smol::Task;
 
+use self::placement::{Budget, select_replica};
 use crate::answer::Next;
 use crate::budget::Share;
 use crate::checkpoint;
@@ -118,6 +123,10 @@
     shard: u16,
     /// Time by which the item should be finished.
     due_at: Duration,
+    /// Id of the last event received before the attempt.
+    events_before: u64,
+    /// Replica of the latest attempt.
+    last_replica: Option<Replica>,
     /// The item has ended, but the ledger has not recorded it yet.
     finishing: bool,
 }
@@ -200,14 +209,10 @@
             .filter(|run| run.task.is_some() || run.finishing)
     }
 
-    /// Expected remaining run time of an item of which `stored` events are in the
-    /// ledger.
-    fn remaining(&self, id: &ItemId, stored: u64) -> Duration {
-        let received = self
-            .runs
-            .get(id)
-            .map_or(0, |run| run.output.last_event_id());
-        self.estimator.remaining(received.max(stored))
+    /// Events of an item of which `stored` are in the ledger.
+    fn events(&self, id: &ItemId, stored: u64) -> u64 {
+        let received = self.runs.get(id);
+        received.map_or(stored, |run| run.output.last_event_id().max(stored))
     }
 
     /// Whether an item is not active and its retry delay has passed.
@@ -217,26 +222,6 @@
             .is_none_or(|run| run.task.is_none() && !run.finishing && now >= run.retry_at)
     }
 
-    /// Item at one of `replicas` that loses least by being preempted: one that will miss
-    /// its due time in any case, otherwise the one with the fewest events.
-    /// Restricted to owned shards, as only their items are resumed here.
-    fn preemption_victim(
-        &self,
-        replicas: &[Replica],
-        now: Duration,
-        owned: impl Fn(u16) -> bool,
-    ) -> Option<ItemId> {
-        let meets_due_time =
-            |run: &Run| now + self.estimator.remaining(run.output.last_event_id()) <= run.due_at;
-        self.runs
-            .iter()
-            .filter(|(_, run)| run.task.is_some())
-            .filter(|(_, run)| run.replica.is_some_and(|at| replicas.contains(&at)))
-            .filter(|(_, run)| owned(run.shard))
-            .min_by_key(|(_, run)| (meets_due_time(run), run.output.last_event_id()))
-            .map(|(id, _)| id.clone())
-    }
-
     fn clear_task(&mut self, id: &ItemId) {
         if let Some(run) = self.runs.get_mut(id) {
             run.task = None;
@@ -251,8 +236,7 @@
     shard: u16,
     /// Time since the submission of the job.
     age: Duration,
-    /// Time by which the item should be finished.
-    due_at: Duration,
+    work: Work,
     start_order: (bool, Reverse<Duration>),
     item_hash: u32,
 }
@@ -270,7 +254,7 @@
             next_checkpoint = clock::now() + CHECKPOINT_INTERVAL;
             checkpoint::store_outputs(&core);
         }
-        preempt(&core);
+        yielding::preempt(&core);
         drop_unneeded(&core);
         if core.is_draining() {
             // Active items may finish; other daemons start the rest.
@@ -323,44 +307,26 @@
     }
 }
 
-/// Preempts items at replicas whose slots are needed by online requests.
-fn preempt<S: Store, D: Dialect>(core: &Core<S, D>) {
-    let owned = |shard: u16| !core.is_draining() && core.shards[usize::from(shard)].is_owned();
-    let now = clock::now();
-    let mut pool = core.pool();
-    let overcommitted = pool.preemptions(rand::random).into_iter();
-    let overcommitted = overcommitted.map(|(replica, count)| (vec![replica], count));
-    let preemptions: Vec<_> = overcommitted
-        .chain(pool.backlog_preemptions(now, rand::random))
-        .collect();
-    drop(pool);
-    for (replicas, count) in preemptions {
-        for _ in 0..count {
-            let mut runs = core.runs();
-            let Some(id) = runs.preemption_victim(&replicas, now, owned) else {
-                break;
-            };
-            let task = runs.runs.get_mut(&id).and_then(|run| run.task.take());
-            runs.clear_task(&id);
-            drop(runs);
-            // Dropping the task releases the slot; the lock is not held meanwhile.
-            drop(task);
-            core.metrics.item_preempted();
-        }
-    }
-}
-
 /// Drops runs whose item has a recorded end or whose job was cancelled or
 /// removed.
 fn drop_unneeded<S: Store, D: Dialect>(core: &Core<S, D>) {
     let ids: Vec<ItemId> = core.runs().runs.keys().cloned().collect();
     for id in ids {
         let ledger = jobs::shard_of(core, &id.0).ledger();
-        let needed = ledger
-            .job(&id.0)
-            .is_some_and(|job| !job.cancelled && !job.has_result[id.1 as usize]);
+        let job = ledger.job(&id.0);
+        let needed = job.is_some_and(|job| !job.cancelled && !job.has_result[id.1 as usize]);
+        let has_result = job.is_some_and(|job| job.has_result[id.1 as usize]);
         drop(ledger);
         if !needed {
+            if has_result {
+                // Another daemon has recorded the end, as it owns the shard.
+                let lost = core
+                    .runs()
+                    .runs
+                    .get(&id)
+                    .map_or(0, |r| r.output.last_event_id());
+                yielding::record_end(core, &id, Reason::Ownership, lost);
+            }
             let run = core.runs().runs.remove(&id);
             drop(run);
         }
@@ -377,7 +343,8 @@
     let waiting = candidates.len() as u32;
     core.runs().waiting = waiting;
     let all_waiting = waiting + core.peers().waiting_items(now);
-    let mut budgets: HashMap<CompactString, (u32, u32)> = HashMap::new();
+    let has_customers = yielding::has_customers(core);
+    let mut budgets: HashMap<CompactString, Budget> = HashMap::new();
     for candidate in candidates {
         let ledger = core.shards[usize::from(candidate.shard)].ledger();
         let Some(job) = ledger.job(&candidate.id.0) else {
@@ -401,17 +368,31 @@
             continue;
         };
         let service = &backend.service;
-        let (budget, reserve) = budgets.entry(service.clone()).or_insert_with(|| {
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
             let pool = core.pool();
             let reserve = pool.online_headroom(service).max(MIN_ONLINE_RESERVE);
             let free = pool.free_batch_slots(now, service, reserve);
-            (
-                proportional_share(free, waiting, all_waiting, rand::random()),
+            Budget {
+                slots: proportional_share(free, waiting, all_waiting, rand::random()),
                 reserve,
-            )
+                is_learned: yielding::is_learned(has_customers, &pool, service),
+                started: 0,
+            }
         });
-        if *budget > 0 && start_run(core, route, backend, *reserve, job, &candidate) {
-            *budget -= 1;
+        if budget.slots == 0 {
+            continue;
+        }
+        if budget.is_learned {
+            // Peers start their share of the waiting items meanwhile.
+            let others = budget.started * all_waiting / waiting.max(1);
+            let wanted_in = core.pool().wanted_in(now, service, others);
+            if !candidate.work.may_start(now, wanted_in) {
+                continue;
+            }
+        }
+        if start_run(core, route, backend, budget, job, &candidate) {
+            budget.slots -= 1;
+            budget.started += 1;
         }
     }
 }
@@ -434,16 +415,18 @@
                 let id = (submission.id.clone(), index);
                 let item_hash = short_hash(&[submission.id.as_bytes(), &index.to_be_bytes()]);
                 if runs.is_startable(&id, now) && eligibility.may_start(item_hash, read_at) {
+                    let events = runs.events(&id, job.stored_events(index));
+                    let remaining = runs.estimator.remaining(events);
                     found.push(Candidate {
-                        start_order: start_order(
-                            age,
-                            runs.remaining(&id, job.stored_events(index)),
-                            due,
-                        ),
+                        start_order: start_order(age, remaining, due),
                         id,
                         shard: shard.number(),
                         age,
-                        due_at: (now + due).saturating_sub(age),
+                        work: Work {
+                            events,
+                            remaining: runs.estimator.uninterrupted(events),
+                            due_at: (now + due).saturating_sub(age),
+                        },
                         item_hash,
                     });
                 }
@@ -459,7 +442,7 @@
     core: &Core<S, D>,
     route: &Route,
     backend: &Backend,
-    reserve: u32,
+    budget: &Budget,
     job: &Job,
     candidate: &Candidate,
 ) -> bool {
@@ -470,7 +453,7 @@
     let run = runs.entry(candidate.id.clone()).or_default();
     let stored = job.progress.get(&candidate.id.1);
     let stored = stored.filter(|_| run.restarts == 0);
-    let selected = select_replica(core, route, backend, reserve, (run, estimator), stored);
+    let selected = select_replica(core, route, backend, budget, (run, estimator), stored);
     let Some((selection, output)) = selected else {
         return false;
     };
@@ -478,13 +461,15 @@
     let slot = Slot::new(core, selection, Class::Batch);
     run.item_hash = candidate.item_hash;
     run.shard = candidate.shard;
-    run.due_at = candidate.due_at;
+    run.due_at = candidate.work.due_at;
     run.replica = Some(slot.selection.key);
+    run.last_replica = run.replica;
     if let Some(output) = output {
         run.output = output;
     }
     run.waits_since = None;
     let last_event_id = run.output.last_event_id();
+    run.events_before = last_event_id;
     let Some(message) = item_message(core, &job.submission, candidate.id.1, last_event_id) else {
         run.retry_at = clock::now() + RETRY_DELAY;
         return true;
@@ -509,48 +494,6 @@
     true
 }
 
-/// Selects a replica for an item: one of the build that wrote its output, the local or
-/// the stored one. An item begins anew if no replica can continue it, or none of them
-/// had a slot for too long. The new output of the run is `None` if it keeps the local one.
-fn select_replica<S: Store, D: Dialect>(
-    core: &Core<S, D>,
-    route: &Route,
-    backend: &Backend,
-    reserve: u32,
-    (run, estimator): (&mut Run, &Estimator),
-    stored: Option<&Progress>,
-) -> Option<(Selection, Option<Output>)> {
-    let now = clock::now();
-    let mut pool = core.pool();
-    let local = (run.output.last_event_id(), run.output.build(), None);
-    let stored = stored.map(|stored| (stored.last_event_id, stored.build.as_ref(), Some(stored)));
-    let mut outputs: Vec<_> = [local].into_iter().chain(stored).collect();
-    outputs.sort_by_key(|(events, ..)| Reverse(*events));
-    let mut longest = None;
-    for (events, build, stored) in outputs {
-        let Some(build) = build.filter(|build| {
-            let is_routed = route.backend_of(&build.service).is_some();
-            events > 0 && is_routed && pool.has_build(now, build)
-        }) else {
-            continue;
-        };
-        let selection = pool.select_batch_build(now, build, reserve, rand::random());
-        if let Some(selection) = selection {
-            return Some((selection, stored.map(Output::resume)));
-        }
-        longest.get_or_insert(events);
-    }
-    if let Some(events) = longest {
-        let waited = now.saturating_sub(*run.waits_since.get_or_insert(now));
-        if estimator.is_worth_waiting(events, waited) {
-            return None;
-        }
-    }
-    let selection = pool.select_batch(now, &backend.service, reserve, rand::random())?;
-    let output = Output::begin(selection.build());
-    Some((selection, Some(output)))
-}
-
 /// Builds the request of an item; `None` if the submission has an invalid header
 /// or path.
 fn item_message<S: Store, D: Dialect>(
@@ -760,8 +703,8 @@
                     EndVerdict::Unfounded => self.record_unfounded(),
                 },
                 Some(Ok(Next::End)) => self.complete(response),
-                Some(Err(outcome)) => self.record_broken(outcome),
-                None => self.record_broken(Outcome::Silent),
+                Some(Err(outcome)) => self.record_cut(outcome),
+                None => self.record_cut(Outcome::Silent),
             }
             return None;
         }
@@ -876,6 +819,14 @@
         self.record_broken(Outcome::Unconfirmed);
     }
 
+    /// Records an attempt whose stream broke.
+    fn record_cut(self, outcome: Outcome) {
+        if matches!(outcome, Outcome::Broken | Outcome::Silent) {
+            yielding::record_end(&self.core, &self.id, Reason::ReplicaFailed, 0);
+        }
+        self.record_broken(outcome);
+    }
+
     /// Records an attempt that ended without a response or with a broken stream.
     fn record_broken(self, outcome: Outcome) {
         let mut pool = self.core.pool();
