coordination: starts leave the headroom of the next peak free

Cause: items started at slots that the headroom of the next peak took, an idle service counted as one with a rhythm, and the loads of the compared policies differed.

Change: the load that wants a slot has its headroom; the rule for starts has a slack of 9 s; the test has a load of its own for each seed. Property tests and comparison with fixed headroom. The runner asks for the expected time once a start, not once an item.

--- a/crates/coordination/src/fleet/demand.rs
+++ b/crates/coordination/src/fleet/demand.rs
@@ -22,7 +22,7 @@
 
 /// Least difference between peak and trough in a rhythm, in square roots of the mean.
 /// Steady random arrivals that hold their slots for 0.5 s stay below it.
-const MIN_RHYTHM_DEVIATIONS: f64 = 4.0;
+const MIN_RHYTHM_DEVIATIONS: f64 = 4.5;
 
 /// Average of the observations in progress.
 #[derive(Clone, Copy, Debug, Default)]
@@ -72,12 +72,7 @@
     /// half of the window to say so.
     #[must_use]
     pub fn has_rhythm(&self) -> bool {
-        let (samples, _) = self.samples.as_slices();
-        let all: Vec<f64> = if samples.len() == self.samples.len() {
-            samples.to_vec()
-        } else {
-            self.samples.iter().copied().collect()
-        };
+        let all: Vec<f64> = self.samples.iter().copied().collect();
         let means: Vec<f64> = all
             .chunks_exact(SAMPLES_PER_MEAN)
             .map(|chunk| chunk.iter().sum::<f64>() / SAMPLES_PER_MEAN as f64)
@@ -89,7 +84,8 @@
         let peak = means.iter().copied().fold(0.0, f64::max);
         let trough = means.iter().copied().fold(f64::INFINITY, f64::min);
         let mean = means.iter().sum::<f64>() / means.len() as f64;
-        peak >= MIN_RHYTHM_RATIO * trough && peak - trough >= MIN_RHYTHM_DEVIATIONS * mean.sqrt()
+        peak >= MIN_RHYTHM_RATIO * trough
+            && peak - trough >= MIN_RHYTHM_DEVIATIONS * mean.max(1.0).sqrt()
     }
 
     /// Highest load below which the `quantile` of the samples is; 0 if there are none.
--- a/crates/coordination/src/fleet/pool/headroom.rs
+++ b/crates/coordination/src/fleet/pool/headroom.rs
@@ -153,20 +153,21 @@
     /// service, with `others` about to start; `None` if they do not.
     #[must_use]
     pub fn wanted_in(&self, now: Duration, service: &str, others: u32) -> Option<Duration> {
-        let level = self.slots_beside_batch(now, service, others);
-        self.demand.get(service)?.time_until(f64::from(level))
+        let level = self.load_that_wants(now, service, others);
+        self.demand.get(service)?.time_until(level)
     }
 
     /// Whether a quantile of the recent online load wants the slot of one more batch item.
     #[must_use]
     pub fn is_wanted_at(&self, now: Duration, service: &str, others: u32, quantile: f64) -> bool {
-        let level = self.slots_beside_batch(now, service, others);
+        let level = self.load_that_wants(now, service, others);
         let demand = self.demand.get(service);
-        demand.is_some_and(|demand| demand.quantile(quantile) >= f64::from(level))
+        demand.is_some_and(|demand| demand.quantile(quantile) >= level)
     }
 
-    /// Slots of a service beside its batch items and `others` more.
-    fn slots_beside_batch(&self, now: Duration, service: &str, others: u32) -> u32 {
+    /// Online load that wants, with its headroom, a slot of the batch items of a service
+    /// and of `others` more.
+    fn load_that_wants(&self, now: Duration, service: &str, others: u32) -> f64 {
         let usable = self.entries.values().filter(|e| {
             let is_usable = e.accepts_requests(now) && now >= e.backoff_until;
             e.replica.service == service && is_usable
@@ -174,7 +175,7 @@
         let (slots, batch) = usable.fold((0_u32, 0_u32), |(slots, batch), e| {
             (slots + e.replica.slots, batch + e.own.batch + e.peers.batch)
         });
-        slots.saturating_sub(batch + others)
+        f64::from(slots.saturating_sub(batch + others)) / (1.0 + HEADROOM_SHARE)
     }
 
     /// Items of this daemon that yield, with the replicas at any of which they run.
--- a/crates/coordination/src/fleet/preemption.rs
+++ b/crates/coordination/src/fleet/preemption.rs
@@ -19,9 +19,14 @@
 /// the runs of other daemons are known.
 const ROUND: Duration = Duration::from_millis(200);
 
-/// Least slack of an item that waits for a slot which stays free long enough. It is
-/// longer than the peaks of 2.4 s.
-const MIN_SLACK: Duration = Duration::from_secs(3);
+/// Slack with which an item can be cut and resumed in time. It is longer than the peaks
+/// of 2.4 s.
+const YIELD_SLACK: Duration = Duration::from_secs(3);
+
+/// Least slack of an item that waits for a slot which stays free long enough. At
+/// irregular load of a deployment with customers, 2.1 of 100 items were late with 3 s,
+/// 1.3 with 6 s, and 0.6 with 9 s and with fixed headroom.
+const START_SLACK: Duration = Duration::from_secs(9);
 
 /// Why a run was cut.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -82,7 +87,7 @@
     pub fn yield_order(&self, now: Duration) -> (u8, u64) {
         let class = if self.is_late_after(now, Duration::ZERO) {
             0
-        } else if self.is_late_after(now, MIN_SLACK) {
+        } else if self.is_late_after(now, YIELD_SLACK) {
             2
         } else {
             1
@@ -96,7 +101,7 @@
     #[must_use]
     pub fn may_start(&self, now: Duration, wanted_in: Option<Duration>) -> bool {
         let is_long_enough = wanted_in.is_none_or(|time| time >= self.remaining);
-        is_long_enough || self.is_late_after(now, self.remaining.max(MIN_SLACK))
+        is_long_enough || self.is_late_after(now, self.remaining.max(START_SLACK))
     }
 }
 
--- a/crates/coordination/tests/fleet/preemption.rs
+++ b/crates/coordination/tests/fleet/preemption.rs
@@ -10,8 +10,11 @@
 use bitterncart_coordination::fleet::schedule::start_order;
 use bitterncart_coordination::fleet::{Group, Pool, Queued, Replica, proportional_share};
 use bitterncart_testing::cases;
+use proptest::collection::vec;
+use proptest::option;
+use proptest::prelude::*;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
+use rand::{Rng as _, SeedableRng};
 
 use crate::pool::replica;
 
@@ -21,7 +24,7 @@
     Duration::from_millis(n)
 }
 
-/// Time of the load as it was `ms_ago` before, in steps of a poll.
+/// Observes a load from one time to another, in steps of a poll.
 fn observe(demand: &mut Demand, from: u64, to: u64, online: impl Fn(u64) -> u32) {
     for at in (from..to).step_by(25) {
         demand.observe(ms(at), online(at));
@@ -215,6 +218,8 @@
 /// Time until the first event of a run.
 const START_MS: f64 = 150.0;
 const RUN_MS: u64 = 60_000;
+/// Time from which the load is known.
+const LEARNED_MS: u64 = 12_000;
 const MEAN_ONLINE: f64 = 0.45 * (REPLICAS as f64 * SLOTS as f64);
 const ITEMS_PER_S: f64 = 4.8;
 /// Time from the submission of an item until it is due.
@@ -235,7 +240,6 @@
     events: f64,
     /// Replica where it runs, its key, and when its events begin.
     run: Option<(usize, Key, f64)>,
-    last: Option<Key>,
     finished: Option<u64>,
 }
 
@@ -244,7 +248,7 @@
         // The estimate of a daemon that has measured runs; see `Estimator`.
         Work {
             events: self.events as u64,
-            remaining: ms(((134.0 - self.events).max(1.0) * EVENT_MS) as u64),
+            remaining: ms(((134.0 - self.events).max(1.0) * (EVENT_MS + START_MS / 134.0)) as u64),
             due_at: ms(self.submitted + DUE_MS),
         }
     }
@@ -253,6 +257,9 @@
 #[derive(Debug, Default)]
 struct Figures {
     cut: u32,
+    /// Items submitted from [`LEARNED_MS`] on, and their cut runs.
+    later_items: u32,
+    later_cut: u32,
     finished: u32,
     submitted: u32,
     in_time: u32,
@@ -265,6 +272,8 @@
 impl Figures {
     fn add(&mut self, other: Self) {
         self.cut += other.cut;
+        self.later_items += other.later_items;
+        self.later_cut += other.later_cut;
         self.finished += other.finished;
         self.submitted += other.submitted;
         self.in_time += other.in_time;
@@ -278,6 +287,10 @@
         f64::from(self.cut) / f64::from(self.finished.max(1))
     }
 
+    fn later_cut_per_item(&self) -> f64 {
+        f64::from(self.later_cut) / f64::from(self.later_items.max(1))
+    }
+
     fn in_time(&self) -> f64 {
         f64::from(self.in_time) / f64::from(self.submitted.max(1))
     }
@@ -295,6 +308,8 @@
 struct Fleet {
     policy: Policy,
     rng: SmallRng,
+    /// Randomness of the load, which is the same for each policy.
+    load: SmallRng,
     pools: Vec<Pool>,
     /// Slots in use at the replicas, with those of runs that are ending.
     used: Vec<u32>,
@@ -321,7 +336,8 @@
         };
         Self {
             policy,
-            rng: SmallRng::seed_from_u64(seed),
+            rng: SmallRng::seed_from_u64(!seed),
+            load: SmallRng::seed_from_u64(seed),
             pools: (0..DAEMONS).map(pool).collect(),
             used: vec![0; REPLICAS],
             ending: Vec::new(),
@@ -346,32 +362,31 @@
                 Shape::JobBursts => (1.0, 0.55),
                 Shape::Steady => (1.0, 1.0),
                 Shape::Irregular => {
-                    if self.rng.random::<f64>() < TICK_MS as f64 / 2500.0 {
-                        level = self.rng.random_range(0.3..1.8);
+                    if self.load.random::<f64>() < TICK_MS as f64 / 2500.0 {
+                        level = self.load.random_range(0.3..1.8);
                     }
                     (level, 1.0)
                 }
             };
             let step_s = TICK_MS as f64 / 1000.0;
-            for _ in 0..poisson(&mut self.rng, online * MEAN_ONLINE / 0.5 * step_s) {
+            for _ in 0..poisson(&mut self.load, online * MEAN_ONLINE / 0.5 * step_s) {
                 let request = Online {
-                    daemon: self.rng.random_range(0..DAEMONS),
+                    daemon: self.load.random_range(0..DAEMONS),
                     arrived: at,
-                    hold: self.rng.random_range(300..700),
+                    hold: self.load.random_range(300..700),
                 };
                 self.queue.push_back(request);
             }
             // The last items have time to finish.
             if at + DUE_MS < RUN_MS {
-                for _ in 0..poisson(&mut self.rng, items * ITEMS_PER_S * step_s) {
-                    let needed = f64::from(self.rng.random_range(128..=139));
+                for _ in 0..poisson(&mut self.load, items * ITEMS_PER_S * step_s) {
+                    let needed = f64::from(self.load.random_range(128..=139));
                     self.items.push(Item {
-                        daemon: self.rng.random_range(0..DAEMONS),
+                        daemon: self.load.random_range(0..DAEMONS),
                         submitted: at,
                         needed,
                         events: 0.0,
                         run: None,
-                        last: None,
                         finished: None,
                     });
                 }
@@ -394,6 +409,7 @@
         for item in &self.items {
             let end = item.finished.unwrap_or(RUN_MS);
             self.figures.finished += u32::from(item.finished.is_some());
+            self.figures.later_items += u32::from(item.submitted >= LEARNED_MS);
             let in_time = item.finished.is_some() && end <= item.submitted + DUE_MS;
             self.figures.in_time += u32::from(in_time);
             if item.finished.is_none() {
@@ -540,10 +556,10 @@
                 let Some((replica, key, _)) = victim.run.take() else {
                     break;
                 };
-                victim.last = Some(key);
                 pool.release(key, Class::Batch);
                 self.ending.push((at + 50, replica));
                 self.figures.cut += 1;
+                self.figures.later_cut += u32::from(victim.submitted >= LEARNED_MS);
             }
         }
     }
@@ -560,7 +576,7 @@
             Starts::Learned => wanted,
             Starts::For(time) => wanted.map(|wanted| {
                 if wanted >= time {
-                    work.remaining
+                    work.remaining.max(wanted)
                 } else {
                     wanted
                 }
@@ -595,7 +611,7 @@
         for n in order {
             let work = self.items[n].work();
             // Other daemons start their share of the items meanwhile.
-            let ahead = others * all / own.max(1);
+            let ahead = others * (all - own) / own.max(1);
             let wanted_in = self.wanted_in(at, daemon, work, ahead);
             if budget == 0 || !work.may_start(now, wanted_in) {
                 continue;
@@ -626,7 +642,7 @@
     figures
 }
 
-fn policies() -> [(&'static str, Policy); 9] {
+fn policies() -> [(&'static str, Policy); 11] {
     let policy = |starts, yields| Policy {
         starts,
         yields,
@@ -644,6 +660,11 @@
         ("below max", policy(Starts::Below(1.0), true)),
         ("below 0.9", policy(Starts::Below(0.9), true)),
         ("for 1 s", policy(Starts::For(ms(1000)), true)),
+        ("for 2 s", policy(Starts::For(ms(2000)), true)),
+        (
+            "for 2 s, always",
+            always(policy(Starts::For(ms(2000)), true)),
+        ),
         ("learned", CHOSEN),
         ("learned, always", always(CHOSEN)),
     ]
@@ -654,14 +675,15 @@
 #[test]
 #[ignore = "prints a table; the other tests check the figures of the chosen policy"]
 fn compare_policies() {
-    println!("| load | policy | cut per item | in time | at once | p99 wait, ms |");
-    println!("|---|---|---|---|---|---|");
+    println!("| load | policy | cut per item | after 12 s | in time | at once | p99 wait, ms |");
+    println!("|---|---|---|---|---|---|---|");
     for shape in SHAPES {
         for (name, policy) in policies() {
             let mut figures = figures(policy, shape, 8);
             println!(
-                "| {shape:?} | {name} | {:.2} | {:.3} | {:.3} | {} |",
+                "| {shape:?} | {name} | {:.2} | {:.2} | {:.3} | {:.3} | {} |",
                 figures.cut_per_item(),
+                figures.later_cut_per_item(),
                 figures.in_time(),
                 figures.at_once(),
                 figures.wait_p99(),
@@ -669,3 +691,73 @@
         }
     }
 }
+
+cases! {
+    /// Guards against a policy that cuts as many runs as fixed headroom does, or pays for
+    /// fewer cuts with late items or waiting callers.
+    fn fewer_runs_are_cut(shape: Shape, most: f64) {
+        let (before, after) = (figures(TODAY, shape, 4), figures(CHOSEN, shape, 4));
+        let ratio = after.cut_per_item() / before.cut_per_item();
+        assert!(ratio <= most, "{ratio} of the cut runs");
+        assert!(after.in_time() >= before.in_time() - 0.005, "{}", after.in_time());
+        assert!(after.at_once() >= before.at_once() - 0.01, "{}", after.at_once());
+    }
+    fewer_at_the_wave(Shape::Wave, 0.75);
+    fewer_at_irregular_load(Shape::Irregular, 0.75);
+}
+
+/// Guards against a deployment with steady load that is served otherwise than before.
+#[test]
+fn steady_load_is_served_as_before() {
+    let (before, after) = (
+        figures(TODAY, Shape::Steady, 4),
+        figures(CHOSEN, Shape::Steady, 4),
+    );
+    assert_eq!(before.waits, after.waits);
+    assert_eq!((before.cut, before.in_time), (after.cut, after.in_time));
+}
+
+proptest! {
+    /// Guards against items that wait for ever for a slot that stays free.
+    #[test]
+    fn item_starts_before_it_is_late(
+        events in 0_u64..1000,
+        remaining in 0_u64..60_000,
+        due_at in 0_u64..1_000_000,
+        wanted_in in option::of(0_u64..60_000),
+    ) {
+        let work = Work { events, remaining: ms(remaining), due_at: ms(due_at) };
+        let latest = ms(due_at.saturating_sub(remaining));
+        prop_assert!(work.may_start(latest + ms(1), wanted_in.map(ms)));
+        prop_assert!(work.may_start(Duration::ZERO, None));
+    }
+
+    /// Guards against a slot that stays empty although no caller is expected there: a
+    /// load is forgotten after the window, whatever its pattern was.
+    #[test]
+    fn slot_that_is_no_longer_wanted_is_used(
+        levels in vec(0_u32..200, 1..40),
+        step in 25_u64..3000,
+        level in 1_u32..200,
+    ) {
+        let mut demand = Demand::default();
+        let end = step * levels.len() as u64;
+        observe(&mut demand, 0, end, |at| levels[(at / step) as usize]);
+        let quiet = end + WINDOW.as_millis() as u64 + 200;
+        observe(&mut demand, end, quiet, |_| 0);
+        prop_assert_eq!(demand.time_until(f64::from(level)), None);
+        prop_assert!(!demand.has_rhythm());
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(10))]
+    /// Guards against runs that are cut again and again and never end.
+    #[test]
+    fn each_item_finishes(seed in 0_u64..1000, shape in 0_usize..5, always: bool) {
+        let policy = Policy { always, ..CHOSEN };
+        let figures = Fleet::new(policy, seed).run(SHAPES[shape]);
+        prop_assert_eq!(figures.finished, figures.submitted);
+        prop_assert_eq!(figures.longest_unfinished, 0);
+    }
+}
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -376,23 +376,25 @@
                 slots: proportional_share(free, waiting, all_waiting, rand::random()),
                 reserve,
                 is_learned: yielding::is_learned(has_customers, &pool, service),
+                wanted_in: pool.wanted_in(now, service, 0),
                 started: 0,
             }
         });
         if budget.slots == 0 {
             continue;
         }
-        if budget.is_learned {
-            // Peers start their share of the waiting items meanwhile.
-            let others = budget.started * all_waiting / waiting.max(1);
-            let wanted_in = core.pool().wanted_in(now, service, others);
-            if !candidate.work.may_start(now, wanted_in) {
-                continue;
-            }
+        if budget.is_learned && !candidate.work.may_start(now, budget.wanted_in) {
+            continue;
         }
         if start_run(core, route, backend, budget, job, &candidate) {
             budget.slots -= 1;
             budget.started += 1;
+            if budget.is_learned {
+                // Peers start their share of the waiting items meanwhile; own ones count
+                // in the pool.
+                let others = budget.started * all_waiting.saturating_sub(waiting) / waiting.max(1);
+                budget.wanted_in = core.pool().wanted_in(now, service, others);
+            }
         }
     }
 }
--- a/crates/gateway/src/runner/placement.rs
+++ b/crates/gateway/src/runner/placement.rs
@@ -1,6 +1,7 @@
 //! Selection of a replica for an item.
 
 use std::cmp::Reverse;
+use std::time::Duration;
 
 use bitterncart_coordination::fleet::checkpoint::Output;
 use bitterncart_coordination::fleet::manifest::Backend;
@@ -21,6 +22,8 @@
     pub(super) reserve: u32,
     /// Whether items start by the recent online load.
     pub(super) is_learned: bool,
+    /// Expected time until online requests want the slot of the next item.
+    pub(super) wanted_in: Option<Duration>,
     /// Number of items that it started.
     pub(super) started: u32,
 }
