Learned capacity of replicas, shared in heartbeats

A replica was chosen by its requests as a share of its slots alone; that it is slower than the others, or slows down before it is full, counted nowhere. fleet::capacity learns both from the times of events and answers, and the pool uses them for its costs and free slots. Peers report the replicas that differ.

--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod admission_queue;
 pub mod backlog;
+pub mod capacity;
 pub mod catalog;
 pub mod checkpoint;
 pub mod customer;
--- a/crates/coordination/src/fleet/peers.rs
+++ b/crates/coordination/src/fleet/peers.rs
@@ -19,7 +19,7 @@
 
 use super::backlog::Queued;
 use super::pool::Load;
-use super::{links, quarantine, rate_limit};
+use super::{capacity, links, quarantine, rate_limit};
 
 /// Time without a heartbeat after which a peer counts as dead.
 pub const FAILURE_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -148,6 +148,10 @@
     /// connections. Follows the quarantine in a datagram.
     #[serde(skip)]
     pub links: Option<links::Report>,
+    /// Replicas whose speed differs from that of their service. Follow the links in a
+    /// datagram.
+    #[serde(skip)]
+    pub speeds: Vec<capacity::Report>,
 }
 
 /// Field between the queue and the limits of a datagram, with which earlier versions
@@ -168,7 +172,8 @@
         let datagram = postcard::to_extend(&RetiredDigest::default(), datagram)?;
         let datagram = postcard::to_extend(&self.limits, datagram)?;
         let datagram = postcard::to_extend(&self.quarantine, datagram)?;
-        postcard::to_extend(&self.links, datagram)
+        let datagram = postcard::to_extend(&self.links, datagram)?;
+        postcard::to_extend(&self.speeds, datagram)
     }
 
     /// Decodes a datagram. One of an earlier version ends before the queue or one of
@@ -190,6 +195,7 @@
         self.capacity = self.capacity.min(MAX_CAPACITY);
         self.period_ms = self.period_ms.min(MAX_PERIOD_MS);
         self.waiting = self.waiting.min(MAX_WAITING);
+        self.speeds.truncate(capacity::MAX_REPORTS);
         self.shards.retain(|ownership| ownership.shard < MAX_SHARDS);
         let shards = self.shards.iter_mut();
         for (_, tokens) in shards.flat_map(|ownership| &mut ownership.tokens) {
@@ -219,8 +225,13 @@
         }
         let (quarantine, rest) = postcard::take_from_bytes(rest)?;
         heartbeat.quarantine = quarantine;
+        if rest.is_empty() {
+            return Ok(heartbeat);
+        }
+        let (links, rest) = postcard::take_from_bytes(rest)?;
+        heartbeat.links = links;
         if !rest.is_empty() {
-            heartbeat.links = postcard::from_bytes(rest)?;
+            heartbeat.speeds = postcard::from_bytes(rest)?;
         }
         Ok(heartbeat)
     }
--- a/crates/coordination/src/fleet/pool.rs
+++ b/crates/coordination/src/fleet/pool.rs
@@ -1,7 +1,8 @@
 //! Load balancing over the replicas of each service.
 //!
 //! A replica serves its requests in order of arrival, so its load is the
-//! number of requests that all daemons have there: this daemon's own count is
+//! number of requests that all daemons have there, as a share of those that it takes at
+//! its learned speed (see [`capacity`](super::capacity)): this daemon's own count is
 //! exact, that of its peers comes from their latest heartbeats. An online
 //! request goes to the least loaded of a few replicas drawn at random, a batch
 //! item to a free slot drawn at random. A replica that fails is skipped for a
@@ -18,6 +19,7 @@
 //! A replica that says in an answer that it is leaving gets no more requests,
 //! whatever the listing says, until another process takes its place.
 
+mod capacity;
 mod links;
 mod shortage;
 mod versions;
@@ -32,6 +34,7 @@
 
 use self::versions::Versions;
 use super::backlog::{self, Backlog, Group, Queued};
+use super::capacity::{Learned, Reports, Usual};
 use super::peers::short_hash;
 use super::rate_limit::Limits;
 use super::replica::{Build, Process, Replica, Stage};
@@ -73,18 +76,6 @@
 /// have been written before.
 const MIN_LISTINGS: u8 = 2;
 
-/// Cost of a hop to another data centre, as a share of a replica's slots.
-const HOP_COST_SHARE: f64 = 0.25;
-
-/// Cost of a token of a limited replica, as a share of its slots. Where the rate is
-/// limited, slots are plentiful and tokens are not: a token buys a batch item several
-/// times as much of a slot as an online request, and an item elsewhere takes the slots
-/// of several online requests.
-const TOKEN_COST_SHARE: f64 = 0.9;
-
-/// Weight of a free slot of a limited replica for batch items, for the same reason.
-const LIMITED_SLOT_WEIGHT: f64 = 4.0;
-
 /// Replicas of this data centre that are compared for one online request. The
 /// known load is out of date, so with many candidates all daemons would send
 /// to the one replica that appears idle.
@@ -96,14 +87,6 @@
 /// Replicas of other data centres that are compared for one online request.
 const REMOTE_CANDIDATES: usize = 2;
 
-/// Upper bound of the random load, in requests, that is added to each
-/// candidate, so that daemons with the same view choose different replicas.
-const MAX_JITTER_REQUESTS: f64 = 1.2;
-
-/// Weight of a free slot in another data centre for batch items; a slot in
-/// this data centre has weight 1.
-const REMOTE_SLOT_WEIGHT: f64 = 0.1;
-
 /// Time for which a replica counts as full after it reported no free slot;
 /// within it, about one of its several slots becomes free.
 const FULL_COOLDOWN: Duration = Duration::from_millis(100);
@@ -170,6 +153,9 @@
     missing_listings: u8,
     /// End of the grace period after it disappeared from the listing.
     grace_ends_at: Option<Duration>,
+    learned: Learned,
+    /// Concurrent requests that it takes well, as last learned.
+    well: u32,
 }
 
 impl Entry {
@@ -177,12 +163,12 @@
         self.own.total() + self.peers.total()
     }
 
-    /// Slots without a known request; 0 while the replica counts as full.
+    /// Slots that it takes well, without a known request; 0 while the replica counts as full.
     fn free_slots(&self, now: Duration) -> u32 {
         if now < self.full_until {
             return 0;
         }
-        self.replica.slots.saturating_sub(self.total())
+        self.takes_well().saturating_sub(self.total())
     }
 
     /// Free slots for batch items. A limited replica takes one at a time, as each
@@ -278,6 +264,9 @@
     /// Average time for which an online request of a service holds a slot.
     run_times: HashMap<CompactString, Duration>,
     versions: Versions,
+    /// Usual times by service.
+    usual: HashMap<CompactString, Usual>,
+    speeds: Reports,
 }
 
 impl Pool {
@@ -294,6 +283,8 @@
             limits: Limits::default(),
             run_times: HashMap::new(),
             versions: Versions::default(),
+            usual: HashMap::new(),
+            speeds: Reports::default(),
         }
     }
 
@@ -331,6 +322,8 @@
                     misdirected: false,
                     missing_listings: 0,
                     grace_ends_at: None,
+                    learned: Learned::default(),
+                    well: u32::MAX,
                 });
                 self.by_id.insert(id, key);
                 self.update_preferred();
@@ -531,30 +524,6 @@
             .map(|(key, _)| key)
     }
 
-    /// Share of the slots in use, plus the cost of a hop. `random` in `0..1`
-    /// scales the jitter: other daemons select at the same time from the same
-    /// view, and would otherwise all choose the same replica.
-    fn cost(&self, now: Duration, entry: &Entry, random: f64) -> f64 {
-        let slots = f64::from(entry.replica.slots.max(1));
-        let total = f64::from(entry.total());
-        let used = if now < entry.full_until {
-            total.max(slots)
-        } else {
-            total
-        };
-        let hop = if entry.replica.data_centre == self.data_centre {
-            0.0
-        } else {
-            HOP_COST_SHARE
-        };
-        let token = if entry.limit.is_some() {
-            TOKEN_COST_SHARE
-        } else {
-            0.0
-        };
-        (used + MAX_JITTER_REQUESTS * random) / slots + hop + token
-    }
-
     /// Selects a replica of a service with more than `reserve` free slots for
     /// a batch item and assigns a slot. `random` in `0..1` draws the replica
     /// with a probability proportional to its weighted free slots, as other
@@ -639,17 +608,6 @@
         slots
     }
 
-    /// Free slots for batch items; remote slots count [`REMOTE_SLOT_WEIGHT`] each.
-    fn batch_weight(&self, now: Duration, entry: &Entry, reserve: u32) -> f64 {
-        let free = f64::from(entry.free_batch_slots(now, reserve));
-        let is_local = entry.replica.data_centre == self.data_centre;
-        let distance = if is_local { 1.0 } else { REMOTE_SLOT_WEIGHT };
-        match entry.limit {
-            Some(_) => free * distance * LIMITED_SLOT_WEIGHT,
-            None => free * distance,
-        }
-    }
-
     fn assign_slot(&mut self, key: Key, class: Class) -> Selection {
         let entry = &mut self.entries[key];
         let (own, peers) = (entry.own.total(), entry.peers.total());
@@ -695,7 +653,7 @@
                 let headroom = *headroom_by_service
                     .entry(service)
                     .or_insert_with(|| self.online_headroom(service));
-                let excess = (e.total() + headroom).saturating_sub(e.replica.slots);
+                let excess = (e.total() + headroom).saturating_sub(e.takes_well());
                 let batch = e.own.batch + e.peers.batch;
                 let preempted = proportional_share(excess.min(batch), e.own.batch, batch, random());
                 (key, preempted.min(e.own.batch))
--- a/crates/coordination/src/fleet/pool/shortage.rs
+++ b/crates/coordination/src/fleet/pool/shortage.rs
@@ -38,7 +38,7 @@
         let usable = local.filter(|e| e.is_in_service(now) && now >= e.backoff_until);
         let per_s: f64 = usable
             .map(|e| {
-                let by_slots = f64::from(e.replica.slots) / run_time_s.max(MIN_RUN_TIME_S);
+                let by_slots = f64::from(e.takes_well()) / run_time_s.max(MIN_RUN_TIME_S);
                 e.limit.map_or(by_slots, |limit| limit.min(by_slots))
             })
             .sum();
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod admission_queue;
 mod backlog;
 mod builds;
+mod capacity;
 mod catalog;
 mod checkpoint;
 mod departure;
--- a/crates/coordination/tests/fleet/odd_datagrams.rs
+++ b/crates/coordination/tests/fleet/odd_datagrams.rs
@@ -25,6 +25,7 @@
         capacity: u32::MAX,
         waiting: u32::MAX,
         shards: vec![shard(0), shard(1), shard(u16::MAX)],
+        speeds: Vec::new(),
         links: Some(links::Report {
             cut_off: false,
             relayed: u16::MAX,
--- a/crates/coordination/tests/fleet/ownership.rs
+++ b/crates/coordination/tests/fleet/ownership.rs
@@ -36,6 +36,7 @@
         quarantine: Default::default(),
         limits: Vec::new(),
         links: None,
+        speeds: Vec::new(),
     }
 }
 
--- a/crates/coordination/tests/fleet/quarantine.rs
+++ b/crates/coordination/tests/fleet/quarantine.rs
@@ -313,6 +313,7 @@
         quarantine: Digest::default(),
         limits: Vec::new(),
         links: None,
+        speeds: Vec::new(),
     }
 }
 
--- a/crates/coordination/tests/fuzz/main.rs
+++ b/crates/coordination/tests/fuzz/main.rs
@@ -73,6 +73,7 @@
             per_1000_s: Some(2500),
             age_ms: 30,
         }],
+        speeds: Vec::new(),
         links: Some(links::Report {
             cut_off: false,
             relayed: 2,
@@ -159,6 +160,7 @@
             per_1000_s: Some(tokens as u32),
             age_ms,
         }],
+        speeds: Vec::new(),
         links: Some(links::Report {
             cut_off: false,
             relayed: count as u16,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -38,6 +38,9 @@
 /// Interval between heartbeats to known addresses from which none are received.
 const INACTIVE_PEER_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval between heartbeats with the speeds of replicas, which change over seconds.
+const SPEEDS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 8192;
 
@@ -64,6 +67,10 @@
                     let now = clock::now();
                     core.crashes.merge(now, &heartbeat.quarantine);
                     core.pool().merge_limits(now, &heartbeat.limits);
+                    let (from, speeds) = (heartbeat.from, &heartbeat.speeds);
+                    if !speeds.is_empty() {
+                        core.pool().set_peer_speeds(now, from, speeds);
+                    }
                     core.peers().receive(now, heartbeat);
                 }
                 Ok(_) => {}
@@ -85,6 +92,7 @@
     /// Last heartbeat without what differs in each.
     last_content: Option<Heartbeat>,
     sent_at: Duration,
+    speeds_sent_at: Duration,
 }
 
 impl PeerGroup {
@@ -99,12 +107,17 @@
     ) {
         let period = heartbeat_period(peers.len(), self.is_local);
         let since_sent = now.saturating_sub(self.sent_at);
-        let heartbeat = Heartbeat {
+        let mut heartbeat = Heartbeat {
             period_ms: period.max(KEEPALIVE_INTERVAL).as_millis() as u32,
             ..heartbeat.clone()
         };
+        let are_speeds_due = now.saturating_sub(self.speeds_sent_at) >= SPEEDS_INTERVAL;
+        if !are_speeds_due {
+            heartbeat.speeds.clear();
+        }
         let content = Heartbeat {
             seq: 0,
+            speeds: Vec::new(),
             links: heartbeat.links.map(|links| links::Report {
                 cut_off: links.cut_off,
                 ..links::Report::default()
@@ -126,6 +139,9 @@
         if elapsed >= period.max(KEEPALIVE_INTERVAL) || (is_new && elapsed >= period) {
             send(socket, &heartbeat, peers).await;
             self.sent_at = now;
+            if are_speeds_due {
+                self.speeds_sent_at = now;
+            }
             self.last_content = Some(content);
         }
     }
@@ -170,7 +186,12 @@
         let mut pool = core.pool();
         pool.set_peer_load(|replica| load.get(&replica).copied().unwrap_or_default());
         pool.set_backlog(queued);
+        let changes = pool.update_capacities(now);
         drop(pool);
+        for (replica, change) in changes {
+            core.metrics.capacity_changed(change.new > change.old);
+            log::capacity_changed(&replica, &change);
+        }
     }
 }
 
@@ -184,6 +205,7 @@
     let runs = core.runs();
     let (waiting, running) = (runs.waiting, runs.running_items());
     drop(runs);
+    let speeds = core.pool().speed_reports(now);
     Heartbeat {
         from: core.peer_address(),
         born_us,
@@ -201,6 +223,7 @@
         quarantine: core.crashes.digest(now),
         limits: core.pool().limit_reports(now),
         links: Some(core.links.report()),
+        speeds,
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod ownership;
 mod relay;
 mod runner;
+mod sampler;
 mod server;
 mod shard;
 mod streams;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bitterncart_coordination::fleet::capacity;
 use bitterncart_coordination::fleet::links::{Change, Check};
 use bitterncart_coordination::fleet::pool::Selection;
 use bitterncart_coordination::fleet::quarantine::{Subject, Suspect, Verdict};
@@ -162,6 +163,16 @@
     });
 }
 
+/// The learned capacity of a replica has changed by a quarter.
+pub(crate) fn capacity_changed(replica: &str, change: &capacity::Change) {
+    if !rate_limit::try_acquire() {
+        return;
+    }
+    info!("capacity of a replica changed", kv: {
+        replica, old = change.old, new = change.new, samples = change.samples
+    });
+}
+
 pub(crate) fn stream_without_record(own: &Answer, others: &[Answer], build: Option<&Build>) {
     if !rate_limit::try_acquire() {
         return;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -133,6 +133,14 @@
         self.add(format_compact!("owner_calls_total{{end=\"{end}\"}}"));
     }
 
+    /// Change of the learned capacity of a replica by a quarter.
+    pub(crate) fn capacity_changed(&self, is_higher: bool) {
+        let direction = if is_higher { "up" } else { "down" };
+        self.add(format_compact!(
+            "capacity_changes_total{{direction=\"{direction}\"}}"
+        ));
+    }
+
     pub(crate) fn item_preempted(&self) {
         self.add("batch_gave_way_total".into());
     }
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -312,6 +312,7 @@
             &self.message,
             &SendOptions {
                 remaining: Some(remaining),
+                objective: Some(self.route.objective),
                 reservation,
                 is_repeatable: self.route.kind.is_repeatable(),
             },
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -681,6 +681,7 @@
         self.slot.set_admitted();
         let options = SendOptions {
             remaining: None,
+            objective: None,
             reservation,
             is_repeatable: true,
         };
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -27,6 +27,7 @@
 use crate::dialect::{Dialect, HeaderNames};
 use crate::log;
 use crate::metrics::Metrics;
+use crate::sampler::Sampler;
 use crate::sse::Splitter;
 use crate::store::Store;
 use crate::tokens;
@@ -180,6 +181,7 @@
     due_event_id: u64,
     /// Time at which the replica stops its work.
     deadline: Option<Duration>,
+    sampler: Sampler,
 }
 
 /// Parameters of one attempt.
@@ -187,6 +189,8 @@
 pub(crate) struct SendOptions {
     /// Time until the deadline of the caller; `None` for batch items.
     pub remaining: Option<Duration>,
+    /// Latency objective of the route; `None` for batch items.
+    pub objective: Option<Duration>,
     /// Name of the reserved slot.
     pub reservation: Option<HeaderValue>,
     /// Whether the request may be sent again if the link brings no answers.
@@ -350,6 +354,12 @@
     let attempt_id = attempt.map_or(&[][..], HeaderValue::as_bytes);
     let watch = core.crashes.watch(selection, &message.profile, attempt_id);
     let deadline = options.remaining.map(|remaining| clock::now() + remaining);
+    let class = if message.profile.is_item {
+        Class::Batch
+    } else {
+        Class::Online
+    };
+    let sampler = Sampler::start(selection.key, class, options.objective);
     let response = match with_timeout(timeout, connection.send(request)).await {
         Some(Ok(response)) => response,
         Some(Err(e)) => {
@@ -394,6 +404,7 @@
             watch,
             due_event_id: last_event_id(core, message).saturating_add(1),
             deadline,
+            sampler,
         }),
     }
 }
@@ -493,6 +504,7 @@
         }
         if self.head.status.is_success() {
             self.watch.record_complete();
+            self.sampler.record_answer(core);
         }
         let summary = self.summary(0);
         core.connector.release(self.connection);
@@ -510,16 +522,19 @@
         &mut self,
         core: &Core<S, D>,
     ) -> Result<Next, Outcome> {
+        let mut waited_since = None;
         loop {
             match self.splitter.next_event() {
                 Some(event) if event.id == Some(self.due_event_id) => {
                     self.due_event_id = self.due_event_id.saturating_add(1);
                     self.watch.record_event();
+                    self.sampler.record_event(core, waited_since);
                     return Ok(Next::Event(event));
                 }
                 Some(_) => return Err(Outcome::Broken),
                 None => {}
             }
+            waited_since.get_or_insert_with(clock::now);
             let Some(data) = self.next_data().await? else {
                 break;
             };
--- a/crates/gateway/tests/gateway/owner.rs
+++ b/crates/gateway/tests/gateway/owner.rs
@@ -46,6 +46,7 @@
                 quarantine: Default::default(),
                 limits: Vec::new(),
                 links: None,
+                speeds: Vec::new(),
             };
             let bytes = postcard::to_stdvec(&heartbeat).expect("a heartbeat");
             // A lost heartbeat is followed by others.
--- a/crates/gateway/tests/gateway/relay.rs
+++ b/crates/gateway/tests/gateway/relay.rs
@@ -107,6 +107,7 @@
             limits: Vec::new(),
             quarantine: Default::default(),
             links: Some(links::Report::default()),
+            speeds: Vec::new(),
         };
         let bytes = heartbeat.encode().expect("a heartbeat");
         for daemon in shared.store.registered_daemons() {
