Weigh samples by their time; compare rules for the choice of a replica

A replica that turned slow brought few samples and was known only after ten seconds. Samples now weigh the time that they took, first events are kept for longer than gaps, and the knee is where times grow faster than the load. The share of a fast replica fades towards its last slots; a free slot of a slow one costs little more than a full replica.

--- a/crates/coordination/src/fleet/capacity.rs
+++ b/crates/coordination/src/fleet/capacity.rs
@@ -35,6 +35,10 @@
 /// replica with few requests is judged by its last few.
 const KEPT_WEIGHT: f32 = 8.0;
 
+/// Bounds of the weight of a measurement, which is its time relative to the usual one.
+const MIN_SAMPLE: f32 = 0.5;
+const MAX_SAMPLE: f32 = 5.0;
+
 /// Weight from which a histogram has a usable median.
 const MIN_WEIGHT: f32 = 6.0;
 
@@ -48,11 +52,6 @@
 /// Bounds of the speed that is used, relative to the service.
 const SPEED_RANGE: (f32, f32) = (0.25, 2.0);
 
-/// Increase of the times between classes of load, as a quotient, from which the
-/// requests of the higher one are too many: with half as many again in flight, such a
-/// replica completes no more.
-const KNEE: f32 = 1.5;
-
 /// Share of first events later than the objective from which the requests are too many.
 const MAX_LATE_SHARE: f32 = 0.2;
 
@@ -154,17 +153,18 @@
 impl Recent {
     fn record(&mut self, now: Duration, quotient: Quotient) {
         let age = now.saturating_sub(self.updated).as_secs_f32();
-        let weight = self.weight();
-        if weight > KEPT_WEIGHT {
-            let factor = (-age / HALF_LIFE.as_secs_f32()).exp2();
-            let factor = factor.max(KEPT_WEIGHT / weight);
-            self.bins.iter_mut().for_each(|bin| *bin *= factor);
-            self.in_time *= factor;
-            self.late *= factor;
-        }
+        let faded = (-age / HALF_LIFE.as_secs_f32()).exp2();
+        let factor = |weight: f32| faded.max(KEPT_WEIGHT / weight).min(1.0);
+        let of_bins = factor(self.weight());
+        self.bins.iter_mut().for_each(|bin| *bin *= of_bins);
+        // First events are few among the others, and are kept for longer.
+        let of_firsts = factor(self.in_time + self.late);
+        self.in_time *= of_firsts;
+        self.late *= of_firsts;
         self.updated = now;
         let bin = (quotient.log / BIN_WIDTH + BINS as f32 / 2.0).max(0.0) as usize;
-        self.bins[bin.min(BINS - 1)] += 1.0;
+        // By its share of the time: a slow replica brings fewer samples than a fast one.
+        self.bins[bin.min(BINS - 1)] += quotient.log.exp().clamp(MIN_SAMPLE, MAX_SAMPLE);
         match quotient.is_late {
             Some(true) => self.late += 1.0,
             Some(false) => self.in_time += 1.0,
@@ -236,7 +236,7 @@
     }
 
     /// Speed relative to the service with `in_flight` requests; exactly 1 unless it is
-    /// known to differ by more than a quarter.
+    /// known to differ.
     #[must_use]
     pub fn speed(&self, now: Duration, in_flight: u32, slots: u32) -> f32 {
         let class = load_class(in_flight, slots);
@@ -256,13 +256,17 @@
     /// with more, it completes no more, or first events are late.
     #[must_use]
     pub fn takes_well(&self, now: Duration, slots: u32) -> u32 {
-        let mut lowest: Option<f32> = None;
+        let mut lower: Option<(usize, f32)> = None;
         for (class, recent) in self.by_load.iter().enumerate() {
             if !recent.is_known(now) {
                 continue;
             }
             let median = recent.median();
-            let is_past_knee = lowest.is_some_and(|lowest| median - lowest > KNEE.ln());
+            // By Little's law, requests complete at the rate of those in flight divided by
+            // the time of each, so a time that grows faster than the load is past the knee.
+            let middle = |class: usize| class as f32 + 0.5;
+            let is_past_knee = lower
+                .is_some_and(|(lower, time)| median - time > (middle(class) / middle(lower)).ln());
             // Where all replicas are late, the objective is too tight, or all are full.
             let is_slow = median > DIFFERENCE.ln();
             if is_past_knee || (is_slow && recent.is_late()) {
@@ -271,7 +275,7 @@
                     .div_ceil(LOAD_CLASSES as u32);
                 return edge.clamp(1, slots.max(1));
             }
-            lowest.get_or_insert(median);
+            lower = Some((class, median));
         }
         slots
     }
--- a/crates/coordination/src/fleet/pool/capacity.rs
+++ b/crates/coordination/src/fleet/pool/capacity.rs
@@ -29,6 +29,18 @@
 /// this data centre has weight 1.
 const REMOTE_SLOT_WEIGHT: f64 = 0.1;
 
+/// Share of the slots of a fast replica, the last ones, over which its advantage fades: the
+/// known load is out of date, and these slots may be taken.
+const FADING_SHARE: f64 = 0.25;
+
+/// Power of the speed of a slow replica with free slots: a request that it takes late has
+/// less of its objective left than one elsewhere.
+const SLOWNESS_POWER: f64 = 1.5;
+
+/// Cost of a slot of a slow replica above that of a full one of usual speed, as a share of
+/// its slots. A request begins at once in such a slot, and waits elsewhere.
+const FREE_SLOT_COST_SHARE: f64 = 0.3;
+
 impl Entry {
     /// Concurrent requests that it takes well: at most its slots, and at least one of
     /// them.
@@ -36,14 +48,26 @@
         self.well.min(self.replica.slots)
     }
 
-    /// Slots, weighted with the learned speed at a load of `used` requests. A replica
-    /// without a free slot serves its queue only when a request ends, so being fast
-    /// counts only for one that has some.
-    fn capacity(&self, now: Duration, used: u32) -> f64 {
+    /// `load` requests as a share of the learned capacity, of which `used` are known. It is
+    /// their share of the slots where the replica is not known to differ.
+    fn share(&self, now: Duration, used: u32, load: f64) -> f64 {
         let slots = self.replica.slots.max(1);
         let speed = f64::from(self.learned.speed(now, used.saturating_add(1), slots));
-        let is_full = used >= slots;
-        f64::from(slots) * if is_full { speed.min(1.0) } else { speed }
+        let share = load / f64::from(slots);
+        if speed > 1.0 && share < 1.0 {
+            // The advantage fades towards its last slot, for which others wait.
+            let remaining = ((1.0 - share) / FADING_SHARE).min(1.0);
+            share * (remaining / speed + 1.0 - remaining)
+        } else if speed < 1.0 && used < self.takes_well() {
+            let slowed = share / speed.powf(SLOWNESS_POWER);
+            slowed.min(1.0 + FREE_SLOT_COST_SHARE * share)
+        } else if speed < 1.0 {
+            share / speed
+        } else if used >= self.takes_well() {
+            load / f64::from(self.takes_well().max(1))
+        } else {
+            share
+        }
     }
 }
 
@@ -68,8 +92,8 @@
         } else {
             0.0
         };
-        let capacity = entry.capacity(now, used);
-        (f64::from(used) + MAX_JITTER_REQUESTS * random) / capacity + hop + token
+        let load = f64::from(used) + MAX_JITTER_REQUESTS * random;
+        entry.share(now, used, load) + hop + token
     }
 
     /// Free slots for batch items; remote slots count [`REMOTE_SLOT_WEIGHT`] each.
