--- a/crates/coordination/tests/fleet/capacity.rs
+++ b/crates/coordination/tests/fleet/capacity.rs
@@ -100,6 +100,12 @@
     }
 }
 
+/// The bound of the memory that is used at 600 replicas.
+#[test]
+fn state_of_a_replica_is_small() {
+    assert_eq!(size_of::<Learned>(), 368);
+}
+
 /// A replica without requests is not avoided for good.
 #[test]
 fn knowledge_expires_without_samples() {
