--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 pub mod admission_queue;
 pub mod allotment;
 pub mod backlog;
+pub mod capacity;
 pub mod catalog;
 pub mod checkpoint;
 pub mod customer;
--- a/crates/coordination/src/fleet/pool/headroom.rs
+++ b/crates/coordination/src/fleet/pool/headroom.rs
@@ -56,7 +56,7 @@
                 let headroom = *headroom_by_service
                     .entry(service)
                     .or_insert_with(|| self.online_headroom(service));
-                let excess = (e.total() + headroom).saturating_sub(e.replica.slots);
+                let excess = (e.total() + headroom).saturating_sub(e.takes_well());
                 let batch = e.own.batch + e.peers.batch;
                 let preempted = proportional_share(excess.min(batch), e.own.batch, batch, random());
                 (key, preempted.min(e.own.batch))
@@ -223,7 +223,7 @@
         entries
             .map(|(key, e)| {
                 let batch = e.own.batch + e.peers.batch;
-                let excess = e.total().saturating_sub(e.replica.slots).min(batch);
+                let excess = e.total().saturating_sub(e.takes_well()).min(batch);
                 let count = rounds.share(now, key, excess, |new| {
                     proportional_share(new, e.own.batch, batch, random()).min(e.own.batch)
                 });
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod allotment;
 mod backlog;
 mod builds;
+mod capacity;
 mod catalog;
 mod checkpoint;
 mod customer;
