--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -24,6 +24,9 @@
     Store(Store),
 }
 
+/// Maximum age of the manifest in runs with customers, as on the platform.
+const MAX_MANIFEST_AGE_MS: u64 = 5000;
+
 /// Plays a run.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "run")]
@@ -61,6 +64,9 @@
     /// framing of answers: length, chunks or connection; all if there is none
     #[argh(option)]
     framing: Vec<Framing>,
+    /// the manifest names customers, and daemons must know it to be current
+    #[argh(switch)]
+    customers: bool,
 }
 
 /// Runs a replica; started by a run.
@@ -187,7 +193,11 @@
             slots: args.slots,
             framings,
             seed: args.seed,
-            settings: Vec::new(),
+            settings: match args.customers {
+                true => vec![("max_manifest_age_ms".to_owned(), MAX_MANIFEST_AGE_MS)],
+                false => Vec::new(),
+            },
+            customers: args.customers,
         },
         length: Duration::from_secs(args.seconds),
         kinds,
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -219,6 +219,7 @@
         ("Host", wire::HOST),
         (wire::ATTEMPT, id),
         (wire::DEADLINE, &deadline),
+        (wire::CREDENTIALS, wire::CUSTOMER_CREDENTIALS),
     ];
     if kind.is_stream() {
         headers.extend([
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -63,6 +63,8 @@
     pub seed: u64,
     /// Settings of the daemons beside those of each run.
     pub settings: Vec<(String, u64)>,
+    /// Whether the manifest names customers.
+    pub customers: bool,
 }
 
 /// Daemon with what the balancer knows of it.
@@ -242,7 +244,7 @@
             operator,
             verdict: verdict.clone(),
         };
-        fleet.put_manifest()?;
+        fleet.put_manifest(options.customers)?;
         for replica in &fleet.replicas {
             lock(&replica.process).start()?;
         }
@@ -265,10 +267,10 @@
         Ok(fleet)
     }
 
-    fn put_manifest(&self) -> io::Result<()> {
+    fn put_manifest(&self, names_customers: bool) -> io::Result<()> {
         let record = Record {
             key: wire::MANIFEST_KEY.into(),
-            value: Some(wire::manifest()),
+            value: Some(wire::manifest(names_customers)),
         };
         let request = Request {
             method: "POST".into(),
--- a/crates/soak/src/jobs.rs
+++ b/crates/soak/src/jobs.rs
@@ -100,6 +100,7 @@
             headers: http::headers(&[
                 ("Host", wire::HOST),
                 (wire::ATTEMPT, &id),
+                (wire::CREDENTIALS, wire::CUSTOMER_CREDENTIALS),
                 ("Content-Type", "application/json"),
             ]),
             body: body.into_bytes(),
@@ -191,7 +192,10 @@
         let request = Request {
             method: "GET".into(),
             target: wire::results_path(id, after),
-            headers: http::headers(&[("Host", wire::HOST)]),
+            headers: http::headers(&[
+                ("Host", wire::HOST),
+                (wire::CREDENTIALS, wire::CUSTOMER_CREDENTIALS),
+            ]),
             body: Vec::new(),
         };
         let address = fleet.daemons[daemon].addresses.clients;
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -350,6 +350,11 @@
             };
             return send(&mut writer, message, random);
         }
+        let customer = request.header(wire::CUSTOMER).unwrap_or("-");
+        self.note(link, &id, &format!("customer {customer}"));
+        if request.header(wire::CREDENTIALS).is_some() {
+            self.note(link, &id, "key");
+        }
         let is_reserved = request
             .header(wire::RESERVATION)
             .is_some_and(|name| self.use_reservation(name));
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -124,6 +124,9 @@
     drop(fleet);
     let runs = runs::read(&folder.join("runs.txt"))?;
     check_requests(&verdict, &log, &jobs, &runs);
+    if options.fleet.customers {
+        check_customers(&verdict, &runs);
+    }
     let is_planned = |kind: &Kind| *kind == Kind::StopDaemon;
     if options.kinds.iter().all(is_planned) {
         check_stops(&verdict, &log, &runs);
@@ -203,6 +206,22 @@
     }
 }
 
+/// Checks that replicas get the name of the customer and no key.
+fn check_customers(verdict: &Verdict, runs: &HashMap<String, Runs>) {
+    for (id, runs) in runs {
+        if runs.keys > 0 {
+            verdict.broken("no key", id, "a replica got the key".into());
+        }
+        if runs.strangers > 0 {
+            verdict.broken(
+                "own customer",
+                id,
+                "a replica got no or another name".into(),
+            );
+        }
+    }
+}
+
 /// Checks that requests which ran were answered, where all faults are planned stops.
 fn check_stops(verdict: &Verdict, log: &Log, runs: &HashMap<String, Runs>) {
     let log = log.lock().unwrap_or_else(PoisonError::into_inner);
