tests: peers are asked from half of the maximum age on

The age reaches two seconds in calm, which the test did not allow for; it now requires that no peer is asked at 2.05 s, where it required it at 1.1 s, and one at 2.5 s.

--- a/crates/coordination/tests/fleet/freshness.rs
+++ b/crates/coordination/tests/fleet/freshness.rs
@@ -62,13 +62,14 @@
     assert_eq!(freshness.age(ms(8100)), Some(ms(4100)));
 }
 
-/// Guards against daemons that all ask while the store answers.
+/// Guards against daemons that all ask while the store answers: a long poll of a second confirms
+/// the time at which it began, so the age reaches two seconds in calm.
 #[test]
 fn peers_are_asked_only_when_the_store_is_late() {
     let freshness = confirmed_at(ms(1000));
     let max_age = ms(5000);
-    assert!(!freshness.is_ask_due(ms(2100), max_age));
-    assert!(freshness.is_ask_due(ms(3100), max_age));
+    assert!(!freshness.is_ask_due(ms(3050), max_age));
+    assert!(freshness.is_ask_due(ms(3500), max_age));
 }
 
 /// Guards against a message that another kind of datagram is taken for.
