--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -209,10 +209,14 @@
             }
             let request = online::Request::new(core, route.clone(), message, &access, arrived);
             let response = request.serve().await;
+            let signature = &core.dialect.header_names().signature;
+            let is_own = !response.headers().contains_key(signature);
             if let Some(customer) = customer
+                && is_own
                 && response.status() == StatusCode::SERVICE_UNAVAILABLE
             {
-                // The status promises that the request has not run.
+                // The status of this daemon promises that the request has not run; that of a
+                // replica may not.
                 allotment::give_back(core, customer);
             }
             response
