--- a/crates/coordination/src/fleet/customer.rs
+++ b/crates/coordination/src/fleet/customer.rs
@@ -1,4 +1,4 @@
-//! Customers of a manifest, their keys and their allotments.
+//! Customers of a manifest, their keys and their quotas.
 //!
 //! A request names its customer by a key. The keys themselves are not kept: the table
 //! holds 128 bits of a cryptographic hash of each, so that neither a log line nor a dump
@@ -36,7 +36,7 @@
 
 /// Requests that a customer may send to the whole fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Allotment {
+pub struct RequestQuota {
     /// Rate, in requests in 1,000 seconds.
     pub per_1000_s: u64,
     /// Requests beyond the rate that may be sent at once.
@@ -50,8 +50,8 @@
     pub name: CompactString,
     /// Priority, which replaces that of the route; 0 is the highest.
     pub priority: Option<u32>,
-    /// Allotment; `None` for no limit.
-    pub allotment: Option<Allotment>,
+    /// Quota; `None` for no limit.
+    pub quota: Option<RequestQuota>,
 }
 
 impl Customer {
--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -9,7 +9,6 @@
 //! the caller passes in time and randomness.
 
 pub mod admission_queue;
-pub mod allotment;
 pub mod backlog;
 pub mod capacity;
 pub mod catalog;
@@ -32,13 +31,14 @@
 pub mod reasons;
 mod recent;
 pub mod replica;
+pub mod request_quota;
 pub mod retry;
 pub mod schedule;
 pub mod streams;
 
 pub use backlog::{Backlog, Group, Queued};
 pub use catalog::Catalog;
-pub use customer::{Allotment, Customer, Customers};
+pub use customer::{Customer, Customers, RequestQuota};
 pub use demand::Demand;
 pub use ends::Ends;
 pub use freshness::Freshness;
--- a/crates/coordination/src/fleet/allotment.rs
+++ b/crates/coordination/src/fleet/request_quota.rs
@@ -1,4 +1,4 @@
-//! Allotments: how many requests a customer may send to the whole fleet.
+//! Quotas: how many requests a customer may send to the whole fleet.
 //!
 //! One daemon for each customer, the first live one by rendezvous hashing, holds the
 //! token bucket; the others ask it. A bucket grants the fraction of the limit that equals
@@ -16,7 +16,7 @@
 use bitterncart_protocol::hash;
 use serde::{Deserialize, Serialize};
 
-use super::customer::Allotment;
+use super::customer::RequestQuota;
 use super::datagram::Mark;
 
 const MARK: Mark = Mark(0xa8);
@@ -70,16 +70,16 @@
     /// Version of the manifest.
     pub version: u64,
     /// The limit.
-    pub allotment: Allotment,
+    pub quota: RequestQuota,
 }
 
 impl Limit {
     fn per_s(&self) -> f64 {
-        self.allotment.per_1000_s as f64 / 1000.0
+        self.quota.per_1000_s as f64 / 1000.0
     }
 
     fn burst(&self) -> f64 {
-        self.allotment.burst as f64
+        self.quota.burst as f64
     }
 }
 
--- a/crates/coordination/tests/fleet/customer.rs
+++ b/crates/coordination/tests/fleet/customer.rs
@@ -1,13 +1,13 @@
 //! Customers of a manifest and their keys.
 
 use bitterncart_coordination::fleet::customer::Credential;
-use bitterncart_coordination::fleet::{Allotment, Customer, Customers};
+use bitterncart_coordination::fleet::{Customer, Customers, RequestQuota};
 
 fn customer(name: &str) -> Customer {
     Customer {
         name: name.into(),
         priority: Some(1),
-        allotment: Some(Allotment {
+        quota: Some(RequestQuota {
             per_1000_s: 2500,
             burst: 3,
         }),
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -2,7 +2,6 @@
 //! queue, shard ownership and batch scheduling.
 
 mod admission_queue;
-mod allotment;
 mod backlog;
 mod builds;
 mod capacity;
@@ -23,6 +22,7 @@
 mod quarantine;
 mod rate_limit;
 mod reasons;
+mod request_quota;
 mod retry;
 mod schedule;
 mod streams;
--- a/crates/coordination/tests/fleet/allotment.rs
+++ b/crates/coordination/tests/fleet/request_quota.rs
@@ -1,15 +1,15 @@
-//! Allotments of customers: what all daemons together grant in virtual time while
+//! Quotas of customers: what all daemons together grant in virtual time while
 //! machines and links fail.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bitterncart_coordination::fleet::Allotment;
-use bitterncart_coordination::fleet::allotment::{
+use bitterncart_coordination::fleet::RequestQuota;
+use bitterncart_coordination::fleet::peers::{FAILURE_TIMEOUT, heartbeat_period};
+use bitterncart_coordination::fleet::request_quota::{
     Blocks, Buckets, Fleet, LEASE, Limit, Message, Part, rank,
 };
-use bitterncart_coordination::fleet::peers::{FAILURE_TIMEOUT, heartbeat_period};
 use bitterncart_testing::cases;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -171,7 +171,7 @@
             listed: (0..scenario.daemons).map(address).collect(),
             limit: Limit {
                 version: 1,
-                allotment: Allotment {
+                quota: RequestQuota {
                     per_1000_s: (scenario.mean_per_s * 1600.0) as u64,
                     burst: scenario.mean_per_s.ceil() as u64,
                 },
@@ -186,7 +186,7 @@
 
     /// Most requests of a customer in a window.
     fn allowed(&self) -> f64 {
-        let limit = self.limit.allotment;
+        let limit = self.limit.quota;
         (limit.per_1000_s as f64 / 1000.0 * 5.0 + limit.burst as f64) * 1.1 + 20.0
     }
 
@@ -502,7 +502,7 @@
 /// Refusals of a customer beyond those by a single bucket with the whole limit that gets
 /// the same requests. Random arrivals pass the burst now and then.
 fn exceeding(outcome: &Outcome, simulation: &Simulation) -> usize {
-    let limit = simulation.limit.allotment;
+    let limit = simulation.limit.quota;
     let (rate, burst) = (limit.per_1000_s as f64 / 1000.0, limit.burst as f64);
     let granted = outcome.granted.iter().map(|at| (*at, true));
     let refused = outcome.refused.iter().map(|at| (*at, false));
@@ -568,8 +568,8 @@
 
 fn limit(version: u64, per_s: u64, burst: u64) -> Limit {
     let per_1000_s = per_s * 1000;
-    let allotment = Allotment { per_1000_s, burst };
-    Limit { version, allotment }
+    let quota = RequestQuota { per_1000_s, burst };
+    Limit { version, quota }
 }
 
 /// Tokens that the bucket of the first holder grants at a time, one by one.
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -22,7 +22,6 @@
 use event_listener::Event;
 use smol::{Executor, Task};
 
-use crate::allotment::Allotments;
 use crate::availability::Availability;
 use crate::budget::Budget;
 use crate::clock::{self, with_timeout};
@@ -35,6 +34,7 @@
 use crate::list_reads::ListReads;
 use crate::log;
 use crate::metrics::Metrics;
+use crate::request_quota::RequestQuotas;
 use crate::runner::Runs;
 use crate::settings::Settings;
 use crate::shard::Shard;
@@ -60,7 +60,7 @@
     /// Socket for datagrams to other daemons.
     pub socket: Arc<Socket>,
     pub tokens: Tokens,
-    pub allotments: Allotments,
+    pub request_quotas: RequestQuotas,
     pub streams: streams::Registry,
     pub metrics: Arc<Metrics>,
     /// Memory for the answers that are kept.
@@ -144,7 +144,7 @@
             dialect,
             tokens: Tokens::new(Arc::clone(&socket)),
             confirmations: Confirmations::new(Arc::clone(&socket)),
-            allotments: Allotments::new(&settings, Arc::clone(&socket)),
+            request_quotas: RequestQuotas::new(&settings, Arc::clone(&socket)),
             streams: streams::Registry::new(Arc::clone(&socket)),
             socket,
             crashes: crash::Monitor::new(
@@ -424,7 +424,7 @@
         let needs_keys = self
             .manifest()
             .is_some_and(|manifest| manifest.customers.is_some());
-        // Without the list of daemons, no allotment can be shared.
+        // Without the list of daemons, no quota can be shared.
         needs_keys && !(self.is_manifest_current() && self.knows_members())
     }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,24 +11,24 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bitterncart_coordination::fleet::allotment::Message as AllotmentMessage;
 use bitterncart_coordination::fleet::freshness::Message as FreshnessMessage;
 use bitterncart_coordination::fleet::links;
 use bitterncart_coordination::fleet::peers::{Ownership, Usage, heartbeat_period};
 use bitterncart_coordination::fleet::rate_limit::{self, Message};
+use bitterncart_coordination::fleet::request_quota::Message as RequestQuotaMessage;
 use bitterncart_coordination::fleet::streams::Message as StreamMessage;
 use bitterncart_coordination::fleet::{Group, Heartbeat, Kind, Queued, Route};
 use compact_str::CompactString;
 use futures_lite::future;
 use smol::net::UdpSocket;
 
-use crate::allotment;
 use crate::clock;
 use crate::confirmation;
 use crate::core::Core;
 use crate::dialect::Dialect;
 use crate::log;
 use crate::ownership;
+use crate::request_quota;
 use crate::shard::Shard;
 use crate::store::Store;
 use crate::streams;
@@ -70,8 +70,10 @@
             Ok((size, from)) if let Some(message) = FreshnessMessage::decode(&buffer[..size]) => {
                 confirmation::handle(&core, message, from).await;
             }
-            Ok((size, from)) if let Some(message) = AllotmentMessage::decode(&buffer[..size]) => {
-                allotment::handle(&core, message, from).await;
+            Ok((size, from))
+                if let Some(message) = RequestQuotaMessage::decode(&buffer[..size]) =>
+            {
+                request_quota::handle(&core, message, from).await;
             }
             Ok((size, _)) => match Heartbeat::decode(&buffer[..size]) {
                 Ok(heartbeat) if heartbeat.from != core.peer_address() => {
@@ -175,7 +177,7 @@
             core.shards.iter().for_each(|shard| shard.require_read(now));
         }
         ownership::update(&core, now);
-        allotment::update(&core, now);
+        request_quota::update(&core, now);
         let heartbeat = build_heartbeat(&core, born_us, seq, now);
         let (local_peers, remote_peers) = live_peers(&core, now);
         local
@@ -186,7 +188,7 @@
             .await;
         if now.saturating_sub(inactive_sent_at) >= INACTIVE_PEER_INTERVAL {
             inactive_sent_at = now;
-            core.allotments.expire(now);
+            core.request_quotas.expire(now);
             let mut inactive = known_peers(&core);
             inactive.retain(|peer| !local_peers.contains(peer) && !remote_peers.contains(peer));
             let inactive: Vec<SocketAddr> = inactive.into_iter().collect();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,9 +10,8 @@
 //! needs several locks takes them in this order: manifest, freshness, ledger, runs, peers,
 //! cut-off daemons, ownership table, pool, admission queue, quarantine, streams,
 //! buckets, asks, links, idle connections. The catalog, the times of list reads, the
-//! open connections of an address and the allotments are locked alone.
+//! open connections of an address and the quotas are locked alone.
 
-mod allotment;
 mod answer;
 mod availability;
 mod body;
@@ -40,6 +39,7 @@
 mod online;
 mod ownership;
 mod relay;
+mod request_quota;
 mod runner;
 mod sampler;
 mod server;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -441,11 +441,11 @@
 }
 
 pub(crate) fn customer_refused(customer: &str) {
-    info!("requests of a customer pass its allotment", kv: { customer });
+    info!("requests of a customer pass its request_quota", kv: { customer });
 }
 
 pub(crate) fn customer_refusals_ended(customer: &str, refused: u64) {
-    info!("requests of a customer are within its allotment again", kv: { customer, refused });
+    info!("requests of a customer are within its request_quota again", kv: { customer, refused });
 }
 
 pub(crate) fn manifest_installed(version: u64) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -77,10 +77,10 @@
         self.add(format_compact!("refused_total{{code=\"{}\"}}", code.name()));
     }
 
-    /// Request of a customer with an allotment; `granted_by` is `None` if it was refused.
-    pub(crate) fn allotment(&self, customer: &str, granted_by: Option<&str>) {
+    /// Request of a customer with a quota; `granted_by` is `None` if it was refused.
+    pub(crate) fn request_quota(&self, customer: &str, granted_by: Option<&str>) {
         let reason = granted_by.unwrap_or("refused");
-        self.add(format_compact!("allotments_total{{end=\"{reason}\"}}"));
+        self.add(format_compact!("request_quotas_total{{end=\"{reason}\"}}"));
         let end = granted_by.map_or("refused", |_| "granted");
         self.add(format_compact!(
             "customer_requests_total{{customer=\"{customer}\",end=\"{end}\"}}"
--- a/crates/gateway/src/allotment.rs
+++ b/crates/gateway/src/request_quota.rs
@@ -1,4 +1,4 @@
-//! Asks for tokens of customers with an allotment, and answers other daemons.
+//! Asks for tokens of customers with a quota, and answers other daemons.
 //!
 //! Asks and replies are datagrams on the port of the heartbeats. Without a reply of the
 //! first holder the second one is asked, once; then this daemon grants its own small
@@ -9,7 +9,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bitterncart_coordination::fleet::allotment::{Blocks, Buckets, Fleet, Limit, Message, Part};
+use bitterncart_coordination::fleet::request_quota::{
+    Blocks, Buckets, Fleet, Limit, Message, Part,
+};
 use bitterncart_coordination::fleet::{Customer, Customers};
 use compact_str::CompactString;
 
@@ -80,7 +82,7 @@
 /// Buckets and blocks of this daemon, and its asks without a reply. Each lock is taken
 /// alone.
 #[derive(Debug)]
-pub(crate) struct Allotments {
+pub(crate) struct RequestQuotas {
     socket: Arc<Socket>,
     max_lost: Duration,
     fleet: Mutex<Fleet>,
@@ -96,7 +98,7 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-impl Allotments {
+impl RequestQuotas {
     pub(crate) fn new(settings: &Settings, socket: Arc<Socket>) -> Self {
         let max_age = settings.max_manifest_age_ms.map(Duration::from_millis);
         Self {
@@ -235,10 +237,10 @@
     let live = peers.live(now).map(|peer| (peer.from, !peer.leaving));
     let live = live.collect();
     drop(peers);
-    let allotments = &core.allotments;
-    lock(&allotments.fleet).update(
+    let request_quotas = &core.request_quotas;
+    lock(&request_quotas.fleet).update(
         now,
-        allotments.max_lost,
+        request_quotas.max_lost,
         core.is_draining(),
         live,
         &core.members(),
@@ -251,7 +253,7 @@
     message: Message,
     from: SocketAddr,
 ) {
-    let allotments = &core.allotments;
+    let request_quotas = &core.request_quotas;
     match message {
         // A daemon that does not know the others cannot tell its part of the limit.
         Message::Ask { .. } if !core.knows_members() => {}
@@ -263,15 +265,15 @@
         } => {
             let limit = newest_limit(core, customer, limit);
             let now = clock::now();
-            let part = allotments.held(now, customer);
-            let answer = allotments.take_held(now, customer, limit, &part, wanted);
+            let part = request_quotas.held(now, customer);
+            let answer = request_quotas.take_held(now, customer, limit, &part, wanted);
             let retry = answer.err().unwrap_or_default();
             let reply = Message::Reply {
                 id,
                 granted: answer.unwrap_or_default(),
                 retry_ms: retry.as_millis() as u32,
             };
-            allotments.socket.send(reply.encode(), from).await;
+            request_quotas.socket.send(reply.encode(), from).await;
         }
         Message::Reply {
             id,
@@ -282,7 +284,7 @@
                 0 => Err(Duration::from_millis(u64::from(retry_ms))),
                 _ => Ok(granted),
             };
-            allotments.asks.reply(id, answer);
+            request_quotas.asks.reply(id, answer);
         }
     }
 }
@@ -297,10 +299,10 @@
     }
     let mut customers = manifest.customers.iter().flat_map(Customers::iter);
     let known = customers.find(|known| known.short_hash() == customer);
-    match known.and_then(|known| known.allotment) {
-        Some(allotment) => Limit {
+    match known.and_then(|known| known.quota) {
+        Some(quota) => Limit {
             version: manifest.version,
-            allotment,
+            quota,
         },
         None => asked,
     }
@@ -308,14 +310,14 @@
 
 /// Keeps the token of a request that was not run for the customer's next one.
 pub(crate) fn give_back<S: Store, D: Dialect>(core: &Core<S, D>, customer: &Customer) {
-    if customer.allotment.is_some() {
+    if customer.quota.is_some() {
         let version = core.manifest().map_or(0, |manifest| manifest.version);
         let (now, id) = (clock::now(), customer.short_hash());
-        lock(&core.allotments.blocks).add(now, id, version, 1);
+        lock(&core.request_quotas.blocks).add(now, id, version, 1);
     }
 }
 
-/// Acquires a token for a request of a customer. A customer without an allotment needs
+/// Acquires a token for a request of a customer. A customer without a quota needs
 /// none.
 ///
 /// # Errors
@@ -326,24 +328,24 @@
     core: &Core<S, D>,
     customer: &Customer,
 ) -> Result<(), Duration> {
-    let Some(allotment) = customer.allotment else {
+    let Some(quota) = customer.quota else {
         return Ok(());
     };
-    let allotments = &core.allotments;
+    let request_quotas = &core.request_quotas;
     let limit = Limit {
         version: core.manifest().map_or(0, |manifest| manifest.version),
-        allotment,
+        quota,
     };
     let acquired = if core.knows_members() {
         let own_address = core.peer_address();
-        allotments
+        request_quotas
             .acquire(own_address, customer.short_hash(), limit)
             .await
     } else {
         Err(UNKNOWN_FLEET_RETRY.mul_f64(1.0 + rand::random::<f64>()))
     };
-    let label = allotments.record(clock::now(), &customer.name, acquired.is_err());
+    let label = request_quotas.record(clock::now(), &customer.name, acquired.is_err());
     let source = acquired.as_ref().map(|source| source.name());
-    core.metrics.allotment(&label, source.ok());
+    core.metrics.request_quota(&label, source.ok());
     acquired.map(|_| ())
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -20,7 +20,6 @@
 use hyper::body::Incoming;
 use smol::net::TcpListener;
 
-use crate::allotment;
 use crate::body::Body;
 use crate::clock::{self, with_timeout};
 use crate::collect::{self, collect};
@@ -32,6 +31,7 @@
 use crate::log;
 use crate::online::{self, error_response, error_response_after};
 use crate::relay;
+use crate::request_quota;
 use crate::store::Store;
 use crate::submission;
 use crate::upstream::{Message, strip_hop_by_hop_headers};
@@ -203,7 +203,7 @@
         Ok(access) => {
             let customer = access.customer();
             if let Some(customer) = customer
-                && let Err(retry_after) = allotment::acquire(core, customer).await
+                && let Err(retry_after) = request_quota::acquire(core, customer).await
             {
                 return reject_after(core, Code::RateLimited, retry_after);
             }
@@ -217,7 +217,7 @@
             {
                 // The status of this daemon promises that the request has not run; that of a
                 // replica may not.
-                allotment::give_back(core, customer);
+                request_quota::give_back(core, customer);
             }
             response
         }
--- a/crates/gateway/tests/gateway/keys.rs
+++ b/crates/gateway/tests/gateway/keys.rs
@@ -22,7 +22,7 @@
     Customer {
         name: name.into(),
         priority: None,
-        allotment: None,
+        quota: None,
     }
 }
 
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,5 @@
 //! Integration tests of the gateway with scripted replicas and an in-memory store.
 
-mod allotment;
 mod answers;
 mod batch;
 mod behind;
@@ -30,9 +29,10 @@
 mod relay;
 mod relay_cost;
 mod replica;
+mod request_quota;
 mod reservation;
 mod resumed_errors;
-mod shared_allotment;
+mod shared_request_quota;
 mod sockets;
 mod sse;
 mod store;
--- a/crates/gateway/tests/gateway/allotment.rs
+++ b/crates/gateway/tests/gateway/request_quota.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use bitterncart_coordination::fleet::Allotment;
-use bitterncart_coordination::fleet::allotment::{Limit, Message};
+use bitterncart_coordination::fleet::RequestQuota;
+use bitterncart_coordination::fleet::request_quota::{Limit, Message};
 use futures_lite::future;
 use smol::net::UdpSocket;
 
@@ -34,7 +34,7 @@
                 customer: 7,
                 limit: Limit {
                     version: 1,
-                    allotment: Allotment {
+                    quota: RequestQuota {
                         per_1000_s: 10_000,
                         burst: 10,
                     },
--- a/crates/gateway/tests/gateway/shared_allotment.rs
+++ b/crates/gateway/tests/gateway/shared_request_quota.rs
@@ -1,8 +1,8 @@
-//! Allotments of customers that are kept by all daemons together.
+//! Quotas of customers that are kept by all daemons together.
 
 use std::time::Duration;
 
-use bitterncart_coordination::fleet::{Allotment, Customer, Customers};
+use bitterncart_coordination::fleet::{Customer, Customers, RequestQuota};
 
 use crate::harness::{Gateway, manifest, post, status, wait_until};
 use crate::replica::{OK_RESPONSE, ScriptedReplica, header};
@@ -22,15 +22,15 @@
 
 async fn store_of(replica: &ScriptedReplica) -> MemoryStore {
     let mut customers = Customers::default();
-    let limited = Allotment {
+    let limited = RequestQuota {
         per_1000_s: 100,
         burst: BURST,
     };
-    for (name, key, allotment) in [("limited", "k1", Some(limited)), ("free", "k2", None)] {
+    for (name, key, quota) in [("limited", "k1", Some(limited)), ("free", "k2", None)] {
         let customer = Customer {
             name: name.into(),
             priority: None,
-            allotment,
+            quota,
         };
         customers.insert(customer, [key]).expect("distinct keys");
     }
@@ -68,9 +68,9 @@
     statuses.iter().filter(|status| **status == 200).count()
 }
 
-/// Guards against a customer that is served beyond its allotment, and one that pays for it.
+/// Guards against a customer that is served beyond its quota, and one that pays for it.
 #[test]
-fn customer_beyond_its_allotment_is_refused_alone() {
+fn customer_beyond_its_request_quota_is_refused_alone() {
     smol::block_on(async {
         let replica = ScriptedReplica::start("r1", vec![vec![OK_RESPONSE]]).await;
         let store = store_of(&replica).await;
@@ -84,9 +84,9 @@
     });
 }
 
-/// Guards against daemons that each grant the whole allotment.
+/// Guards against daemons that each grant the whole quota.
 #[test]
-fn daemons_share_an_allotment() {
+fn daemons_share_a_request_quota() {
     smol::block_on(async {
         let replica = ScriptedReplica::start("r1", vec![vec![OK_RESPONSE]]).await;
         let store = store_of(&replica).await;
