gateway: one question for whether the manifest names customers

Five places asked the manifest in their own words. Core::names_customers asks it; behaviour is the same. Measured: formatter, clippy of the gateway without warnings; no test run yet.

--- a/crates/gateway/src/confirmation.rs
+++ b/crates/gateway/src/confirmation.rs
@@ -85,12 +85,9 @@
 pub(crate) async fn maintain<S: Store, D: Dialect>(core: Core<S, D>) {
     loop {
         smol::Timer::after(CHECK_INTERVAL).await;
-        let needs_keys = core
-            .manifest()
-            .is_some_and(|manifest| manifest.customers.is_some());
         let max_age = core.current_settings().max_manifest_age();
         let is_due = |max_age| core.freshness().is_ask_due(clock::now(), max_age);
-        if needs_keys && max_age.is_some_and(is_due) {
+        if core.names_customers() && max_age.is_some_and(is_due) {
             ask(&core).await;
         }
     }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -418,14 +418,17 @@
         self.links.has_no_path() && self.peers().live(clock::now()).any(has_link)
     }
 
-    /// Whether requests need keys and the daemon must refuse them, or most of them. Clients are then better
-    /// served elsewhere.
+    /// Whether the manifest names customers, so that requests need keys.
+    pub(crate) fn names_customers(&self) -> bool {
+        let manifest = self.manifest();
+        manifest.is_some_and(|manifest| manifest.customers.is_some())
+    }
+
+    /// Whether requests need keys and the daemon must refuse them, or most of them. Clients
+    /// are then better served elsewhere.
     fn lacks_current_keys(&self) -> bool {
-        let needs_keys = self
-            .manifest()
-            .is_some_and(|manifest| manifest.customers.is_some());
         // Without the list of daemons, no quota can be shared.
-        needs_keys && !(self.is_manifest_current() && self.knows_members())
+        self.names_customers() && !(self.is_manifest_current() && self.knows_members())
     }
 
     /// Records a successful call to the store.
--- a/crates/gateway/src/request_quota.rs
+++ b/crates/gateway/src/request_quota.rs
@@ -227,10 +227,7 @@
 /// Updates the daemons that this one knows and hears. To be called with each check of the
 /// heartbeats.
 pub(crate) fn update<S: Store, D: Dialect>(core: &Core<S, D>, now: Duration) {
-    let has_customers = core
-        .manifest()
-        .is_some_and(|manifest| manifest.customers.is_some());
-    if !has_customers {
+    if !core.names_customers() {
         return;
     }
     let peers = core.peers();
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -515,8 +515,7 @@
     headers.insert(header::HOST, HeaderValue::from_str(&submission.host).ok()?);
     let header_names = core.dialect.header_names();
     // The customer is that of the job, whatever the headers of the item say.
-    let has_customers = core.manifest().is_some_and(|m| m.customers.is_some());
-    if has_customers || submission.customer.is_some() {
+    if core.names_customers() || submission.customer.is_some() {
         headers.remove(&header_names.caller);
         headers.remove(&header_names.customer);
     }
--- a/crates/gateway/src/runner/yielding.rs
+++ b/crates/gateway/src/runner/yielding.rs
@@ -26,9 +26,10 @@
 
 impl Forecast {
     pub(super) fn of<S: Store, D: Dialect>(core: &Core<S, D>) -> Self {
-        let manifest = core.manifest();
-        let has_customers = manifest.is_some_and(|manifest| manifest.customers.is_some());
-        match (core.current_settings().forecast_demand, has_customers) {
+        match (
+            core.current_settings().forecast_demand,
+            core.names_customers(),
+        ) {
             (false, _) => Self::Off,
             (true, false) => Self::Rhythms,
             (true, true) => Self::All,
