review: half of an answer without a length is passed on as whole

One of three replicas ends one in 50 of its answers without a length behind half of the body; clients get 200 with a length and 396 of 793 bytes.

--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -25,6 +25,9 @@
 /// Limits of the smallest machine of `lsdc-desks-grown`.
 const GROWN: Limits = Limits { memory_mb: 120, max_fds: 3075, status_s: 120 };
 
+/// Longest time for which a faulty replica spoils answers on the site.
+const GARBLE: Duration = Duration::from_millis(5500);
+
 const BATCH: &str = "/sum/";
 
 /// Time after the submission at which the results of a job are due, and `finish_s`.
@@ -36,6 +39,8 @@
     events: 20,
     gap: Duration::from_millis(20),
     event_bytes: 65,
+    is_unframed: false,
+    cut_one_in: 0,
 };
 
 struct Deployment {
@@ -58,6 +63,8 @@
     let start = |kind: &str, service: &str, count: usize| {
         let start = |n| {
             let zone = format!("zone-{}", ["a", "b", "c"][n % 3]);
+            // At most half of the replicas of a service are faulty: one of three.
+            let work = Work { cut_one_in: if n == 0 { work.cut_one_in } else { 0 }, ..work };
             Replica::start(&format!("i-{kind}-{n}"), &zone, service, work, &store, recorder)
         };
         (0..count).map(start).collect::<io::Result<Vec<_>>>()
@@ -294,7 +301,7 @@
 
 /// Clients read the results of jobs on many connections, slowly.
 pub fn slow_readers(recorder: &Recorder, is_troubled: bool) -> io::Result<Verdict> {
-    let work = Work { events: 140, gap: Duration::from_millis(4), slots: 8, event_bytes: 65 };
+    let work = Work { events: 140, gap: Duration::from_millis(4), ..WORK };
     let Some(deployment) = deploy(recorder, 9, work, GROWN)? else {
         return Ok(Verdict::CannotRun("the daemons are not ready".to_owned()));
     };
@@ -382,3 +389,47 @@
         _ => Ok(()),
     }
 }
+
+/// Replicas end one of 50 answers that have neither a length nor chunks too early, in order.
+pub fn early_ends(recorder: &Recorder, is_troubled: bool) -> io::Result<Verdict> {
+    let cut_one_in = if is_troubled { 50 } else { 0 };
+    let work = Work { is_unframed: true, cut_one_in, ..WORK };
+    let Some(deployment) = deploy(recorder, 3, work, SMALL)? else {
+        return Ok(Verdict::CannotRun("the daemons are not ready".to_owned()));
+    };
+    let until = Instant::now() + GARBLE;
+    let counts: [AtomicUsize; 3] = Default::default();
+    thread::scope(|scope| {
+        for caller in 0..4 {
+            let (fleet, counts) = (&deployment.fleet, &counts);
+            scope.spawn(move || {
+                for number in 0.. {
+                    if Instant::now() >= until {
+                        return;
+                    }
+                    let id = format!("c{caller}{number:07x}");
+                    let daemon = fleet.choose(number);
+                    let (status, body) = client::fetch(daemon.clients, &id);
+                    let expected = crate::replica::acknowledgement(&id);
+                    let end = match status {
+                        200 if body == expected.as_bytes() => 0,
+                        200 => 1,
+                        _ => 2,
+                    };
+                    counts[end].fetch_add(1, Ordering::SeqCst);
+                    if end == 1 {
+                        let (length, all) = (body.len(), expected.len());
+                        recorder.line(&format!("{id} at {}: 200 with {length} of {all} bytes", daemon.name));
+                    }
+                }
+            });
+        }
+    });
+    let [whole, cut, other] = counts.map(AtomicUsize::into_inner);
+    recorder.line(&format!("200 with the whole body: {whole}; with a part: {cut}; other ends: {other}"));
+    Ok(match (cut, whole) {
+        (_, 0) => Verdict::CannotRun("nothing is served".to_owned()),
+        (0, _) => Verdict::Held,
+        _ => Verdict::Broken(format!("{cut} successes without the server's whole body")),
+    })
+}
--- a/review/rig/client.rs
+++ b/review/rig/client.rs
@@ -106,6 +106,14 @@
     http::call(to, &request, Duration::from_millis(1500)).map_or(0, |answer| answer.status())
 }
 
+/// Makes an online request that may be repeated; returns the status and the body.
+pub fn fetch(to: SocketAddr, id: &str) -> (u16, Vec<u8>) {
+    let headers = [("Host", HOST), ("Attempt-Id", id), ("Deadline-Ms", "1000")];
+    let request = http::request("POST", "/ack/1", &headers, b"an upload");
+    let answer = http::call(to, &request, Duration::from_millis(1500));
+    answer.map_or((0, Vec::new()), |answer| (answer.status(), answer.body))
+}
+
 /// Manifest of the operator, with the batch route or without it.
 pub fn manifest(version: u64, has_batch: bool, max_queued_tokens: u64) -> String {
     let stream = "\"priority\":0,\"timeout_ms\":5000,\"target_latency_ms\":300,\"sticky\":true,\"gap_aim_ms\":400";
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -35,6 +35,7 @@
         "large-item-head" => cases::large_item_head(&recorder, is_troubled),
         "removed-route" => cases::removed_route(&recorder, is_troubled),
         "slow-readers" => cases::slow_readers(&recorder, is_troubled),
+        "early-ends" => cases::early_ends(&recorder, is_troubled),
         _ => Ok(Verdict::CannotRun("no such case".to_owned())),
     };
     let (text, code) = match verdict {
--- a/review/rig/replica.rs
+++ b/review/rig/replica.rs
@@ -24,6 +24,10 @@
     pub events: u64,
     pub gap: Duration,
     pub event_bytes: usize,
+    /// Whether answers have neither a length nor chunks and end with their connection.
+    pub is_unframed: bool,
+    /// Of so many such answers, one ends behind the half of its body; 0 for none.
+    pub cut_one_in: usize,
 }
 
 /// Run of a request.
@@ -178,8 +182,18 @@
         self.recorder.line(&format!("server {} runs {id} after event {after}", self.id));
         let written = if request.path().starts_with("/ack/") {
             thread::sleep(Duration::from_millis(15));
-            let headers = [echo, ("Response-Signature", "s.1")];
-            writer.write_all(&http::response(200, &headers, b"acknowledged"))
+            match self.work.is_unframed {
+                true => {
+                    self.write_unframed(&id, number, writer)?;
+                    // The connection ends in order.
+                    self.state.lock().unwrap().running -= 1;
+                    return Err(io::ErrorKind::ConnectionAborted.into());
+                }
+                false => {
+                    let headers = [echo, ("Response-Signature", "s.1")];
+                    writer.write_all(&http::response(200, &headers, b"acknowledged"))
+                }
+            }
         } else {
             self.write_events(&id, after, writer)
         };
@@ -208,6 +222,24 @@
         writer.write_all(b"0\r\n\r\n")
     }
 
+    /// Writes an answer without a length, and of some only the half.
+    fn write_unframed(&self, id: &str, number: usize, writer: &mut TcpStream) -> io::Result<()> {
+        let body = acknowledgement(id);
+        let one_in = self.work.cut_one_in;
+        let is_cut = one_in > 0 && number % one_in == one_in - 1;
+        let length = if is_cut { body.len() / 2 } else { body.len() };
+        let head = format!("HTTP/1.1 200 .\r\nattempt-id: {id}\r\nresponse-signature: s.1\r\n\r\n");
+        writer.write_all(&[head.as_bytes(), &body.as_bytes()[..length]].concat())?;
+        if is_cut {
+            self.recorder.line(&format!(
+                "server {} ends its answer to {id} behind {length} of {} bytes",
+                self.id,
+                body.len()
+            ));
+        }
+        writer.shutdown(std::net::Shutdown::Write)
+    }
+
     /// Data of an event.
     fn data(&self, id: &str, event: u64) -> String {
         let text = format!("{id}.{event}.");
@@ -221,3 +253,8 @@
         events.join("\n")
     }
 }
+
+/// Whole body of an answer without a length.
+pub fn acknowledgement(id: &str) -> String {
+    format!("{id}:{}", "y".repeat(783))
+}
