--- a/crates/coordination/src/fleet/freshness.rs
+++ b/crates/coordination/src/fleet/freshness.rs
@@ -99,6 +99,13 @@
         self.is_unreadable = !is_readable;
     }
 
+    /// Time up to which all versions that were written are known; `None` if no version was
+    /// ever confirmed.
+    #[must_use]
+    pub fn confirmed_at(&self) -> Option<Duration> {
+        self.confirmed_at
+    }
+
     /// Age of the manifest; `None` if no version was ever confirmed.
     #[must_use]
     pub fn age(&self, now: Duration) -> Option<Duration> {
--- a/crates/coordination/src/fleet/manifest.rs
+++ b/crates/coordination/src/fleet/manifest.rs
@@ -121,6 +121,12 @@
         }
     }
 
+    /// Whether only the requests of the route are known.
+    #[must_use]
+    pub fn is_unusable(&self) -> bool {
+        self.backends.is_empty()
+    }
+
     /// Backend for a `point` in `0..1`, chosen in proportion to the weights;
     /// `None` if the route has none.
     #[must_use]
@@ -169,6 +175,20 @@
     pub limits: Limits,
     /// Customers with their keys; `None` if requests need no key.
     pub customers: Option<Customers>,
+    /// Whether a route was left out, as neither its requests nor its services are known.
+    #[serde(default)]
+    pub is_partial: bool,
+}
+
+/// What a manifest says of the batch route of a host and path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BatchRoute<'a> {
+    /// There is one.
+    Present(&'a Route),
+    /// There is none: the path has no route, or one of another kind.
+    Missing,
+    /// The route cannot be read.
+    Unreadable,
 }
 
 impl Manifest {
@@ -188,6 +208,18 @@
         earlier.routes.iter().filter(is_moved)
     }
 
+    /// Batch route of a host and path.
+    #[must_use]
+    pub fn batch_route(&self, host: &str, path: &str) -> BatchRoute<'_> {
+        match self.route(host, path) {
+            Some(route) if route.kind == Kind::Batch => BatchRoute::Present(route),
+            Some(route) if route.is_unusable() => BatchRoute::Unreadable,
+            // The route that was left out may be that of a longer prefix.
+            _ if self.is_partial => BatchRoute::Unreadable,
+            _ => BatchRoute::Missing,
+        }
+    }
+
     /// Route of a host with the longest prefix of `path`. The host is compared
     /// without case, and a port is ignored.
     #[must_use]
--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -35,6 +35,7 @@
 pub mod retry;
 pub mod schedule;
 pub mod streams;
+pub mod withdrawal;
 
 pub use backlog::{Backlog, Group, Queued};
 pub use catalog::Catalog;
--- a/crates/coordination/tests/fleet/checkpoint.rs
+++ b/crates/coordination/tests/fleet/checkpoint.rs
@@ -32,6 +32,7 @@
             submitted_ms: 0,
             items: vec![item],
             customer: None,
+            terms: None,
         };
         let mut log = Self {
             ledger: Ledger::default(),
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -26,3 +26,4 @@
 mod retry;
 mod schedule;
 mod streams;
+mod withdrawal;
--- a/crates/coordination/tests/fleet/manifest.rs
+++ b/crates/coordination/tests/fleet/manifest.rs
@@ -8,7 +8,7 @@
 
 use crate::retry::route;
 
-fn manifest() -> Manifest {
+pub(crate) fn manifest() -> Manifest {
     let route_at = |host: &str, prefix: &str| Route {
         name: prefix.into(),
         host: host.into(),
@@ -29,6 +29,7 @@
             max_head: 16 << 10,
         },
         customers: None,
+        is_partial: false,
     }
 }
 
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -10,10 +10,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bitterncart_coordination::fleet::{Customer, Kind, Manifest, Route};
+use bitterncart_coordination::fleet::manifest::BatchRoute;
+use bitterncart_coordination::fleet::{Customer, Manifest, Route};
 use bitterncart_protocol::code::Ran;
 use bitterncart_protocol::{Code, hash};
-use bitterncart_state::ledger::{Decision, Job, Op, Quota, Submission};
+use bitterncart_state::ledger::{Decision, Job, Op, Quota, Submission, Terms};
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
@@ -239,7 +240,11 @@
     message: &Message,
     id: &CompactString,
 ) -> Result<(), Code> {
-    let Target { route, access, .. } = *target;
+    let Target {
+        route,
+        version,
+        access,
+    } = *target;
     let customer = access.customer();
     let shard = shard_of(core, id);
     match shard.ledger().job(id).map(|job| access.includes(job)) {
@@ -265,6 +270,11 @@
         submitted_ms: clock::wall().as_millis() as u64,
         items,
         customer: customer.map(|customer| customer.name.clone()),
+        terms: Some(Terms {
+            manifest_version: version,
+            give_up_ms: route.batch.give_up.as_millis() as u64,
+            is_public: route.is_public,
+        }),
     };
     let op = Op::Accept(submission, quota(core, route, shard, customer)?);
     match shard.submit(op, clock::now() + WRITE_TIMEOUT).await {
@@ -334,7 +344,10 @@
     let manifest = core.manifest();
     let is_public = |job: &Job| {
         let route = manifest.as_ref().and_then(|m| route_of(m, &job.submission));
-        route.is_some_and(|route| route.is_public)
+        match (route, job.submission.terms) {
+            (Some(route), _) => route.is_public,
+            (None, terms) => terms.is_some_and(|terms| terms.is_public),
+        }
     };
     let may_access = |job: &Job| {
         let needs_key = *access == Access::Public && !is_public(job);
@@ -477,7 +490,8 @@
 /// Batch route of a job in a manifest; `None` if the job has no route there, or one of
 /// another kind, as in a manifest from before the route was split off.
 pub(crate) fn route_of<'a>(manifest: &'a Manifest, job: &Submission) -> Option<&'a Route> {
-    manifest
-        .route(&job.host, &job.path)
-        .filter(|route| route.kind == Kind::Batch)
+    match manifest.batch_route(&job.host, &job.path) {
+        BatchRoute::Present(route) => Some(route),
+        BatchRoute::Missing | BatchRoute::Unreadable => None,
+    }
 }
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -245,6 +245,11 @@
     info!("job cancelled by the client", kv: { job = id });
 }
 
+/// Unfinished items of a job were given up, according to a version of the manifest.
+pub(crate) fn items_given_up(job: &str, count: usize, reason: &str, manifest: u64) {
+    info!("items given up", kv: { job, count, reason, manifest });
+}
+
 pub(crate) fn item_run_ended(job: &str, index: u32, end: &str) {
     if !rate_limit::try_acquire() {
         return;
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -9,6 +9,7 @@
 //! Completed output is kept until the ledger has recorded it. Failed attempts are counted
 //! in the ledger, so that the attempt limit holds across daemons.
 
+mod abandonment;
 mod placement;
 pub(crate) mod yielding;
 
@@ -26,7 +27,7 @@
 use bitterncart_coordination::fleet::schedule::start_order;
 use bitterncart_coordination::fleet::{
     Eligibility, Ends, Estimator, Fingerprint, Manifest, Outcome, Profile, Route,
-    proportional_share,
+    proportional_share, withdrawal,
 };
 use bitterncart_state::ledger::{self, Decision, Job, Op, OutputPart, Progress, Submission};
 use bytes::Bytes;
@@ -140,6 +141,11 @@
         self.restarts = self.restarts.saturating_add(1);
     }
 
+    /// Whether it has an attempt in progress or an end that is not recorded yet.
+    fn is_active(&self) -> bool {
+        self.task.is_some() || self.finishing
+    }
+
     /// Delay before the next attempt.
     fn retry_delay(&self) -> Duration {
         RETRY_DELAY * (1 << self.restarts.min(MAX_RETRY_DOUBLINGS))
@@ -205,9 +211,7 @@
 
     /// Runs with an attempt in progress or an end that is not recorded yet.
     fn active(&self) -> impl Iterator<Item = &Run> {
-        self.runs
-            .values()
-            .filter(|run| run.task.is_some() || run.finishing)
+        self.runs.values().filter(|run| run.is_active())
     }
 
     /// Events of an item of which `stored` are in the ledger.
@@ -216,11 +220,19 @@
         received.map_or(stored, |run| run.output.last_event_id().max(stored))
     }
 
+    /// Whether an item has an attempt in progress or an end that is not recorded yet.
+    fn is_active(&self, id: &ItemId) -> bool {
+        self.runs.get(id).is_some_and(Run::is_active)
+    }
+
+    /// Number of items with an end that is not recorded yet.
+    fn finishing(&self) -> usize {
+        self.runs.values().filter(|run| run.finishing).count()
+    }
+
     /// Whether an item is not active and its retry delay has passed.
     fn is_startable(&self, id: &ItemId, now: Duration) -> bool {
-        self.runs
-            .get(id)
-            .is_none_or(|run| run.task.is_none() && !run.finishing && now >= run.retry_at)
+        !self.is_active(id) && self.runs.get(id).is_none_or(|run| now >= run.retry_at)
     }
 
     fn clear_task(&mut self, id: &ItemId) {
@@ -235,8 +247,6 @@
 struct Candidate {
     id: ItemId,
     shard: u16,
-    /// Time since the submission of the job.
-    age: Duration,
     work: Work,
     start_order: (bool, Reverse<Duration>),
     item_hash: u32,
@@ -246,6 +256,7 @@
 pub(crate) async fn schedule<S: Store, D: Dialect>(core: Core<S, D>) {
     core.spawn(purge_ended_jobs(core.clone())).detach();
     let mut next_checkpoint = clock::now();
+    let mut withdrawals = withdrawal::Table::default();
     for poll in 0_u32.. {
         let due = clock::now() + POLL_INTERVAL;
         smol::Timer::after(POLL_INTERVAL).await;
@@ -261,20 +272,23 @@
             // Active items may finish; other daemons start the rest.
             continue;
         }
-        if poll.is_multiple_of(POLLS_PER_START) && may_start_items(&core) {
+        if !poll.is_multiple_of(POLLS_PER_START) || !may_record_ends(&core) {
+            continue;
+        }
+        abandonment::give_up_items(&core, &mut withdrawals);
+        // An item needs a path to a replica.
+        if !core.links.has_no_path() {
             start_items(&core);
         }
     }
 }
 
-/// Whether items may start. Without the store, those of the loaded shards go on:
-/// their results are recorded when it is back. A daemon that is cut off starts
-/// none, as others have taken its shards over; neither does one that can send no
-/// request to a replica.
-fn may_start_items<S: Store, D: Dialect>(core: &Core<S, D>) -> bool {
+/// Whether items may start or end. Without the store, those of the loaded shards go on:
+/// their results are recorded when it is back. At a daemon that is cut off none do, as
+/// others have taken its shards over.
+fn may_record_ends<S: Store, D: Dialect>(core: &Core<S, D>) -> bool {
     let now = clock::now();
-    let may_record = !core.is_store_unavailable(now) || core.peers().is_store_outage(now);
-    may_record && !core.links.has_no_path()
+    !core.is_store_unavailable(now) || core.peers().is_store_outage(now)
 }
 
 /// Removes ended jobs from the ledger whose submission is older than the retention.
@@ -354,17 +368,6 @@
         let Some(route) = jobs::route_of(&manifest, &job.submission) else {
             continue;
         };
-        if candidate.age > route.batch.give_up + GIVE_UP_MARGIN {
-            drop(ledger);
-            finish_item(
-                core,
-                candidate.id,
-                candidate.item_hash,
-                ledger::Outcome::GivenUp,
-                "give_up_time",
-            );
-            continue;
-        }
         let Some(backend) = route.backend(rand::random()) else {
             continue;
         };
@@ -424,7 +427,6 @@
                         start_order: start_order(age, remaining, due),
                         id,
                         shard: shard.number(),
-                        age,
                         work: Work {
                             events,
                             remaining: runs.estimator.uninterrupted(events),
@@ -712,6 +714,9 @@
                 }
                 Some(Ok(Next::UnstatedEnd)) => match self.judge_end(&response) {
                     EndVerdict::Complete => self.complete(response),
+                    EndVerdict::Resume if !self.has_route() => {
+                        self.record_broken(Outcome::Unconfirmed);
+                    }
                     EndVerdict::Resume => return self.resumed(),
                     EndVerdict::Unfounded => self.record_unfounded(),
                 },
@@ -723,6 +728,15 @@
         }
     }
 
+    /// Whether the item may be sent to a replica: its job still has a route.
+    fn has_route(&self) -> bool {
+        let ledger = jobs::shard_of(&self.core, &self.id.0).ledger();
+        let manifest = self.core.manifest();
+        let job = ledger.job(&self.id.0);
+        job.zip(manifest)
+            .is_some_and(|(job, manifest)| jobs::route_of(&manifest, &job.submission).is_some())
+    }
+
     /// Attempt that goes on behind the last event at the same replica.
     fn resumed(mut self) -> Option<Self> {
         let last_event_id = self.core.runs().runs.get(&self.id)?.output.last_event_id();
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -159,6 +159,7 @@
             max_head: 16 << 10,
         },
         customers: None,
+        is_partial: false,
     }
 }
 
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -38,3 +38,4 @@
 mod store;
 mod unstated_ends;
 mod versions;
+mod withdrawn;
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -161,7 +161,12 @@
     }
 
     pub(crate) fn put(&self, topic: Topic, key: &str, value: &str) {
-        let value = (!value.is_empty()).then(|| value.as_bytes().to_vec());
+        self.put_bytes(topic, key, value.into());
+    }
+
+    /// Appends a record; without a value if there are no bytes.
+    pub(crate) fn put_bytes(&self, topic: Topic, key: &str, value: Vec<u8>) {
+        let value = Some(value).filter(|value| !value.is_empty());
         let key = key.into();
         let record = Record { key, value };
         let mut topics = self.shared.topics.lock().expect("lock");
--- a/crates/state/src/ledger/entry.rs
+++ b/crates/state/src/ledger/entry.rs
@@ -1,6 +1,6 @@
 //! Jobs, items and results of the ledger, and the record that stores them.
 //!
-//! [`Submission`], [`Item`], [`ItemResult`], [`Outcome`] and [`OutputPart`] are
+//! [`Submission`], [`Terms`], [`Item`], [`ItemResult`], [`Outcome`] and [`OutputPart`] are
 //! encoded into record values; the order and types of their fields are part of the stored
 //! format.
 //! [`Job`] and [`Progress`] are in-memory state and are not stored.
@@ -41,6 +41,17 @@
     pub tokens: u64,
 }
 
+/// What a job keeps of its route from its acceptance on, as the route may be removed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Terms {
+    /// Version of the manifest under which the job was accepted.
+    pub manifest_version: u64,
+    /// Time from the submission after which an item may be abandoned, in milliseconds.
+    pub give_up_ms: u64,
+    /// Whether calls about the job need no key although the manifest names customers.
+    pub is_public: bool,
+}
+
 /// Batch job, as submitted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Submission {
@@ -59,6 +70,10 @@
     /// it.
     #[serde(skip)]
     pub customer: Option<CompactString>,
+    /// What it keeps of its route; `None` if an earlier version accepted it. Stored behind the
+    /// head of the job, where earlier versions do not read on.
+    #[serde(skip)]
+    pub terms: Option<Terms>,
 }
 
 impl Submission {
--- a/crates/state/src/ledger/mod.rs
+++ b/crates/state/src/ledger/mod.rs
@@ -16,7 +16,7 @@
 mod state;
 
 pub use build::Build;
-pub use entry::{Item, ItemResult, Job, Outcome, OutputPart, Progress, Record, Submission};
+pub use entry::{Item, ItemResult, Job, Outcome, OutputPart, Progress, Record, Submission, Terms};
 pub use limits::Limits;
 pub use plan::{Decision, Op, Plan, Quota};
 pub use state::{Key, Ledger};
--- a/crates/state/src/ledger/state.rs
+++ b/crates/state/src/ledger/state.rs
@@ -16,7 +16,7 @@
 use serde::Deserialize;
 use slotmap::{SlotMap, new_key_type};
 
-use super::entry::{ItemResult, Job, OutputPart, Record, Submission};
+use super::entry::{ItemResult, Job, OutputPart, Record, Submission, Terms};
 use crate::invariant;
 
 new_key_type! {
@@ -27,12 +27,22 @@
 /// Maximum value size of a record that holds a part of a submission.
 const PART_BYTES: usize = 200 * 1024;
 
-/// Head of a submission, stored after its parts.
+/// Head of a submission, stored after its parts. Its terms follow it in the record, if
+/// there are any.
 #[derive(Debug, serde::Serialize, Deserialize)]
 struct Head {
     parts: u32,
 }
 
+impl Head {
+    /// Decodes a record; `None` if it is invalid. A job whose terms cannot be read is one
+    /// without terms, as it is owed all the same.
+    fn decode(value: &[u8]) -> Option<(Self, Option<Terms>)> {
+        let (head, rest): (Self, &[u8]) = postcard::take_from_bytes(value).ok()?;
+        Some((head, postcard::from_bytes(rest).ok()))
+    }
+}
+
 /// Record that cannot be decoded.
 struct Invalid;
 
@@ -118,7 +128,7 @@
         let Some(head) = self.parts.get(&head_key) else {
             return Ok(());
         };
-        let head = postcard::from_bytes::<Head>(head).map_err(|_| Invalid)?;
+        let (head, terms) = Head::decode(head).ok_or(Invalid)?;
         let keys = || (0..head.parts).map(|n| format_compact!("b/{id}/{n}"));
         if self.key_by_id.contains_key(id) || !keys().all(|k| self.parts.contains_key(&k)) {
             return Ok(());
@@ -128,7 +138,8 @@
             .flatten()
             .collect();
         self.parts.remove(&head_key);
-        let submission = Submission::decode(&encoded).ok_or(Invalid)?;
+        let mut submission = Submission::decode(&encoded).ok_or(Invalid)?;
+        submission.terms = terms;
         if submission.id != id {
             return Err(Invalid);
         }
@@ -288,9 +299,13 @@
     let head = Head {
         parts: records.len() as u32,
     };
+    let mut head = encode(&head);
+    if let Some(terms) = &submission.terms {
+        head.extend(encode(terms));
+    }
     records.push(Record {
         key: format_compact!("j/{id}"),
-        value: Some(encode(&head)),
+        value: Some(head),
     });
     records
 }
--- a/crates/state/tests/fuzz.rs
+++ b/crates/state/tests/fuzz.rs
@@ -20,6 +20,7 @@
         submitted_ms: 1,
         items: (0..3).map(item).collect(),
         customer: None,
+        terms: None,
     }
 }
 
--- a/crates/state/tests/ledger.rs
+++ b/crates/state/tests/ledger.rs
@@ -3,6 +3,7 @@
 
 use bitterncart_state::ledger::{
     Build, Decision, Item, Ledger, Limits, Op, Outcome, OutputPart, Quota, Record, Submission,
+    Terms,
 };
 use bitterncart_testing::cases;
 
@@ -21,6 +22,7 @@
         submitted_ms: 1,
         items: (0..items).map(item).collect(),
         customer: None,
+        terms: None,
     }
 }
 
@@ -556,6 +558,60 @@
     );
 }
 
+/// Head of a job as earlier versions store it.
+#[derive(serde::Deserialize)]
+struct EarlierHead {
+    parts: u32,
+}
+
+fn submission_with_terms() -> Submission {
+    Submission {
+        terms: Some(Terms {
+            manifest_version: 7,
+            give_up_ms: 300_000,
+            is_public: true,
+        }),
+        ..submission("j", 2, 10)
+    }
+}
+
+/// Guards against a job that loses what it keeps of its route with its daemon, and one that
+/// an earlier version cannot read.
+#[test]
+fn terms_follow_the_head_of_earlier_versions() {
+    let (mut topic, mut ledger) = (Topic::default(), Ledger::default());
+    let ops = [Op::Accept(submission_with_terms(), None)];
+    apply_ops(&mut topic, &mut ledger, &ops);
+    for ledger in [&ledger, &restarted(&topic)] {
+        let job = ledger.job("j").expect("the job");
+        assert_eq!(job.submission, submission_with_terms());
+    }
+    let record = |key| topic.records.iter().find(|r| r.key == key);
+    let value = |key| {
+        record(key)
+            .and_then(|r| r.value.as_deref())
+            .expect("a value")
+    };
+    let head: EarlierHead = postcard::from_bytes(value("j/j")).expect("an earlier version");
+    assert_eq!(head.parts, 1);
+    let part: EarlierSubmission = postcard::from_bytes(value("b/j/0")).expect("a submission");
+    assert_eq!((part.id.as_str(), part.items.len()), ("j", 2));
+}
+
+/// Guards against a job that is lost, as its terms cannot be read.
+#[test]
+fn job_with_odd_terms_is_one_without() {
+    let (mut topic, mut ledger) = (Topic::default(), Ledger::default());
+    let ops = [Op::Accept(submission_with_terms(), None)];
+    apply_ops(&mut topic, &mut ledger, &ops);
+    for record in topic.records.iter_mut().filter(|r| r.key == "j/j") {
+        record.value = Some(vec![1, 0xff]);
+    }
+    let job = &restarted(&topic);
+    let job = job.job("j").expect("the job");
+    assert_eq!(job.submission, submission("j", 2, 10));
+}
+
 /// Guards against a customer that fills the queue of the others, within one group of appends
 /// and over several.
 #[test]
--- a/crates/state/tests/odd_records.rs
+++ b/crates/state/tests/odd_records.rs
@@ -20,6 +20,7 @@
         submitted_ms: 1,
         items: (0..2).map(item).collect(),
         customer: None,
+        terms: None,
     }
 }
 
--- a/crates/state/tests/schedules.rs
+++ b/crates/state/tests/schedules.rs
@@ -63,6 +63,7 @@
         submitted_ms: 0,
         items: (0..ITEMS).map(item).collect(),
         customer: None,
+        terms: None,
     }
 }
 
