tests: a link that refuses connections keeps its port

Seen: links::reset_link_once failed in one whole run of the gateway's tests ("timed out waiting for a refusal that names the links"). Trace: from 23:56:31.369 on, "link to a replica checked { address=127.0.0.1:43491 result=opened }", although the link was down: the stand-in had closed its listener, and a listener of another test in the process got the port. Before that second each attempt was refused, as it should be.

Change: while a link is down, its port stays bound by a socket that does not listen. It refuses connections, and nobody else gets the port. The test is as strict as before. Alone it passed six times of six before the change, too.

--- a/crates/gateway/tests/gateway/link.rs
+++ b/crates/gateway/tests/gateway/link.rs
@@ -66,7 +66,8 @@
 
 impl Link {
     pub(crate) fn start(replica: &ScriptedReplica) -> Self {
-        let listener = listen(([127, 0, 0, 1], 0).into()).expect("a port");
+        let socket = bind(([127, 0, 0, 1], 0).into()).expect("a port");
+        let listener = listen(socket).expect("a port");
         let address = listener.local_addr().expect("an address");
         let shared = Arc::new(Shared {
             state: Mutex::new(State::Up),
@@ -87,10 +88,15 @@
     }
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+/// Socket at an address, which refuses connections until it listens.
+fn bind(address: SocketAddr) -> io::Result<Socket> {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
     socket.bind(&address.into())?;
+    Ok(socket)
+}
+
+fn listen(socket: Socket) -> io::Result<TcpListener> {
     socket.listen(0)?;
     TcpListener::try_from(std::net::TcpListener::from(socket))
 }
@@ -120,8 +126,10 @@
         }
         if shared.state() != State::Up {
             drop(listener);
+            // Another test might get the port and accept connections at it.
+            let held = bind(address).expect("the port of the link");
             shared.wait_until(|state| state == State::Up).await;
-            listener = listen(address).expect("the port of the link");
+            listener = listen(held).expect("the port of the link");
         }
     }
 }
