gateway, transport: a status that ends no request is no answer

Cause: the HTTP library takes any number of three digits from 100 on, and the gateway passed a signed response on whatever its class. `bitterncartd` passed on 101. It counted as a success, so the faulty replica, which answers at once, drew most of the load.

Change: each response of replicas, peers, relays and the store is checked where it arrives: 200 to 599, or 101 if an upgrade was asked for. Anything else breaks the connection (`odd_status`). An append with such an answer is of unknown outcome; it counted as without effect.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -18,6 +18,7 @@
 use bytes::Bytes;
 use event_listener::Event;
 use futures_lite::future;
+use http::{StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -64,6 +65,8 @@
     LinkLost,
     /// The head of the response exceeds [`MAX_HEAD_BYTES`].
     HeadTooLarge,
+    /// The response has a status that ends no request; it is none.
+    OddStatus(u16),
 }
 
 impl Error {
@@ -80,6 +83,7 @@
             Self::Broken(_) => "broken",
             Self::LinkLost => "link_lost",
             Self::HeadTooLarge => "head_too_large",
+            Self::OddStatus(_) => "odd_status",
         }
     }
 
@@ -103,6 +107,10 @@
                 f,
                 "the head of the response exceeds {MAX_HEAD_BYTES} bytes; the connection is closed"
             ),
+            Self::OddStatus(status) => write!(
+                f,
+                "the response has status {status}, which ends no request; the connection is closed"
+            ),
         }
     }
 }
@@ -174,6 +182,7 @@
         &mut self,
         request: http::Request<Full<Bytes>>,
     ) -> Result<http::Response<Incoming>, Error> {
+        let asks_upgrade = request.headers().contains_key(header::UPGRADE);
         self.sender.ready().await.map_err(not_sent)?;
         self.head.start();
         let response = self.sender.send_request(request).await;
@@ -187,7 +196,11 @@
         self.idle_timeout =
             advertised_idle_timeout(response.headers()).unwrap_or(self.idle_timeout);
         self.record_answer();
-        Ok(response)
+        if is_final(response.status(), asks_upgrade) {
+            Ok(response)
+        } else {
+            Err(Error::OddStatus(response.status().as_u16()))
+        }
     }
 
     /// Marks a connection whose answers show that this daemon's links work.
@@ -252,6 +265,15 @@
     }
 }
 
+/// Whether a status is that of a final response. The library takes any number of three
+/// digits, while the classes of statuses end with that of 599.
+fn is_final(status: StatusCode, asks_upgrade: bool) -> bool {
+    match status {
+        StatusCode::SWITCHING_PROTOCOLS => asks_upgrade,
+        status => (200..600).contains(&status.as_u16()),
+    }
+}
+
 /// Idle timeout from a `Keep-Alive` header, less the margin.
 fn advertised_idle_timeout(headers: &http::HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -74,7 +74,7 @@
                 return Ok(response);
             }
             Err(Error::NotSent(e)) => e.to_string(),
-            Err(e @ (Error::Broken(_) | Error::LinkLost | Error::HeadTooLarge)) => {
+            Err(e) => {
                 failure = Failure::Unknown;
                 e.to_string()
             }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -472,7 +472,7 @@
 fn error_outcome(error: &Error) -> Outcome {
     match error {
         Error::NotSent(_) => Outcome::NotSent,
-        Error::Broken(_) | Error::HeadTooLarge => Outcome::Broken,
+        Error::Broken(_) | Error::HeadTooLarge | Error::OddStatus(_) => Outcome::Broken,
         Error::LinkLost => Outcome::LinkLost,
     }
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod links;
 mod memory_peak;
 mod odd_records;
+mod odd_status;
 mod online;
 mod oversized;
 mod owner;
--- a/crates/gateway/tests/gateway/replica.rs
+++ b/crates/gateway/tests/gateway/replica.rs
@@ -239,7 +239,7 @@
         for action in &actions {
             match action {
                 Action::Respond(status, headers, body) => {
-                    let head = format!("HTTP/1.1 {status} X\r\nattempt: {id}\r\n{headers}\r\n");
+                    let head = format!("HTTP/1.1 {status:03} X\r\nattempt: {id}\r\n{headers}\r\n");
                     stream.write_all(head.as_bytes()).await.ok()?;
                     stream.write_all(body.as_bytes()).await.ok()?;
                 }
--- a/crates/transport/src/http/client.rs
+++ b/crates/transport/src/http/client.rs
@@ -109,7 +109,7 @@
         let exchange = async {
             let response = async_h1::connect(stream, request).await;
             head_limit.lift();
-            require_framed(response.map_err(Error::broken)?)
+            check(response.map_err(Error::broken)?)
         };
         timeout(self.head_timeout, exchange).await
     }
@@ -192,9 +192,15 @@
     }
 }
 
-/// Rejects a response with neither a length nor chunks, whose body `async-h1` would
-/// report as empty.
-fn require_framed(response: Response) -> Result<Response, Error> {
+/// Rejects an interim response, as no request asks for an upgrade, and one with neither a
+/// length nor chunks, whose body `async-h1` would report as empty.
+fn check(response: Response) -> Result<Response, Error> {
+    if response.status().is_informational() {
+        return Err(Error::broken(format!(
+            "status {} ends no request",
+            response.status()
+        )));
+    }
     let has_no_body = matches!(
         response.status(),
         StatusCode::NoContent | StatusCode::NotModified
