gateway: a late request in a shutdown is served in time or refused, and all are answered

Cause: a daemon that shuts down passed requests on whatever time was left, and the end of the process closed the connections of those at work.

Change: `coordination::fleet::shutdown` decides by deadline and usual run time what is still taken on; the rest gets 503 "draining" at once, which has not run. At 0.7 s before the kill each request at work, upload, and call about a job is answered: with a refusal only if nothing was sent. Calls about jobs of clients and of other daemons follow the same course. A short stop timeout shortens all times.

--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -34,6 +34,7 @@
 pub mod request_quota;
 pub mod retry;
 pub mod schedule;
+pub mod shutdown;
 pub mod streams;
 pub mod withdrawal;
 
@@ -54,4 +55,5 @@
 pub use replica::{Build, Replica, Stage};
 pub use retry::{Attempts, Decision, Outcome};
 pub use schedule::{Eligibility, Estimator, proportional_share};
+pub use shutdown::Shutdown;
 pub use streams::Streams;
--- a/crates/coordination/src/fleet/pool/shortage.rs
+++ b/crates/coordination/src/fleet/pool/shortage.rs
@@ -26,6 +26,13 @@
         }
     }
 
+    /// Average time for which an online request of a service holds a slot; `None` if no request
+    /// has been answered yet.
+    #[must_use]
+    pub fn run_time(&self, service: &str) -> Option<Duration> {
+        self.run_times.get(service).copied()
+    }
+
     /// Time in which the replicas of this data centre take as many online requests of
     /// a service as its daemons have queued. Batch items give way; limited replicas
     /// take requests at their rate. `None` if no request has been answered yet.
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -25,5 +25,6 @@
 mod request_quota;
 mod retry;
 mod schedule;
+mod shutdown;
 mod streams;
 mod withdrawal;
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -2,8 +2,7 @@
 //!
 //! Each table has a lock of its own; the crate documentation gives the
 //! order in which they are taken. The state also says whether the daemon is
-//! ready, draining or closing client connections, and whether the store is
-//! available.
+//! ready, and whether the store is available.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -38,6 +37,7 @@
 use crate::runner::Runs;
 use crate::settings::Settings;
 use crate::shard::Shard;
+use crate::shutdown;
 use crate::store::{Failure, Store};
 use crate::streams;
 use crate::tokens::Tokens;
@@ -70,8 +70,7 @@
     /// Links to the replicas.
     pub links: links::Monitor,
     pub shards: Vec<Shard>,
-    /// Notified when client connections have to be closed.
-    pub close_requested: Event,
+    pub shutdown: shutdown::State,
     pub runs: Mutex<Runs>,
     /// Held while a shard is loaded, so that only one is loaded at a time.
     pub load_lock: smol::lock::Mutex<()>,
@@ -92,8 +91,6 @@
     pub slot_offered: Event,
     /// Daemons registered in the store; `None` until they have been read.
     members: Mutex<Option<BTreeSet<SocketAddr>>>,
-    draining: AtomicBool,
-    closing: AtomicBool,
     replicas_known: AtomicBool,
     store_availability: Availability,
 }
@@ -161,7 +158,7 @@
             settings,
             links,
             shards,
-            close_requested: Event::new(),
+            shutdown: shutdown::State::default(),
             runs: Mutex::default(),
             load_lock: smol::lock::Mutex::new(()),
             configured: Event::new(),
@@ -176,8 +173,6 @@
             catalog: Mutex::default(),
             list_reads: ListReads::default(),
             slot_offered: Event::new(),
-            draining: AtomicBool::new(false),
-            closing: AtomicBool::new(false),
             replicas_known: AtomicBool::new(false),
             store_availability: Availability::default(),
         }))
@@ -351,25 +346,6 @@
         self.freshness().is_served(clock::now(), max_age)
     }
 
-    /// Whether the daemon is shutting down and starts no new work.
-    pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
-    }
-
-    pub(crate) fn start_draining(&self) {
-        self.draining.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether client connections have to be closed.
-    pub(crate) fn is_closing(&self) -> bool {
-        self.closing.load(Ordering::Relaxed)
-    }
-
-    pub(crate) fn close_client_connections(&self) {
-        self.closing.store(true, Ordering::Relaxed);
-        self.close_requested.notify(usize::MAX);
-    }
-
     /// Waits until the manifest and the replicas are known. They are read before
     /// the ledger, as online requests need them.
     pub(crate) async fn wait_until_configured(&self) {
@@ -404,7 +380,7 @@
     }
 
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_draining()
+        !self.shutdown.has_begun()
             && self.replicas_known.load(Ordering::Relaxed)
             && self.manifest().is_some()
             && !self.is_helpless()
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -5,7 +5,7 @@
 //! reports itself as not ready and starts no new batch items, but still accepts
 //! connections until the load balancer has noticed. Then it closes client
 //! connections and waits for active requests and items, for as long as the stop
-//! timeout permits.
+//! timeout permits. It answers what is left shortly before the timeout.
 
 use std::collections::BTreeSet;
 use std::fmt;
@@ -32,15 +32,6 @@
 use crate::store::{Failure, Store, Topic};
 use crate::{catalog, confirmation, gossip, runner, shard, watch};
 
-/// Time after the start of the shutdown for which connections are still
-/// accepted. The load balancer checks readiness once a second and takes a daemon
-/// out of rotation after two failures.
-const ACCEPT_WHILE_DRAINING: Duration = Duration::from_millis(2600);
-
-/// Time before the end of the stop timeout, when the process is killed, at which
-/// the shutdown no longer waits.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
-
 /// Interval between checks for active requests and items during the shutdown.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -183,25 +174,24 @@
     }
 
     /// Shuts down gracefully: drains, waits for active requests and items up to
-    /// the stop timeout, and returns.
+    /// the stop timeout, answers what is left, and returns.
     pub async fn stop(&self) {
         let core = &self.core;
         let open = || self.open.iter().map(Registry::open).sum::<usize>();
         log::stopping(&core.settings.name);
-        let started = clock::now();
-        core.start_draining();
-        smol::Timer::after(ACCEPT_WHILE_DRAINING).await;
-        core.close_client_connections();
-        let end = started
-            + core
-                .current_settings()
-                .stop_timeout()
-                .saturating_sub(STOP_MARGIN);
+        let course = core.shutdown.begin(core.current_settings().stop_timeout());
+        smol::Timer::after(course.accept_until().saturating_sub(clock::now())).await;
+        core.shutdown.close_connections();
         let is_busy = || {
             let relayed = core.links.relayed().load(Ordering::Relaxed);
             open() + relayed > 0 || core.runs().has_active()
         };
-        while is_busy() && clock::now() < end {
+        while is_busy() && clock::now() < course.answer_by() {
+            smol::Timer::after(POLL_INTERVAL).await;
+        }
+        log::ending(&core.settings.name, open());
+        core.shutdown.require_answers();
+        while open() > 0 && clock::now() < course.end() {
             smol::Timer::after(POLL_INTERVAL).await;
         }
         runner::yielding::record_shutdown(core);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -235,7 +235,7 @@
         seq,
         data_centre: core.settings.data_centre.clone(),
         period_ms: INACTIVE_PEER_INTERVAL.as_millis() as u32,
-        leaving: core.is_draining(),
+        leaving: core.shutdown.has_begun(),
         writes: !core.is_store_unavailable(now),
         capacity: core.current_settings().capacity_millicores(),
         shards: owned_shards(core),
--- a/crates/gateway/src/intake/serve.rs
+++ b/crates/gateway/src/intake/serve.rs
@@ -70,12 +70,14 @@
         if number == 0 {
             future::yield_now().await;
         }
-        let close_requested = core.close_requested.listen();
-        if core.is_closing() && !endpoint.stays_open() {
+        if core.shutdown.is_closing() && !endpoint.stays_open() {
             return;
         }
         let close_signal = async {
-            close_requested.await;
+            match endpoint.stays_open() {
+                true => future::pending().await,
+                false => core.shutdown.closing().await,
+            }
             None
         };
         let accepted = future::or(async { Some(listener.accept().await) }, close_signal).await;
@@ -121,7 +123,6 @@
     if configure_socket(&stream).is_err() {
         return;
     }
-    let close_requested = core.close_requested.listen();
     let limits = core
         .manifest()
         .map_or(DEFAULT_LIMITS, |manifest| manifest.limits);
@@ -174,9 +175,7 @@
             .with_upgrades()
     );
     let stopping = async {
-        if !core.is_closing() {
-            close_requested.await;
-        }
+        core.shutdown.closing().await;
         End::Stopping
     };
     // An eviction comes first: afterwards no request may begin.
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::manifest::BatchRoute;
+use bitterncart_coordination::fleet::shutdown::Work;
 use bitterncart_coordination::fleet::{Customer, Manifest, Route};
 use bitterncart_protocol::code::Ran;
 use bitterncart_protocol::{Code, hash};
@@ -52,9 +53,20 @@
 /// Maximum time for which a read waits for new results.
 const MAX_LONG_POLL: Duration = Duration::from_millis(1000);
 
+/// Usual time of a call, with an append to the store.
+const CALL_TIME: Duration = Duration::from_millis(400);
+
 /// Maximum length of a job id, which is part of keys in the store.
 const MAX_JOB_ID_BYTES: usize = 96;
 
+/// Whether the daemon still takes calls about jobs. All can be repeated elsewhere.
+pub(crate) fn admits_call<S: Store, D: Dialect>(core: &Core<S, D>) -> bool {
+    core.shutdown.admits(Work {
+        deadline: Duration::MAX,
+        usual_time: Some(CALL_TIME),
+    })
+}
+
 /// Shard of a job.
 pub(crate) fn shard_of<'a, S: Store, D: Dialect>(core: &'a Core<S, D>, job: &str) -> &'a Shard {
     let index = hash::hash_parts(&[job.as_bytes()]) % core.shards.len() as u128;
@@ -167,6 +179,7 @@
     let (mut head, mut body) = request.into_parts();
     let submission = submission::Submission::parse(&head.headers);
     let found = submission.as_ref().and_then(|job| job.route(core));
+    let found = found.filter(|_| admits_call(core));
     let (Some(submission), Some((manifest, route))) = (submission, found) else {
         server::discard_body(body).await;
         return submission::not_decided(core);
@@ -201,7 +214,9 @@
                 version: manifest.version,
                 access: &access,
             };
-            decide(core, &target, &message, &id, true).await
+            let decided = decide(core, &target, &message, &id, true);
+            let decided = core.shutdown.unless_ending(decided).await;
+            decided.unwrap_or_else(|| reject(core, &id, Code::AppendUnknown))
         }
         None => reject(core, "", Code::BadHeader),
     }
@@ -462,7 +477,7 @@
             .ledger()
             .job(id)
             .is_none_or(|job| job.results.len() > after);
-        if is_done || core.is_draining() {
+        if is_done || core.shutdown.has_begun() {
             return;
         }
         changed.await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod sampler;
 mod server;
 mod shard;
+mod shutdown;
 mod streams;
 mod submission;
 mod tokens;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -477,6 +477,11 @@
     info!("stopping", kv: { name });
 }
 
+/// All requests are answered now, as the shutdown ends.
+pub(crate) fn ending(name: &str, open: usize) {
+    info!("answering what is left", kv: { name, open });
+}
+
 pub(crate) fn stopped(name: &str, open: usize) {
     info!("stopped", kv: { name, open });
 }
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -15,6 +15,7 @@
 use bitterncart_coordination::fleet::ends::Verdict as EndVerdict;
 use bitterncart_coordination::fleet::pool::Key;
 use bitterncart_coordination::fleet::quarantine::{Subject, Verdict};
+use bitterncart_coordination::fleet::shutdown::Work;
 use bitterncart_coordination::fleet::{
     Attempts, Build, Decision, Ends, Fingerprint, Kind, Outcome, Profile, Route, admission_queue,
 };
@@ -50,6 +51,9 @@
 /// Bounds of the random delay after which a refused client may retry, in seconds.
 const RETRY_AFTER_RANGE_S: (f64, f64) = (0.08, 0.35);
 
+/// Bounds of that delay at a daemon that shuts down; others can serve the request at once.
+const DRAINING_RETRY_AFTER_RANGE_S: (f64, f64) = (0.01, 0.05);
+
 /// Bounds of that delay while no replica can be reached, as shares of the client's
 /// remaining time: a later retry is more likely to succeed, and must leave time for it.
 const LINKS_RETRY_AFTER_SHARES: (f64, f64) = (0.25, 0.33);
@@ -115,6 +119,17 @@
     }
 }
 
+/// How the attempts of a request ended.
+#[expect(clippy::large_enum_variant, reason = "it is taken apart at once")]
+enum Exchange<S: Store, D: Dialect> {
+    /// With a whole answer.
+    Answered(Response<Body>),
+    /// With a stream, of which this has been received.
+    Begun(Slot<S, D>, upstream::Response, Next),
+    /// Without an answer of a replica.
+    Failed(Decision),
+}
+
 /// How the relay of a stream to its client ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Relayed {
@@ -137,6 +152,8 @@
     /// Time at which the client stops waiting.
     deadline: Duration,
     attempts: Attempts,
+    /// Whether an attempt has begun whose outcome is not recorded.
+    is_in_flight: bool,
     tried_replicas: Vec<Key>,
     /// Why it is not sent.
     quarantined: Option<Verdict>,
@@ -200,6 +217,7 @@
             id,
             deadline: arrived + allowed,
             attempts: Attempts::default(),
+            is_in_flight: false,
             tried_replicas: Vec::new(),
             quarantined: None,
             shortage: None,
@@ -280,30 +298,61 @@
         }
     }
 
+    /// Whether the daemon, which may be shutting down, serves the request.
+    fn is_admitted(&self) -> bool {
+        let pool = self.core.pool();
+        let run_times = self.route.backends.iter();
+        let run_times = run_times.map(|backend| pool.run_time(&backend.service));
+        let usual_time = match self.route.kind {
+            Kind::Idempotent => run_times.max().flatten(),
+            // A stream that is cut, or a request that may have run, is not sent again.
+            _ => None,
+        };
+        self.core.shutdown.admits(Work {
+            deadline: self.deadline,
+            usual_time,
+        })
+    }
+
     /// Serves the request, with retries, and returns the response for the client.
     pub(crate) async fn serve(mut self) -> Response<Body> {
+        if !self.is_admitted() {
+            return self.refuse_for_shutdown();
+        }
+        let core = self.core.clone();
+        let exchange = core.shutdown.unless_ending(self.exchange()).await;
+        match exchange {
+            Some(Exchange::Answered(response)) => response,
+            Some(Exchange::Begun(slot, upstream, first)) => {
+                self.stream_response(slot, upstream, first)
+            }
+            Some(Exchange::Failed(decision)) => self.reject(decision),
+            None => self.end_for_shutdown(),
+        }
+    }
+
+    /// Sends the request to replicas until one has answered it or none is left.
+    async fn exchange(&mut self) -> Exchange<S, D> {
         if self.is_taken_up {
             self.bind().await;
         }
         loop {
             let Some((slot, reservation)) = self.acquire_slot().await else {
-                return self.reject(self.attempts.exhausted());
+                return Exchange::Failed(self.attempts.exhausted());
             };
             let decision = match self.send_attempt(&slot, reservation).await {
                 Ok(response)
                     if self.route.kind.is_stream() && response.head.status.is_success() =>
                 {
                     match self.first_event(response).await {
-                        Ok((response, first)) => {
-                            return self.stream_response(slot, response, first);
-                        }
+                        Ok((response, first)) => return Exchange::Begun(slot, response, first),
                         Err(outcome) => self.record_failure(&slot, outcome),
                     }
                 }
                 Ok(response) => {
                     match with_timeout(self.remaining(), response.read_to_end(&self.core)).await {
                         Some(Ok(answer)) => match self.complete(&slot, answer) {
-                            Ok(response) => return response,
+                            Ok(response) => return Exchange::Answered(response),
                             Err(decision) => decision,
                         },
                         Some(Err(outcome)) => self.record_failure(&slot, outcome),
@@ -313,11 +362,32 @@
                 Err(outcome) => self.record_failure(&slot, outcome),
             };
             if decision != Decision::Retry {
-                return self.reject(decision);
+                return Exchange::Failed(decision);
             }
         }
     }
 
+    /// Refuses the request, which has not run, as the daemon shuts down.
+    fn refuse_for_shutdown(&self) -> Response<Body> {
+        let code = Code::Draining;
+        self.core.metrics.request_refused(code);
+        log::request_refused(&self.id, &self.route.name, code, self.remaining());
+        error_response(&self.core, code)
+    }
+
+    /// Answers the request, whose attempts are given up, as the shutdown ends.
+    fn end_for_shutdown(&mut self) -> Response<Body> {
+        let decision = if self.is_in_flight {
+            self.attempts.record(&self.route, Outcome::Silent, false)
+        } else {
+            self.attempts.exhausted()
+        };
+        match decision {
+            Decision::Refuse => self.refuse_for_shutdown(),
+            decision => self.reject(decision),
+        }
+    }
+
     async fn send_attempt(
         &mut self,
         slot: &Slot<S, D>,
@@ -333,6 +403,7 @@
             self.message.headers.insert(name, HeaderValue::from(last));
             log::stream_resumed(&self.id, &slot.selection, last);
         }
+        self.is_in_flight = true;
         send(
             &self.core,
             &slot.selection,
@@ -379,6 +450,7 @@
 
     /// Records a failed attempt and decides what follows.
     fn record_failure(&mut self, slot: &Slot<S, D>, outcome: Outcome) -> Decision {
+        self.is_in_flight = false;
         let now = clock::now();
         let mut pool = self.core.pool();
         match outcome {
@@ -650,7 +722,11 @@
     core: &Core<S, D>,
     code: Code,
 ) -> Response<Body> {
-    error_response_after(core, code, random_duration(RETRY_AFTER_RANGE_S))
+    let range = match code {
+        Code::Draining => DRAINING_RETRY_AFTER_RANGE_S,
+        _ => RETRY_AFTER_RANGE_S,
+    };
+    error_response_after(core, code, random_duration(range))
 }
 
 /// Error response like [`error_response`], after which a client may retry in a given time.
--- a/crates/gateway/src/ownership.rs
+++ b/crates/gateway/src/ownership.rs
@@ -23,7 +23,7 @@
     }
     let peers = core.peers();
     let mut members = Member::from_peers(&peers, now);
-    if !core.is_draining() {
+    if !core.shutdown.has_begun() {
         members.push(Member {
             candidate: Candidate {
                 address: core.peer_address(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -158,7 +158,8 @@
         return response(StatusCode::NOT_FOUND);
     };
     let relayed = Relayed::start(core.links.relayed());
-    let Some(relayed) = relayed.filter(|_| !core.links.is_cut_off() && !core.is_closing()) else {
+    let Some(relayed) = relayed.filter(|_| !core.links.is_cut_off() && !core.shutdown.is_closing())
+    else {
         core.metrics.relay("refused");
         return response(StatusCode::SERVICE_UNAVAILABLE);
     };
--- a/crates/gateway/src/request_quota.rs
+++ b/crates/gateway/src/request_quota.rs
@@ -238,7 +238,7 @@
     lock(&request_quotas.fleet).update(
         now,
         request_quotas.max_lost,
-        core.is_draining(),
+        core.shutdown.has_begun(),
         live,
         &core.members(),
     );
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -268,7 +268,7 @@
         }
         yielding::preempt(&core);
         drop_unneeded(&core);
-        if core.is_draining() {
+        if core.shutdown.has_begun() {
             // Active items may finish; other daemons start the rest.
             continue;
         }
--- a/crates/gateway/src/runner/yielding.rs
+++ b/crates/gateway/src/runner/yielding.rs
@@ -96,7 +96,8 @@
 
 /// Preempts items at replicas whose slots are needed by online requests.
 pub(super) fn preempt<S: Store, D: Dialect>(core: &Core<S, D>) {
-    let owned = |shard: u16| !core.is_draining() && core.shards[usize::from(shard)].is_owned();
+    let owned =
+        |shard: u16| !core.shutdown.has_begun() && core.shards[usize::from(shard)].is_owned();
     let now = clock::now();
     let forecast = Forecast::of(core);
     let mut pool = core.pool();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -24,7 +24,7 @@
 use crate::clock::{self, with_timeout};
 use crate::collect::{self, collect};
 use crate::core::Core;
-use crate::dialect::Dialect;
+use crate::dialect::{Call, Dialect};
 use crate::identity;
 use crate::intake::Meter;
 use crate::jobs::{self, Outdated};
@@ -98,7 +98,7 @@
         Endpoint::Metrics => Response::new(Body::full(core.metrics.text().into())),
     };
     *response.version_mut() = Version::HTTP_11;
-    if core.is_draining() {
+    if core.shutdown.has_begun() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -144,10 +144,19 @@
         body,
     };
     if let Some(call) = core.dialect.parse_call(&message.method, &message.uri) {
-        return match identity::identify_call(core, &mut message.headers, endpoint) {
-            Ok(access) => jobs::handle_call(core, call, message, &access, endpoint).await,
-            Err(code) => reject(core, code),
+        let access = match identity::identify_call(core, &mut message.headers, endpoint) {
+            Ok(access) if jobs::admits_call(core) => access,
+            Ok(_) => return reject(core, Code::Draining),
+            Err(code) => return reject(core, code),
+        };
+        let cut_code = match call {
+            Call::Cancel { .. } => Code::AppendUnknown,
+            // They have no effect.
+            Call::Results { .. } | Call::ItemBody { .. } => Code::Draining,
         };
+        let answer = jobs::handle_call(core, call, message, &access, endpoint);
+        let answer = core.shutdown.unless_ending(answer).await;
+        return answer.unwrap_or_else(|| reject(core, cut_code));
     }
     let caller = &core.dialect.header_names().caller;
     let credentials = message.headers.get(caller).cloned();
@@ -175,7 +184,12 @@
             version: manifest.version,
             access: &access,
         };
-        match jobs::submit(core, &target, &message, endpoint).await {
+        if !jobs::admits_call(core) {
+            return reject(core, Code::Draining);
+        }
+        let submitted = jobs::submit(core, &target, &message, endpoint);
+        let submitted = core.shutdown.unless_ending(submitted).await;
+        match submitted.unwrap_or_else(|| Ok(reject(core, Code::AppendUnknown))) {
             Ok(response) => return response,
             Err(Outdated { version })
                 if core.wait_for_manifest(version, MANIFEST_TIMEOUT).await =>
@@ -250,7 +264,8 @@
 ///
 /// # Errors
 ///
-/// If it is too large, does not end in time, or there is no memory for it.
+/// If it is too large, does not end in time or before the daemon, or there is no memory for
+/// it.
 pub(crate) async fn read_body<S: Store, D: Dialect>(
     core: &Core<S, D>,
     body: &mut Incoming,
@@ -258,7 +273,10 @@
     let limits = core.manifest().map(|manifest| manifest.limits);
     let max_bytes = limits.map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.max_body);
     let collected = with_timeout(BODY_TIMEOUT, collect(body, max_bytes, &core.calls_budget));
-    match collected.await {
+    let Some(collected) = core.shutdown.unless_ending(collected).await else {
+        return Err(Code::Draining);
+    };
+    match collected {
         Some(Ok(bytes)) => Ok(bytes),
         Some(Err(collect::Error::TooLarge)) => Err(Code::BodyTooLarge),
         Some(Err(collect::Error::MemoryLimited)) => Err(Code::MemoryLimited),
--- a/crates/gateway/src/tokens.rs
+++ b/crates/gateway/src/tokens.rs
@@ -150,7 +150,7 @@
     let holder = {
         let peers = core.peers();
         let live = peers.live(clock::now()).filter(|peer| !peer.leaving);
-        let own = (!core.is_draining()).then_some(own_address);
+        let own = (!core.shutdown.has_begun()).then_some(own_address);
         holder(process, live.map(|peer| peer.from).chain(own))
     };
     match holder {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -34,6 +34,7 @@
 mod reservation;
 mod resumed_errors;
 mod shared_request_quota;
+mod shutdown;
 mod sockets;
 mod sse;
 mod store;
