gateway: an answer without a stated end is not whole while its request is still sent

Seen: a replica answers an upload of 6 MB at once with a 200 that has neither a length nor chunks, sends an event, closes its side in order, and resets the connection 30 ms later. Callers got the event as a whole answer with 200.

Cause: such an answer ends with its connection, and a second connection confirms that the process lives. Nothing asked whether the request had been sent to its end.

Change: the connection records whether the system has taken the last bytes that were written. While it has not, the end is none: the replica has not read what it answers.

Failing before: early_call_behind_a_half_close, early_call_that_may_not_be_repeated_behind_a_half_close, early_stream_behind_a_half_close (200 with "id: 1 / data: a").

--- a/crates/gateway/src/bounded.rs
+++ b/crates/gateway/src/bounded.rs
@@ -1,5 +1,5 @@
 //! Connection whose reads are bounded: in one turn of its task, and until a response
-//! has its head.
+//! has its head. It also knows whether a request has been sent to its end.
 //!
 //! The HTTP library reads on within one poll as long as bytes arrive, and skips interim
 //! heads without a limit. Both are bounded here, beneath it.
@@ -50,6 +50,26 @@
     }
 }
 
+/// Sending of the request in flight.
+#[derive(Debug, Default)]
+pub struct Sending {
+    is_blocked: AtomicBool,
+}
+
+impl Sending {
+    /// Whether bytes of the request are left that the system has not taken, as the other side
+    /// does not read them or has broken the connection.
+    #[must_use]
+    pub fn is_incomplete(&self) -> bool {
+        self.is_blocked.load(Ordering::Relaxed)
+    }
+
+    fn record(&self, written: &Poll<io::Result<usize>>) {
+        let is_taken = matches!(written, Poll::Ready(Ok(_)));
+        self.is_blocked.store(!is_taken, Ordering::Relaxed);
+    }
+}
+
 /// Connection with bounded reads. Writes are passed on.
 #[derive(Debug)]
 pub struct Bounded<T> {
@@ -57,6 +77,7 @@
     /// Bytes read in this turn.
     in_turn: usize,
     head: Option<Arc<HeadLimit>>,
+    sending: Option<Arc<Sending>>,
 }
 
 impl<T> Bounded<T> {
@@ -67,6 +88,7 @@
             inner,
             in_turn: 0,
             head: None,
+            sending: None,
         }
     }
 
@@ -79,6 +101,21 @@
         }
     }
 
+    /// Records how far requests are sent.
+    #[must_use]
+    pub fn with_sending(self, sending: Arc<Sending>) -> Self {
+        Self {
+            sending: Some(sending),
+            ..self
+        }
+    }
+
+    fn record_written(&self, written: &Poll<io::Result<usize>>) {
+        if let Some(sending) = &self.sending {
+            sending.record(written);
+        }
+    }
+
     /// Connection without the bounds.
     #[must_use]
     pub fn into_inner(self) -> T {
@@ -124,7 +161,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.inner).poll_write(cx, bytes);
+        self.record_written(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -132,7 +171,9 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, parts)
+        let written = Pin::new(&mut self.inner).poll_write_vectored(cx, parts);
+        self.record_written(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -27,7 +27,7 @@
 use smol_hyper::rt::FuturesIo;
 use socket2::{SockRef, TcpKeepalive};
 
-use crate::bounded::{Bounded, HeadLimit, MAX_HEAD_BYTES};
+use crate::bounded::{Bounded, HeadLimit, MAX_HEAD_BYTES, Sending};
 use crate::clock::{self, with_timeout};
 use crate::links::AnswerTime;
 use crate::relay;
@@ -163,6 +163,7 @@
     _driver: Task<()>,
     fate: Arc<Fate>,
     head: Arc<HeadLimit>,
+    sending: Arc<Sending>,
     /// Relay through which it leads.
     relay: Option<Relay>,
     /// Where its answers are recorded.
@@ -253,6 +254,11 @@
             .store(is_abortable, Ordering::Relaxed);
     }
 
+    /// Whether the request has not been sent to its end.
+    pub(crate) fn is_sending(&self) -> bool {
+        self.sending.is_incomplete()
+    }
+
     /// Whether the connection was given up.
     pub(crate) fn is_aborted(&self) -> bool {
         self.fate.is_aborted.load(Ordering::Relaxed)
@@ -365,7 +371,10 @@
         address: SocketAddr,
     ) -> Result<Connection, Error> {
         let head = Arc::<HeadLimit>::default();
-        let stream = Bounded::new(stream).with_head_limit(Arc::clone(&head));
+        let sending = Arc::<Sending>::default();
+        let stream = Bounded::new(stream)
+            .with_head_limit(Arc::clone(&head))
+            .with_sending(Arc::clone(&sending));
         let (sender, driver) = http1::handshake(FuturesIo::new(stream))
             .await
             .map_err(not_sent)?;
@@ -382,6 +391,7 @@
             _driver: driver,
             fate,
             head,
+            sending,
             relay: None,
             answered: None,
             idle_since: Duration::ZERO,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -572,8 +572,8 @@
     }
 
     /// Whether an answer whose body has ended in order is whole. One that has neither a
-    /// length nor chunks may be that of a process, or relay, that ended, or that stopped
-    /// at the deadline.
+    /// length nor chunks may be that of a process, or relay, that ended, that stopped at the
+    /// deadline, or that breaks the connection while the request is still sent.
     async fn is_whole<S: Store, D: Dialect>(&mut self, core: &Core<S, D>) -> bool {
         if self.connection.is_aborted() {
             return false;
@@ -582,7 +582,7 @@
         let is_stopped = || self.deadline.is_some_and(|deadline| now >= deadline);
         match self.witness.take() {
             None => true,
-            Some(_) if is_stopped() => false,
+            Some(_) if is_stopped() || self.connection.is_sending() => false,
             Some(witness) => match witness.await {
                 Some(witness) => core.links.is_confirmed_by(witness).await,
                 None => false,
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -22,6 +22,9 @@
 /// Timeout of every wait in a test.
 pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Size of the body of an item whose id begins with `long`.
+const LONG_ITEM_BYTES: usize = 200 << 10;
+
 /// Limit of attempts to find a port that is free for TCP and for UDP: a daemon uses
 /// one number for both, and the system chooses it for TCP alone.
 const MAX_PORT_CHANGES: usize = 64;
@@ -78,7 +81,10 @@
             id: id.into(),
             path: "/items/run".into(),
             headers: headers(id),
-            body: id.as_bytes().into(),
+            body: match id.strip_prefix("long") {
+                Some(_) => vec![b'x'; LONG_ITEM_BYTES].into(),
+                None => id.as_bytes().into(),
+            },
             tokens: 10,
         };
         Ok(text.lines().map(item).collect())
--- a/crates/gateway/tests/gateway/link.rs
+++ b/crates/gateway/tests/gateway/link.rs
@@ -66,6 +66,11 @@
 
 impl Link {
     pub(crate) fn start(replica: &ScriptedReplica) -> Self {
+        Self::to(replica.address)
+    }
+
+    /// Starts a link to an address.
+    pub(crate) fn to(target: SocketAddr) -> Self {
         let socket = bind(([127, 0, 0, 1], 0).into()).expect("a port");
         let listener = listen(socket).expect("a port");
         let address = listener.local_addr().expect("an address");
@@ -73,7 +78,6 @@
             state: Mutex::new(State::Up),
             changed: Event::new(),
         });
-        let target = replica.address;
         smol::spawn(accept(listener, address, target, Arc::clone(&shared))).detach();
         Self {
             address,
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod cut_heads;
 mod departure;
 mod discovery;
+mod early_answers;
 mod ends;
 mod harness;
 mod held_thread;
