tests: endless answers of several replicas at once, direct and through a relay

Reported: a replica that sends bytes without end takes the memory of the daemon that called it. Each kind has a bound of its own; nothing showed them together, for reservations, items and relays.

Found: nothing to fix.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,6 +5,7 @@
 mod client;
 mod commands;
 mod content;
+mod endless;
 pub mod fleet;
 mod http;
 mod jobs;
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -19,6 +19,7 @@
 
 use crate::answer::{self, Framing};
 use crate::commands;
+use crate::endless;
 use crate::http::{self, Request};
 use bitterncart_platform::{encode_records, wire};
 use bitterncart_state::ledger::Record;
@@ -65,6 +66,8 @@
     pub fail: AtomicU32,
     /// The request is refused.
     pub refuse: AtomicU32,
+    /// The answer, also to a reservation, has no end.
+    pub endless: AtomicU32,
 }
 
 impl Shares {
@@ -167,6 +170,7 @@
                 "blind" => &shares.blind,
                 "breaks" => &shares.breaks,
                 "fail" => &shares.fail,
+                "endless" => &shares.endless,
                 _ => &shares.refuse,
             };
             named.store(share.parse().unwrap_or(0), Ordering::Relaxed);
@@ -328,6 +332,11 @@
             (wire::ATTEMPT, id.as_str()),
             (wire::REPLICA, &self.options.id),
         ];
+        if Shares::draw(&self.shares.endless, random) {
+            self.note(link, &id, "endless");
+            endless::write(stream, &id, random);
+            return Ok(Then::End);
+        }
         let plain = if id == "-" { &echo[1..] } else { &echo };
         let send = |writer: &mut TcpStream, message: Vec<u8>, random: &mut SmallRng| {
             writer.write_all(&message)?;
