--- a/crates/daemon/src/shards/maintain.rs
+++ b/crates/daemon/src/shards/maintain.rs
@@ -4,7 +4,7 @@
 //! owner of a shard therefore rewrites the batch results and the job input that
 //! would expire while they are still needed, and writes a snapshot of the shard's
 //! state when one is due. It also expires the leases of items that were not
-//! renewed, so that the items can run again.
+//! renewed, so that the items can run again, and ends those that never can.
 
 use std::sync::{Arc, Weak};
 use std::time::Duration;
@@ -18,7 +18,7 @@
 use bitterncart_transport::log::Log as _;
 use bitterncart_transport::runtime::unix_time_ms;
 
-use super::{Handle, append_with_retry};
+use super::{Handle, append_with_retry, withdrawal};
 use crate::core::Core;
 
 /// Interval between two maintenance rounds.
@@ -30,6 +30,7 @@
 
 /// Maintains a shard until its handle is dropped.
 pub(super) async fn run(core: Arc<Core>, handle: Weak<Handle>) {
+    let mut missing = withdrawal::Missing::default();
     loop {
         smol::Timer::after(INTERVAL).await;
         let Some(open) = handle.upgrade() else { return };
@@ -41,6 +42,7 @@
         let Ok(document) = core.document() else {
             continue;
         };
+        withdrawal::end_items(&core, &open, &document, &mut missing).await;
         let retention = Duration::from_secs(document.log.retention_s);
         rewrite_expiring(&core, &open, retention).await;
         write_snapshot(&core, &open, retention).await;
--- a/crates/daemon/src/shards/mod.rs
+++ b/crates/daemon/src/shards/mod.rs
@@ -14,6 +14,7 @@
 mod recover;
 mod serve;
 mod tail;
+mod withdrawal;
 
 pub use call::run_keyed_call;
 pub use handle::Handle;
--- a/crates/trial/tests/failures.rs
+++ b/crates/trial/tests/failures.rs
@@ -4,6 +4,7 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bitterncart_protocol::admin::Publish;
@@ -13,8 +14,9 @@
 use bitterncart_standin::fault::Faults;
 use bitterncart_testing::cases;
 use bitterncart_transport::http::Client;
+use bitterncart_trial::Site;
 use bitterncart_trial::client::End;
-use bitterncart_trial::jobs::Totals;
+use bitterncart_trial::jobs::{BatchClient, Job, Totals};
 use support::{
     assert_completes, batch_client, complete, create_batch, start, submit, top_up, upload,
     wait_until,
@@ -453,3 +455,62 @@
     leaving_in_the_instance_list(LeavingSignal::InstanceList);
     leaving_by_refusal(LeavingSignal::Refusal);
 }
+
+/// Publishes the document with or without batch work for all models.
+fn publish_batch(site: &Site, base: u64, has_batch: bool) {
+    let mut document = site.document.clone();
+    if !has_batch {
+        document.models.iter_mut().for_each(|m| m.batch = None);
+    }
+    let publish = Publish {
+        base,
+        text: serde_json::to_string(&document).expect("a document encodes"),
+        operator: "batch".into(),
+    };
+    let admin = site.entries()[0].settings.admin;
+    let posted = smol::block_on(Client::default().post(admin, "/config", &publish));
+    let (status, body) = posted.expect("the daemon responds");
+    assert_eq!(status, 200, "{}", String::from_utf8_lossy(&body));
+}
+
+/// Job whose items cannot run, as all replicas are gone.
+fn submit_without_replicas(site: &Arc<Site>, client: &mut BatchClient) -> Job {
+    let count = site.replicas().len();
+    (0..count).for_each(|replica| site.kill_replica(replica));
+    submit(client, "withdrawn", 30, 0)
+}
+
+/// Guards against items that stay open for good, as their model takes no batch work any
+/// more.
+#[test]
+fn items_of_a_model_without_batch_work_end() {
+    let site = start(|_| {});
+    let mut client = batch_client(&site);
+    let job = submit_without_replicas(&site, &mut client);
+    publish_batch(&site, 1, false);
+    wait_until("the job completes", || {
+        smol::block_on(client.status(&job)).is_some_and(|batch| batch.status == "completed")
+    });
+    let mut totals = Totals::default();
+    smol::block_on(client.verify(&job, &mut totals));
+    assert_eq!((totals.finished, totals.failed), (0, 30));
+    assert_eq!((totals.lost, totals.doubled), (0, 0));
+}
+
+/// Guards against items that end, as a version of the document that the next one withdraws
+/// has no batch work.
+#[test]
+fn items_of_a_model_that_takes_batch_work_again_complete() {
+    let site = start(|_| {});
+    let mut client = batch_client(&site);
+    let job = submit_without_replicas(&site, &mut client);
+    publish_batch(&site, 1, false);
+    std::thread::sleep(Duration::from_secs(2));
+    publish_batch(&site, 2, true);
+    std::thread::sleep(Duration::from_secs(12));
+    let count = site.replicas().len();
+    for replica in 0..count {
+        site.restart_replica(replica).expect("it restarts");
+    }
+    assert_completes(&mut client, &job, 0);
+}
