daemon: requests that outlast a drain are answered

Seen: a service call to a silent server, in flight when the drain begins, is cut with no answer at the end of `drain_ms` (request_that_outlasts_the_drain_is_answered: None before).

Cause: the process ended with requests at work. Service calls and new jobs passed the check for a drain before their body was read, so that a late body could be passed on.

Change: 0.5 s before the end of the drain what is in flight gets 2003, outcome unknown; the check comes behind the body, as for completions.

--- a/crates/daemon/src/callers/batches.rs
+++ b/crates/daemon/src/callers/batches.rs
@@ -29,8 +29,8 @@
     let customer = customer(core, request)?;
     let document = core.document()?;
     let key = idempotency_key(request)?;
-    let _permit = Permit::admit(core, &customer)?;
     let bytes = body(request).await?;
+    let _permit = Permit::admit(core, &customer)?;
     let create: api::CreateBatch = serde_json::from_slice(&bytes)
         .map_err(|e| ApiError::new(Code::MalformedJson, e.to_string()))?;
     let upload = files::find(core, &customer, &create.input_file_id).await?;
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -18,6 +18,7 @@
 
 use bitterncart_protocol::{Code, Name};
 use bitterncart_transport::http::{Handler, Method, Request, Response, server};
+use futures_lite::future;
 use serde_json::json;
 use spdlog::info;
 
@@ -50,7 +51,13 @@
     async fn handle(&self, mut request: Request) -> Response {
         let id = format!("{}-{}", self.core.daemon_id, self.core.next_request());
         let path = request.url().path().to_owned();
-        let mut response = match self.route(&mut request, &path).await {
+        let ending = async {
+            self.core.ending().await;
+            let message = "the instance ends; the request may have run";
+            Err(ApiError::new(Code::OutcomeUnknown, message))
+        };
+        let answered = future::or(self.route(&mut request, &path), ending).await;
+        let mut response = match answered {
             Ok(response) => response,
             Err(error) => {
                 self.core.counters.count_code(error.code);
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -40,8 +40,9 @@
         .ok_or_else(|| ApiError::new(Code::UnknownService, format!("no service `{name}`")))?;
     let left = deadline(request, service.deadline_ms)?;
     let key = idempotency_key(request)?;
-    let permit = Permit::admit(core, &customer)?;
     let call = read_call(request, &service.name, path).await?;
+    // A call that comes as a whole only while the daemon drains might outlast it.
+    let permit = Permit::admit(core, &customer)?;
     let repeatable = service.is_repeatable(&call.method, &call.path);
     let outcome = match key {
         Some(key) if !repeatable => {
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -78,6 +78,9 @@
     /// Number of callers' requests in flight.
     pub in_flight: AtomicU32,
     draining: AtomicBool,
+    ending: AtomicBool,
+    /// Notified when all requests have to be answered.
+    end_requested: Event,
     next_request: AtomicU64,
 }
 
@@ -155,6 +158,8 @@
             config_read: Event::new(),
             in_flight: AtomicU32::new(0),
             draining: AtomicBool::new(false),
+            ending: AtomicBool::new(false),
+            end_requested: Event::new(),
             next_request: AtomicU64::new(0),
             settings,
             runtime,
@@ -205,6 +210,22 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
+    /// Answers the requests in flight now, as the daemon ends.
+    pub fn end_requests(&self) {
+        self.ending.store(true, Ordering::Relaxed);
+        self.end_requested.notify(usize::MAX);
+    }
+
+    /// Waits until the requests in flight have to be answered.
+    pub async fn ending(&self) {
+        while !self.ending.load(Ordering::Relaxed) {
+            let requested = self.end_requested.listen();
+            if !self.ending.load(Ordering::Relaxed) {
+                requested.await;
+            }
+        }
+    }
+
     /// Records whether an exchange with the log succeeded.
     pub fn record_log_result(&self, answered: bool) {
         let now = self.now();
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -28,6 +28,9 @@
 /// Time for the load balancer to notice that the instance is not ready.
 const UNREADY_DELAY: Duration = Duration::from_secs(2);
 
+/// Time before the end of a drain at which the requests that are left are answered.
+const ANSWER_MARGIN: Duration = Duration::from_millis(500);
+
 /// Interval between two checks whether a drain is complete.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -121,7 +124,8 @@
         self.drain.recv().await.ok();
     }
 
-    /// Drains: rejects new work, lets requests finish and hands shards over.
+    /// Drains: rejects new work, lets requests finish and hands shards over. Requests that
+    /// would outlast the drain are answered shortly before its end.
     ///
     /// Waits no longer than the settings' `drain_ms`; returns whether everything had
     /// finished by then.
@@ -135,9 +139,14 @@
         // finish here.
         discovery::announce_leave(core).await;
         batch::return_streams(core).await;
-        while core.now() < deadline && !is_idle(core) {
-            smol::Timer::after(DRAIN_CHECK_INTERVAL).await;
-        }
+        let idle_by = async |until: Duration| {
+            while core.now() < until && !is_idle(core) {
+                smol::Timer::after(DRAIN_CHECK_INTERVAL).await;
+            }
+        };
+        idle_by(deadline.saturating_sub(ANSWER_MARGIN)).await;
+        core.end_requests();
+        idle_by(deadline).await;
         // Announced again, for daemons that did not receive the first announcement.
         discovery::announce_leave(core).await;
         let clean = is_idle(core);
--- a/crates/trial/tests/failures.rs
+++ b/crates/trial/tests/failures.rs
@@ -4,7 +4,10 @@
 
 mod support;
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bitterncart_protocol::admin::Publish;
@@ -514,3 +517,49 @@
     }
     assert_completes(&mut client, &job, 0);
 }
+
+/// Sends a service call with a long deadline; the status of the response, if there is one.
+fn top_up_slowly(address: SocketAddr) -> Option<u16> {
+    let body = r#"{"call": "slow"}"#;
+    let mut stream = TcpStream::connect(address).ok()?;
+    let request = format!(
+        "POST /services/minutes/topups HTTP/1.1\r\nhost: a\r\n\
+         authorization: Bearer trial-front-desk\r\nx-deadline-ms: 60000\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut start = [0; 12];
+    stream.read_exact(&mut start).ok()?;
+    std::str::from_utf8(&start[9..]).ok()?.parse().ok()
+}
+
+/// Guards against a connection that closes with no answer, as its request outlasts the drain.
+#[test]
+fn request_that_outlasts_the_drain_is_answered() {
+    let site = start(|_| {});
+    site.kill_entry(0);
+    site.entries()[0].settings.drain_ms = 5000;
+    site.restart_entry(0).expect("it restarts");
+    let address = site.callers()[0];
+    wait_until("the daemon serves", || {
+        top_up(address, "before", None).0 == 200
+    });
+    for server in &site.servers {
+        server.handler.faults.set(Faults {
+            silent: true,
+            ..Faults::default()
+        });
+    }
+    let call = std::thread::spawn(move || top_up_slowly(address));
+    let daemon = site.entries()[0]
+        .daemon
+        .take()
+        .expect("the daemon is running");
+    wait_until("the request is in flight", || {
+        daemon.core.in_flight.load(Ordering::SeqCst) > 0
+    });
+    smol::block_on(daemon.drain());
+    drop(daemon);
+    assert_eq!(call.join().expect("no panic"), Some(502));
+}
