gateway: a job that comes again after the end of its route is accepted

Seen: a client that had no answer to its submission sends the job again. The job was accepted, but its route has been removed since: 404 at each daemon, and the client takes its job for lost.

Cause: a path without a route was answered before anybody looked at the jobs.

Change: a POST to a path without a route is answered with 202 if this daemon, or the owner of the shard of its id, knows a job with that id, host and path which the caller may ask about.

Failing before: job_that_comes_again_after_the_end_of_its_route_is_accepted (left 404, right 202). After: 202 at the owner and at another daemon; other ids and other paths get 404.

--- a/crates/coordination/src/fleet/manifest.rs
+++ b/crates/coordination/src/fleet/manifest.rs
@@ -224,10 +224,17 @@
     /// without case, and a port is ignored.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let host = host.split(':').next().unwrap_or(host);
         self.routes
             .iter()
-            .filter(|r| r.host.eq_ignore_ascii_case(host) && path.starts_with(r.prefix.as_str()))
+            .filter(|r| is_host(host, &r.host) && path.starts_with(r.prefix.as_str()))
             .max_by_key(|r| r.prefix.len())
     }
 }
+
+/// Whether a host that a request names is that of a route. It is compared without case, and a
+/// port is ignored.
+#[must_use]
+pub fn is_host(named: &str, host: &str) -> bool {
+    let named = named.split(':').next().unwrap_or(named);
+    named.eq_ignore_ascii_case(host)
+}
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bitterncart_coordination::fleet::manifest::BatchRoute;
+use bitterncart_coordination::fleet::manifest::{BatchRoute, is_host};
 use bitterncart_coordination::fleet::shutdown::Work;
 use bitterncart_coordination::fleet::{Customer, Manifest, Route};
 use bitterncart_protocol::code::Ran;
@@ -18,7 +18,7 @@
 use bitterncart_state::ledger::{Decision, Job, Op, Quota, Submission, Terms};
 use bytes::Bytes;
 use compact_str::CompactString;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, request};
 use hyper::body::Incoming;
 
 use crate::body::Body;
@@ -50,6 +50,9 @@
 /// Timeout of loading a shard for a call.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Timeout of asking the owner of a shard whether it knows a job.
+const KNOWN_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Maximum time for which a read waits for new results.
 const MAX_LONG_POLL: Duration = Duration::from_millis(1000);
 
@@ -171,6 +174,52 @@
     Ok(decide(core, target, message, &id, is_certain).await)
 }
 
+/// Whether a request to a path without a route submits a job once more that has been accepted,
+/// as this daemon or the owner of its shard knows. The route of the job has ended since.
+pub(crate) async fn is_accepted<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    manifest: &Manifest,
+    message: &mut Message,
+) -> bool {
+    let endpoint = Endpoint::Clients;
+    let id = job_id(core, message).filter(|_| message.method == Method::POST);
+    let access = identity::identify_call(core, &mut message.headers, endpoint);
+    let (Some(id), Ok(access)) = (id, access) else {
+        return false;
+    };
+    let shard = shard_of(core, &id);
+    if is_known(shard, &id, message, &access) {
+        return true;
+    }
+    let head = Message {
+        body: Bytes::new(),
+        ..message.clone()
+    };
+    let call = submission::Submission::call(&head, manifest.version);
+    let (Some(owner), Some(call)) = (forward_target(core, shard, endpoint), call) else {
+        return false;
+    };
+    let answer = forward::call(core, owner, &call, Duration::ZERO);
+    match with_timeout(KNOWN_TIMEOUT, answer).await {
+        Some(Ok(response)) => response.status() == StatusCode::ACCEPTED,
+        // The client gets 404, as for any path without a route.
+        Some(Err(_)) | None => false,
+    }
+}
+
+/// Whether a submission is that of a job that is loaded.
+fn is_known(shard: &Shard, id: &str, message: &Message, access: &Access) -> bool {
+    let ledger = shard.ledger();
+    let host = message.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok());
+    ledger.job(id).is_some_and(|job| {
+        let submission = &job.submission;
+        access.includes(job)
+            && submission.path == message.uri.path()
+            && host.is_some_and(|host| is_host(host, &submission.host))
+    })
+}
+
 /// Handles a submission of a peer to this daemon as the owner of the job's shard.
 pub(crate) async fn submit_for_peer<S: Store, D: Dialect>(
     core: &Core<S, D>,
@@ -180,11 +229,15 @@
     let submission = submission::Submission::parse(&head.headers);
     let found = submission.as_ref().and_then(|job| job.route(core));
     let found = found.filter(|_| admits_call(core));
-    let (Some(submission), Some((manifest, route))) = (submission, found) else {
+    let endpoint = Endpoint::Peers;
+    let (Some(submission), Some((manifest, route))) = (submission.clone(), found) else {
         server::discard_body(body).await;
-        return submission::not_decided(core);
+        let is_known = submission.is_some_and(|job| is_known_to_owner(core, job, head));
+        return match is_known {
+            true => accepted(),
+            false => submission::not_decided(core),
+        };
     };
-    let endpoint = Endpoint::Peers;
     let headers = &mut head.headers;
     let Ok(access) = identity::identify(core, &manifest, &route, headers, endpoint) else {
         // The caller has identified the customer by another version of the manifest.
@@ -222,6 +275,32 @@
     }
 }
 
+/// Whether the submission of a peer, for which there is no route, is that of a known job.
+fn is_known_to_owner<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    submission: submission::Submission,
+    mut head: request::Parts,
+) -> bool {
+    let access = identity::identify_call(core, &mut head.headers, Endpoint::Peers);
+    head.headers.insert(header::HOST, submission.host);
+    let message = Message {
+        profile: Arc::default(),
+        method: head.method,
+        uri: submission.uri,
+        headers: head.headers,
+        body: Bytes::new(),
+    };
+    match (job_id(core, &message), access) {
+        (Some(id), Ok(access)) => is_known(shard_of(core, &id), &id, &message, &access),
+        _ => false,
+    }
+}
+
+/// Response to the submission of a job that is accepted.
+pub(crate) fn accepted() -> Response<Body> {
+    empty_response(StatusCode::ACCEPTED)
+}
+
 /// Id of the job in a submission; `None` if it is invalid.
 fn job_id<S: Store, D: Dialect>(core: &Core<S, D>, message: &Message) -> Option<CompactString> {
     let id = message.headers.get(&core.dialect.header_names().attempt_id);
@@ -240,7 +319,7 @@
     is_certain: bool,
 ) -> Response<Body> {
     let code = match accept(core, target, message, id).await {
-        Ok(()) => return empty_response(StatusCode::ACCEPTED),
+        Ok(()) => return accepted(),
         // The owner may still accept the job.
         Err(code) if !is_certain && code.ran() == Ran::NotRun => Code::AppendUnknown,
         Err(code) => code,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -172,6 +172,9 @@
             Some(route) => {
                 return serve_online(core, &manifest, route, message, arrived).await;
             }
+            None if jobs::is_accepted(core, &manifest, &mut message).await => {
+                return jobs::accepted();
+            }
             None => return reject(core, Code::NotFound),
         };
         let headers = &mut message.headers;
--- a/crates/gateway/tests/gateway/withdrawn.rs
+++ b/crates/gateway/tests/gateway/withdrawn.rs
@@ -352,3 +352,27 @@
         assert_eq!(listed(&gateway, "job", 2).await, GIVEN_UP);
     });
 }
+
+/// Guards against a job that is accepted and turned away when it comes again, as its route has
+/// ended: its client would take it for lost. Other submissions have no route.
+#[test]
+fn job_that_comes_again_after_the_end_of_its_route_is_accepted() {
+    smol::block_on(async {
+        let store = store(&[]);
+        let gateways = [with_open_job(&store).await, Gateway::start(&store).await];
+        wait_until("one owner", || {
+            let owners = gateways.iter().filter(|g| g.daemon.is_serving(0));
+            gateways.iter().all(|g| g.daemon.live_peers() == 1) && owners.count() == 1
+        })
+        .await;
+        store.publish_manifest(&with_batch_routes(2, vec![]));
+        for gateway in &gateways {
+            wait_for_manifest(gateway, 2).await;
+            assert_eq!(status(&gateway.fetch(&submit("job")).await), 202);
+            assert_eq!(status(&gateway.fetch(&submit("other")).await), 404);
+            let elsewhere = submit("job").replace("POST /items/ ", "POST /items/more/ ");
+            assert_eq!(status(&gateway.fetch(&elsewhere).await), 404);
+        }
+        assert_eq!(store.count_records("j/"), 1);
+    });
+}
