--- a/crates/gateway/src/submission.rs
+++ b/crates/gateway/src/submission.rs
@@ -9,7 +9,8 @@
 use std::sync::Arc;
 
 use bitterncart_coordination::fleet::{Kind, Manifest, Route};
-use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri, header};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri, header, request};
 
 use crate::body::Body;
 use crate::core::Core;
@@ -70,6 +71,18 @@
         })
     }
 
+    /// Message of the client, from the call with these headers.
+    pub(crate) fn message(self, mut head: request::Parts, body: Bytes) -> Message {
+        head.headers.insert(header::HOST, self.host);
+        Message {
+            profile: Arc::default(),
+            method: head.method,
+            uri: self.uri,
+            headers: head.headers,
+            body,
+        }
+    }
+
     /// Manifest and batch route of the job; `None` if this daemon must not decide.
     pub(crate) fn route<S: Store, D: Dialect>(
         &self,
