tests: stand-ins that end keep their ports; locks of ledgers are ordered by shard

Cause: as with links that refuse connections, a replica or relay that ends in a test gave its port back, and a listener of another test could get it and accept the connections that should be refused. Not seen in a run; the same cause as in links::reset_link_once.

Change: the port stays bound by a socket that does not listen. The crate's page says in which order several ledgers are locked, as `runner::abandonment` does.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,10 +7,10 @@
 //! [`Store`].
 //!
 //! The tasks of a daemon run on one executor and share its state. A task that
-//! needs several locks takes them in this order: manifest, freshness, ledger, runs, peers,
-//! cut-off daemons, ownership table, pool, admission queue, quarantine, streams,
-//! buckets, asks, links, idle connections. The catalog, the times of list reads, the
-//! open connections of an address and the quotas are locked alone.
+//! needs several locks takes them in this order: manifest, freshness, ledgers in the order
+//! of their shards, runs, peers, cut-off daemons, ownership table, pool, admission queue,
+//! quarantine, streams, buckets, asks, links, idle connections. The catalog, the times of
+//! list reads, the open connections of an address and the quotas are locked alone.
 
 mod answer;
 mod availability;
--- a/crates/gateway/tests/gateway/link.rs
+++ b/crates/gateway/tests/gateway/link.rs
@@ -92,6 +92,15 @@
     }
 }
 
+/// Keeps the port of a process that has ended, and refuses connections there. Another test
+/// might get the port otherwise, and accept them. A process may start there again.
+pub(crate) async fn refuse_at(address: SocketAddr) {
+    // In the moment between, another test may have got it.
+    if let Ok(_held) = bind(address) {
+        future::pending::<()>().await;
+    }
+}
+
 /// Socket at an address, which refuses connections until it listens.
 fn bind(address: SocketAddr) -> io::Result<Socket> {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
--- a/crates/gateway/tests/gateway/relay.rs
+++ b/crates/gateway/tests/gateway/relay.rs
@@ -9,6 +9,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use smol::net::{TcpListener, TcpStream, UdpSocket};
 
+use crate::link::refuse_at;
 use crate::replica::{ScriptedReplica, header};
 use crate::store::MemoryStore;
 
@@ -44,6 +45,7 @@
                 .map(|replica| (replica.record().id.to_string(), replica.address))
                 .collect(),
         });
+        let address = shared.address;
         let (process, alive) = async_channel::bounded(1);
         let (serving, beating) = (Arc::clone(&shared), shared);
         let ended = alive.clone();
@@ -55,7 +57,12 @@
             }
             None
         };
-        smol::spawn(future::or(accept, end_of(alive.clone()))).detach();
+        let accepting = alive.clone();
+        let serving_process = async move {
+            future::or(accept, end_of(accepting)).await;
+            refuse_at(address).await;
+        };
+        smol::spawn(serving_process).detach();
         let heartbeats = async move { send_heartbeats(socket, &beating).await };
         smol::spawn(future::or(heartbeats, end_of(alive))).detach();
         Self {
--- a/crates/gateway/tests/gateway/replica.rs
+++ b/crates/gateway/tests/gateway/replica.rs
@@ -11,6 +11,8 @@
 use smol::net::{TcpListener, TcpStream};
 use socket2::SockRef;
 
+use crate::link::refuse_at;
+
 /// Software version of a replica, unless a test sets another one.
 pub(crate) const VERSION: &str = "1";
 
@@ -137,7 +139,12 @@
             }
             None
         };
-        smol::spawn(future::or(accept, end_of(replica.alive.clone()))).detach();
+        let (address, alive) = (replica.address, replica.alive.clone());
+        let process = async move {
+            future::or(accept, end_of(alive)).await;
+            refuse_at(address).await;
+        };
+        smol::spawn(process).detach();
         replica
     }
 
