transport: bodies that are read at once are bounded together

Cause: a body had a limit, all together had none.

Change: a client and its clones share 64 MB for the bodies that they read at once; a body beyond that is an error, as one beyond its own limit. The share is given back with the end of the read.

After: at most 8 MB of each answer, with what socket buffers hold; a body afterwards is read.

--- a/crates/transport/src/http/client.rs
+++ b/crates/transport/src/http/client.rs
@@ -6,6 +6,8 @@
 //! one whose peer vanished without closing it could fail several requests.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use futures_lite::AsyncReadExt;
@@ -20,6 +22,45 @@
 use crate::runtime::timeout;
 use crate::{Blocklist, Error};
 
+/// Bytes that are read at a time.
+const READ_BYTES: usize = 16 << 10;
+
+/// Bytes of the bodies that are being read, by a client and its clones.
+#[derive(Clone, Debug)]
+struct Held {
+    bytes: Arc<AtomicUsize>,
+    max_bytes: usize,
+}
+
+impl Held {
+    fn new(max_bytes: usize) -> Self {
+        Self {
+            bytes: Arc::default(),
+            max_bytes,
+        }
+    }
+}
+
+/// Share of one body, given back when it is dropped.
+struct Share<'a> {
+    held: &'a Held,
+    bytes: usize,
+}
+
+impl Share<'_> {
+    /// Adds bytes; `false` if all bodies take too much memory together.
+    fn add(&mut self, bytes: usize) -> bool {
+        self.bytes += bytes;
+        self.held.bytes.fetch_add(bytes, Ordering::Relaxed) + bytes <= self.held.max_bytes
+    }
+}
+
+impl Drop for Share<'_> {
+    fn drop(&mut self) {
+        self.held.bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
 /// HTTP client.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -28,6 +69,7 @@
     head_timeout: Duration,
     body_timeout: Duration,
     max_body_bytes: u64,
+    held: Held,
 }
 
 impl Default for Client {
@@ -38,6 +80,7 @@
             head_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
             max_body_bytes: 64 << 20,
+            held: Held::new(64 << 20),
         }
     }
 }
@@ -71,6 +114,14 @@
         self
     }
 
+    /// Sets the size limit of all bodies that are being read at once by this client and its
+    /// clones (default 64 MiB).
+    #[must_use]
+    pub fn max_held_bytes(mut self, bytes: usize) -> Self {
+        self.held = Held::new(bytes);
+        self
+    }
+
     /// Creates a request for `path` at a server; its connection is closed after the response.
     ///
     /// # Errors
@@ -118,17 +169,25 @@
     ///
     /// # Errors
     ///
-    /// If the body is shorter than its `Content-Length`, exceeds the size limit, or
-    /// takes longer than the time limit.
+    /// If the body is shorter than its `Content-Length`, exceeds the size limit, alone or with
+    /// the other bodies that are being read, or takes longer than the time limit.
     pub async fn read_body(&self, response: &mut Response) -> Result<Vec<u8>, Error> {
         let length = response.len();
         let mut bytes = Vec::new();
+        let mut share = Share {
+            held: &self.held,
+            bytes: 0,
+        };
         let read = async {
-            let body = response.take_body();
-            body.take(self.max_body_bytes + 1)
-                .read_to_end(&mut bytes)
-                .await
-                .map_err(Error::broken)
+            let mut body = response.take_body().take(self.max_body_bytes + 1);
+            let mut buffer = vec![0; READ_BYTES];
+            loop {
+                match body.read(&mut buffer).await.map_err(Error::broken)? {
+                    0 => return Ok(()),
+                    count if share.add(count) => bytes.extend_from_slice(&buffer[..count]),
+                    _ => return Err(Error::broken("the bodies read at once are too large")),
+                }
+            }
         };
         timeout(self.body_timeout, read).await?;
         match length {
--- a/crates/transport/tests/http_client.rs
+++ b/crates/transport/tests/http_client.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use bitterncart_testing::memory;
 use bitterncart_transport::http::Client;
 use http_types::Method;
 
@@ -71,3 +72,40 @@
     let (address, _) = start_endless("HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaa");
     assert!(fetch(address).is_err());
 }
+
+/// Endless bodies that are read at once.
+const BODIES: usize = 8;
+
+/// Size limit of all of them together, in bytes.
+const MAX_HELD_BYTES: usize = 2 << 20;
+
+/// Bytes of one answer beyond those that are read, in socket buffers.
+const BUFFERED_BYTES: usize = 6 << 20;
+
+/// Guards against several endless bodies that take the memory of the process together, each
+/// within its own limit.
+#[test]
+fn endless_bodies_at_once_are_bounded_together() {
+    let client = Client::default().max_held_bytes(MAX_HELD_BYTES);
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 4000000000\r\n\r\n";
+    let before = memory::peak_mb();
+    let readers = (0..BODIES).map(|_| {
+        let (client, (address, written)) = (client.clone(), start_endless(head, "aaaaaaaa"));
+        let reader = std::thread::spawn(move || {
+            let request = Client::request(Method::Get, address, "/").expect("a request");
+            smol::block_on(client.fetch(address, request))
+        });
+        (reader, written)
+    });
+    for (reader, written) in readers.collect::<Vec<_>>() {
+        assert!(reader.join().expect("no panic").is_err());
+        let taken = written.load(Ordering::Relaxed);
+        assert!(taken <= MAX_HELD_BYTES + BUFFERED_BYTES, "{taken} bytes");
+    }
+    let peak = memory::peak_mb();
+    assert!(peak - before < 64, "{before} MB before, peak {peak} MB");
+    // What was held is given back.
+    let (address, _) = start_endless("HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\n", "aaaaaaaa");
+    let request = Client::request(Method::Get, address, "/").expect("a request");
+    assert!(smol::block_on(client.fetch(address, request)).is_ok());
+}
