gateway: the run time of a service is looked up in a shutdown only

Cause: each request took the lock of the pool for a time that only a shutdown needs.

Change: an early return. Nothing else changes; the tests of `shutdown` and `online` pass.

--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -282,6 +282,9 @@
 
     /// Whether the daemon, which may be shutting down, serves the request.
     fn is_admitted(&self) -> bool {
+        if !self.core.shutdown.has_begun() {
+            return true;
+        }
         let pool = self.core.pool();
         let run_times = self.route.backends.iter();
         let run_times = run_times.map(|backend| pool.run_time(&backend.service));
