tests: requests take no relay that shuts down

Asked: whether a planned stop of a relay cuts the requests that other daemons send through it. With two relays, one of which stops in calm, calls that may not be repeated are all served, one after the other, for the whole of the stop. New requests take no relay that says that it is leaving; the test guards it. It was not run on the code before this issue.

--- a/crates/gateway/tests/gateway/shutdown.rs
+++ b/crates/gateway/tests/gateway/shutdown.rs
@@ -9,6 +9,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 
 use crate::harness::{Gateway, request, status, store, wait_until};
+use crate::link::{Link, State};
 use crate::replica::{Action, OK_RESPONSE, ScriptedReplica, header};
 use crate::store::{Fault, MemoryStore};
 
@@ -181,3 +182,44 @@
     cancellation_at_the_end("DELETE", "/jobs/first", 2900, 503);
     read_at_the_end("GET", "/jobs/first", 2900, 503);
 }
+
+/// Guards against requests that a daemon without links sends through a relay that shuts down,
+/// and that are cut at its end, while another relay is there.
+#[test]
+fn requests_take_no_relay_that_shuts_down() {
+    smol::block_on(async {
+        let slow = Action::Wait(ms(150));
+        let script = move |_: &str| vec![slow.clone(), OK_RESPONSE];
+        let replica = ScriptedReplica::start_with("r", script).await;
+        let store = store(&[&replica]);
+        let link = Link::start(&replica);
+        let stopping = Gateway::start_with(&store, SETTINGS).await;
+        let staying = Gateway::start_with(&store, SETTINGS).await;
+        let cut_off = Gateway::start(&store.seen_over(std::slice::from_ref(&link))).await;
+        wait_until("heartbeats", || cut_off.daemon.live_peers() == 2).await;
+        link.set(State::Silent);
+        wait_until("a request to be served over a relay", || {
+            let before = with_deadline("POST", "/idempotent/a", "before", 1000);
+            status(&smol::block_on(cut_off.fetch(&before))) == 200
+        })
+        .await;
+        let requests = async {
+            let started = Instant::now();
+            let mut statuses = Vec::new();
+            while started.elapsed() < KILLED_AFTER {
+                let id = format!("id{}", statuses.len());
+                let request = with_deadline("POST", "/once/a", &id, 3000);
+                statuses.push(status(&cut_off.fetch(&request).await));
+            }
+            statuses
+        };
+        let stop = async {
+            stopping.daemon.stop().await;
+            drop(stopping);
+        };
+        let (statuses, ()) = future::zip(requests, stop).await;
+        assert!(statuses.len() > 10, "{statuses:?}");
+        assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+        drop(staying);
+    });
+}
