--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -2,12 +2,14 @@
 //!
 //! [`cases!`] generates one named `#[test]` for each row of arguments, so that the
 //! test runner reports, filters and repeats each case by its name. [`fuzz`] calls a test
-//! with the inputs of a strategy, [`mutation`] changes valid inputs.
+//! with the inputs of a strategy, [`mutation`] changes valid inputs. [`selection`] is for
+//! programs with a test runner of their own.
 
 pub mod crowd;
 mod fuzz;
 pub mod memory;
 pub mod mutation;
+pub mod selection;
 
 pub use fuzz::fuzz;
 
