tests: an item whose give-up time falls into an outage of the store

The items are given up once it is back, once each, and both daemons list them at the same positions.

--- a/crates/gateway/tests/gateway/withdrawn.rs
+++ b/crates/gateway/tests/gateway/withdrawn.rs
@@ -12,7 +12,7 @@
 use crate::harness::{Gateway, manifest, post, request, route, status, store, wait_until};
 use crate::link::{Link, State};
 use crate::replica::{Action, OK_RESPONSE, ScriptedReplica};
-use crate::store::MemoryStore;
+use crate::store::{Fault, MemoryStore};
 
 const EVENTS: &str = "signature: s\r\ncontent-type: text/event-stream\r\nconnection: close\r\n";
 const COMPLETE: Action = Action::Respond(200, EVENTS, "id: 1\ndata: a\n\n");
@@ -376,3 +376,24 @@
         assert_eq!(store.count_records("j/"), 1);
     });
 }
+
+/// Guards against an item that stays open, or gets two results, as the store was away at its
+/// give-up time.
+#[test]
+fn item_whose_give_up_time_falls_into_an_outage_is_given_up_once() {
+    smol::block_on(async {
+        let store = store(&[]);
+        let route = with_give_up(Duration::from_secs(1));
+        store.publish_manifest(&with_batch_routes(2, vec![route]));
+        let gateways = [with_open_job(&store).await, Gateway::start(&store).await];
+        store.set_fault(Fault::Unavailable);
+        smol::Timer::after(ENDED_AFTER).await;
+        assert_eq!(store.count_records("r/job"), 0);
+        store.set_fault(Fault::None);
+        for gateway in &gateways {
+            assert_eq!(listed(gateway, "job", 2).await, GIVEN_UP);
+        }
+        smol::Timer::after(Duration::from_secs(1)).await;
+        assert_eq!(store.count_records("r/job"), 2);
+    });
+}
