tests: one server of odd answers, one job whose route ends during a run

Cause: two tests of the transport's client had the same server, two tests of ended routes the same start.

Change: each stands once; all assertions stay.

--- a/crates/gateway/tests/gateway/withdrawn.rs
+++ b/crates/gateway/tests/gateway/withdrawn.rs
@@ -215,6 +215,18 @@
     });
 }
 
+/// Daemon with a job of one item whose route is removed while a replica runs the item.
+async fn with_route_that_ends_during_a_run(replica: &ScriptedReplica) -> Gateway {
+    let store = store(&[replica]);
+    let gateway = Gateway::start(&store).await;
+    wait_until("the shard", || gateway.daemon.is_serving(0)).await;
+    let job = request("POST", "/items/", "job", "one\n");
+    assert_eq!(status(&gateway.fetch(&job).await), 202);
+    wait_until("the run", || !replica.requests().is_empty()).await;
+    store.publish_manifest(&with_batch_routes(2, vec![]));
+    gateway
+}
+
 /// Number of events of a run that takes longer than the route.
 const EVENTS_OF_LONG_RUN: u64 = ENDED_AFTER.as_secs() + 3;
 
@@ -252,13 +264,7 @@
                 _ => vec![OK_RESPONSE],
             })
             .await;
-            let store = store(&[&replica]);
-            let gateway = Gateway::start(&store).await;
-            wait_until("the shard", || gateway.daemon.is_serving(0)).await;
-            let job = request("POST", "/items/", "job", "one\n");
-            assert_eq!(status(&gateway.fetch(&job).await), 202);
-            wait_until("the run", || !replica.requests().is_empty()).await;
-            store.publish_manifest(&with_batch_routes(2, vec![]));
+            let gateway = with_route_that_ends_during_a_run(&replica).await;
             let lines = listed(&gateway, "job", 1).await;
             assert_eq!(lines, [expected]);
             assert_eq!(replica.requests().len(), 1);
@@ -280,13 +286,7 @@
             ]
         })
         .await;
-        let store = store(&[&replica]);
-        let gateway = Gateway::start(&store).await;
-        wait_until("the shard", || gateway.daemon.is_serving(0)).await;
-        let job = request("POST", "/items/", "job", "one\n");
-        assert_eq!(status(&gateway.fetch(&job).await), 202);
-        wait_until("the run", || !replica.requests().is_empty()).await;
-        store.publish_manifest(&with_batch_routes(2, vec![]));
+        let gateway = with_route_that_ends_during_a_run(&replica).await;
         wait_for_manifest(&gateway, 2).await;
         let sent = replica.requests().len();
         assert_eq!(listed(&gateway, "job", 1).await, ["0 one given up"]);
--- a/crates/transport/tests/cut_answers.rs
+++ b/crates/transport/tests/cut_answers.rs
@@ -1,25 +1,13 @@
 //! The HTTP client and servers that close within their answer.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+mod support;
+
 use std::time::Duration;
 
 use bitterncart_testing::cases;
 use bitterncart_transport::http::Client;
 use http_types::Method;
-
-/// Starts a server that answers one request with some bytes and closes in order.
-fn start(answer: &'static str) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("an address");
-    std::thread::spawn(move || {
-        let (mut stream, _) = listener.accept().expect("a connection");
-        let mut request = [0; 1024];
-        let _request = stream.read(&mut request);
-        let _sent = stream.write_all(answer.as_bytes());
-    });
-    address
-}
+use support::start;
 
 fn fetch(answer: &'static str) -> Result<Vec<u8>, bitterncart_transport::Error> {
     let address = start(answer);
--- a/crates/transport/tests/odd_answers.rs
+++ b/crates/transport/tests/odd_answers.rs
@@ -1,31 +1,18 @@
 //! The HTTP client and servers whose answers are none in the protocol, or that answer before
 //! they have read the request.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+mod support;
+
 use std::time::Duration;
 
 use bitterncart_testing::cases;
 use bitterncart_transport::Error;
 use bitterncart_transport::http::Client;
+use support::start;
 
 /// Size of a long upload, in bytes; more than sockets buffer.
 const UPLOAD_BYTES: usize = 32 << 20;
 
-/// Starts a server that answers a request when it has read its beginning, and closes. A close
-/// with unread bytes resets the connection.
-fn start(answer: &'static str) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("an address");
-    std::thread::spawn(move || {
-        let (mut stream, _) = listener.accept().expect("a connection");
-        let mut request = [0; 1024];
-        let _request = stream.read(&mut request);
-        let _sent = stream.write_all(answer.as_bytes());
-    });
-    address
-}
-
 fn post(answer: &'static str, body: &str) -> Result<(u16, Vec<u8>), Error> {
     let address = start(answer);
     let client = Client::default().body_timeout(Duration::from_secs(1));
