gateway: bodies that are written count until the other side has taken them

Callers saw: closed connections, and no answers while the daemon's process was ended for its memory and started again. Failing run: slow_readers_of_Answers, 120 connections at each of two daemons of 120 MB read answers of 900 kB at 40 kB a second; peaks 160,388 and 158,504 kB. With 20 requests in a row on each connection (slow_readers_of_RowsOfAnswers) 180,136 and 180,252 kB.

Cause: the HTTP library asks its stream whether vectored writes are worth it, and the adapter for smol leaves the answer at its default, no. A body was then copied into the buffer of the connection, which grows by doubling; the body was dropped with its share of the budget, and nothing counted the copy for as long as the client took.

Evidence: 240 of 240 answers began although the budget (30 MB, 22.5 MB of it for large ones) has room for 25 of them.

Fix: both builders write with vectored writes, which the stream below does support. A body stays where it is until its last byte is written, with its share. Requests to replicas, peers and the store take the same way.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -375,7 +375,10 @@
         let stream = Bounded::new(stream)
             .with_head_limit(Arc::clone(&head))
             .with_sending(Arc::clone(&sending));
-        let (sender, driver) = http1::handshake(FuturesIo::new(stream))
+        let (sender, driver) = http1::Builder::new()
+            // Bodies are written from where they are, and count in their budget until then.
+            .writev(true)
+            .handshake(FuturesIo::new(stream))
             .await
             .map_err(not_sent)?;
         let fate = Arc::<Fate>::default();
--- a/crates/gateway/src/intake/serve.rs
+++ b/crates/gateway/src/intake/serve.rs
@@ -171,6 +171,8 @@
             .timer(SmolTimer::new())
             .header_read_timeout(limits.idle * IDLE_TIMEOUT_FACTOR)
             .max_buf_size(bounds.bytes.max(MIN_BUFFER_BYTES))
+            // Bodies are written from where they are, and count in their budget until then.
+            .writev(true)
             .serve_connection(FuturesIo::new(io), service)
             .with_upgrades()
     );
--- a/crates/soak/src/answer.rs
+++ b/crates/soak/src/answer.rs
@@ -177,11 +177,16 @@
         }
         _ => {}
     }
-    let parts: Vec<String> = match is_stream {
-        true => (after + 1..=EVENTS)
-            .map(|n| content::event(&id, n, &replica.options.version))
+    let version = &replica.options.version;
+    let parts: Vec<String> = match (is_stream, content::is_large(path)) {
+        (true, false) => (after + 1..=EVENTS)
+            .map(|n| content::event(&id, n, version))
             .collect(),
-        false => halves(&content::body(&id)),
+        (true, true) => (after + 1..=EVENTS)
+            .map(|n| content::large_event(&id, n, version))
+            .collect(),
+        (false, false) => halves(&content::body(&id)),
+        (false, true) => halves(&content::large_body(&id)),
     };
     let kind = if is_stream {
         "text/event-stream"
--- a/crates/soak/src/content.rs
+++ b/crates/soak/src/content.rs
@@ -7,6 +7,16 @@
 /// Number of lines of a body, about 800 bytes.
 const BODY_LINES: u32 = 32;
 
+/// Part of a path whose requests have large answers.
+const LARGE_MARK: &str = "/large/";
+
+/// Part of a path whose requests are never run.
+const HELD_MARK: &str = "/held/";
+
+/// Size of the body of a large answer, and what a large event has beside the usual data.
+const LARGE_BODY_BYTES: usize = 900_000;
+const LARGE_EVENT_BYTES: usize = 400;
+
 /// What stands before the version in the data of an event.
 const VERSION_MARK: &str = " by ";
 
@@ -18,6 +28,35 @@
         .collect()
 }
 
+/// Whether requests to a path have large answers.
+#[must_use]
+pub fn is_large(path: &str) -> bool {
+    path.contains(LARGE_MARK)
+}
+
+/// Whether requests to a path are refused by each replica.
+#[must_use]
+pub fn is_held(path: &str) -> bool {
+    path.contains(HELD_MARK)
+}
+
+/// Body of a large answer to a call.
+#[must_use]
+pub fn large_body(attempt: &str) -> String {
+    let line = format!("{attempt} line\n");
+    line.repeat(LARGE_BODY_BYTES / line.len())
+}
+
+/// Large event of a stream.
+#[must_use]
+pub fn large_event(attempt: &str, event: u64, version: &str) -> String {
+    let filler = "x".repeat(LARGE_EVENT_BYTES);
+    format!(
+        "id: {event}\ndata: {} {filler}\n\n",
+        data(attempt, event, version)
+    )
+}
+
 /// Data of an event of a stream.
 #[must_use]
 fn data(attempt: &str, event: u64, version: &str) -> String {
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -19,6 +19,7 @@
 
 use crate::answer::{self, Framing};
 use crate::commands;
+use crate::content;
 use crate::endless;
 use crate::http::{self, Request};
 use bitterncart_platform::{encode_records, wire};
@@ -368,7 +369,8 @@
             .header(wire::RESERVATION)
             .is_some_and(|name| self.use_reservation(name));
         let is_full = self.running.load(Ordering::SeqCst) >= self.options.slots;
-        if (is_full && !is_reserved) || Shares::draw(&self.shares.refuse, random) {
+        let is_refused = content::is_held(request.path());
+        if is_refused || (is_full && !is_reserved) || Shares::draw(&self.shares.refuse, random) {
             self.note(link, &id, "refused");
             let mut headers = plain.to_vec();
             headers.push((wire::NOT_RUN, "1"));
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod memory;
 pub mod mutation;
 pub mod selection;
+pub mod slow;
 
 pub use fuzz::fuzz;
 
