gateway: all that a body takes while it is read counts

Callers saw: nothing yet, but the memory of a daemon was not what its budget said.

Cause: a body that is read grew by doubling, so it took up to twice its length, and only the length counted; the excess stayed until the last byte was written.

Fix: Buffer counts what is allocated, grows by half and not beyond a stated length, and gives back the rest at its end. A budget that is spent refuses the bytes before they are kept.

The tests of Buffer are new with it.

--- a/crates/gateway/src/collect.rs
+++ b/crates/gateway/src/collect.rs
@@ -1,12 +1,14 @@
 //! Collects a body that another process sends, within a limit of its own and the memory
 //! that all bodies of its kind may take together.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use quick_error::quick_error;
 
 use crate::budget::Budget;
+use crate::buffer::Buffer;
 
 quick_error! {
     /// Why a body was not collected.
@@ -38,20 +40,18 @@
     max_bytes: usize,
     budget: &Budget,
 ) -> Result<Bytes, Error> {
-    let mut bytes = BytesMut::new();
-    let mut share = budget.share();
+    let mut buffer = Buffer::new(budget, body.size_hint().exact());
     while let Some(frame) = body.frame().await {
         // Trailers are not passed on.
         let Ok(data) = frame?.into_data() else {
             continue;
         };
-        if bytes.len() + data.len() > max_bytes {
+        if buffer.len() + data.len() > max_bytes {
             return Err(Error::TooLarge);
         }
-        if !share.resize(bytes.len() + data.len()) {
+        if !buffer.push(&data) {
             return Err(Error::MemoryLimited);
         }
-        bytes.extend_from_slice(&data);
     }
-    Ok(share.into_held(bytes.freeze()))
+    Ok(buffer.into_bytes())
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod body;
 pub mod bounded;
 pub mod budget;
+pub mod buffer;
 mod catalog;
 mod checkpoint;
 mod clock;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -11,15 +11,17 @@
 
 use bitterncart_coordination::fleet::pool::{Class, Selection};
 use bitterncart_coordination::fleet::{Outcome, Profile};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, header, response,
 };
+use http_body::Body as _;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use smol::Task;
 
 use crate::answer::{Framing, Next, Summary};
+use crate::buffer::Buffer;
 use crate::clock::{self, with_timeout};
 use crate::connection::{Connection, Error};
 use crate::core::Core;
@@ -488,16 +490,14 @@
         mut self,
         core: &Core<S, D>,
     ) -> Result<(response::Parts, Bytes, Summary), Outcome> {
-        let mut bytes = BytesMut::new();
-        let mut share = core.budget.share();
+        let mut buffer = Buffer::new(&core.budget, self.body.size_hint().exact());
         while let Some(data) = self.next_data().await? {
-            bytes.extend_from_slice(&data);
-            if bytes.len() > MAX_RESPONSE_BYTES || !share.resize(bytes.len()) {
+            if buffer.len() + data.len() > MAX_RESPONSE_BYTES || !buffer.push(&data) {
                 self.metrics.answer_too_large("body");
                 return Err(Outcome::Broken);
             }
         }
-        let is_empty = self.framing == Framing::Connection && bytes.is_empty();
+        let is_empty = self.framing == Framing::Connection && buffer.is_empty();
         let lacks_body = is_empty && self.head.status.is_success();
         if lacks_body || !self.is_whole(core).await {
             return Err(self.record_broken());
@@ -508,7 +508,7 @@
         }
         let summary = self.summary(0);
         core.connector.release(self.connection);
-        Ok((self.head, share.into_held(bytes.freeze()), summary))
+        Ok((self.head, buffer.into_bytes(), summary))
     }
 
     /// Waits for what follows in the stream.
--- a/crates/gateway/tests/gateway/budget.rs
+++ b/crates/gateway/tests/gateway/budget.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bitterncart_gateway::budget::{Budget, SMALL_BYTES};
+use bitterncart_gateway::buffer::Buffer;
 use bitterncart_testing::cases;
 use bytes::Bytes;
 use futures_lite::future;
@@ -66,6 +67,37 @@
     assert_eq!(budget.kept(), 0);
 }
 
+cases! {
+    /// Guards against a body that takes up to twice its size, which nothing counts: all that is
+    /// allocated counts, and it is at most half more than the body, or what the body states.
+    fn allocated_bytes_count(stated: Option<u64>, pieces: usize, max_bytes: usize) {
+        let budget = budget();
+        let mut buffer = Buffer::new(&budget, stated);
+        for piece in 1..=pieces {
+            assert!(buffer.push(&[0; 10_000]));
+            assert!(budget.kept() >= piece * 10_000);
+            assert!(budget.kept() <= max_bytes, "{} bytes", budget.kept());
+        }
+        let body = buffer.into_bytes();
+        assert_eq!(budget.kept(), pieces * 10_000);
+        drop(body);
+        assert_eq!(budget.kept(), 0);
+    }
+    stated_length(Some(90_000), 9, 90_000);
+    no_length(None, 9, 135_000);
+    length_that_is_too_small(Some(10_000), 2, 20_000);
+    length_that_is_too_large(Some(4 << 20), 2, 20_000);
+}
+
+#[test]
+fn body_beyond_the_budget_is_not_kept() {
+    let budget = budget();
+    let mut buffer = Buffer::new(&budget, Some(3 * MB as u64));
+    assert!(buffer.push(&vec![0; MB]));
+    assert!(!buffer.push(&vec![0; MB]));
+    assert_eq!(buffer.len(), MB);
+}
+
 /// Guards against a daemon that exceeds its memory by many large answers at once, none of
 /// which is too large by itself. Small answers are read meanwhile.
 #[test]
