--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -68,6 +68,12 @@
         }
     }
 
+    /// Bytes that a large answer may still take.
+    #[must_use]
+    pub fn room(&self) -> usize {
+        self.max_bytes_for(usize::MAX).saturating_sub(self.kept())
+    }
+
     /// Share of an answer that keeps nothing yet.
     #[must_use]
     pub fn share(&self) -> Share {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -96,8 +96,9 @@
     /// Why the body is invalid.
     fn parse_items(&self, body: &[u8]) -> Result<Vec<Item>, String>;
 
-    /// Encodes the results of a job from a position.
-    fn encode_results(&self, job: &Job, after: usize) -> Bytes;
+    /// Encodes the results of a job from a position: those that fit in `max_bytes`, or the
+    /// first one alone.
+    fn encode_results(&self, job: &Job, after: usize, max_bytes: usize) -> Bytes;
 
     /// Path and body of the call that reserves a slot at a replica for a request
     /// with these headers; `None` if the size of the request is not known.
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -9,6 +9,7 @@
 mod submit;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::manifest::BatchRoute;
@@ -52,6 +53,13 @@
 /// Maximum time for which a read waits for new results.
 const MAX_LONG_POLL: Duration = Duration::from_millis(1000);
 
+/// Part of the memory left for large answers that a page of results may take: one in this many
+/// bytes. So many readers at once get pages that become smaller, and none is refused at first.
+const PAGE_DIVISOR: usize = 8;
+
+/// Size up to which a page of results may always grow, in bytes.
+const MIN_PAGE_BYTES: usize = 16 << 10;
+
 /// Usual time of a call, with an append to the store.
 const CALL_TIME: Duration = Duration::from_millis(400);
 
@@ -159,11 +167,11 @@
         .min(MAX_LONG_POLL)
 }
 
-/// Body of an item that has no result yet.
+/// Body of an item that has no result yet. It is not copied.
 fn open_item_body(job: &Job, item: &str) -> Option<Bytes> {
     let index = job.submission.items.iter().position(|i| i.id == item)?;
     let open = !job.has_result[index] && !job.cancelled;
-    open.then(|| Bytes::copy_from_slice(&job.submission.items[index].body))
+    open.then(|| Bytes::from_owner(Arc::clone(&job.submission.items[index].body)))
 }
 
 /// Reads a value from a job. Reads the ledger to its end before it reports that
@@ -217,11 +225,20 @@
     if is_open && after >= count && !wait.is_zero() {
         with_timeout(wait, wait_for_result(core, shard, id, after)).await;
     }
-    let ledger = shard.ledger();
-    let Some(job) = ledger.job(id) else {
+    let max_bytes = (core.budget.room() / PAGE_DIVISOR).max(MIN_PAGE_BYTES);
+    let page = {
+        let ledger = shard.ledger();
+        let job = ledger.job(id);
+        job.map(|job| core.dialect.encode_results(job, after, max_bytes))
+    };
+    let Some(page) = page else {
         return error_response(core, Code::NotFound);
     };
-    let mut response = Response::new(Body::full(core.dialect.encode_results(job, after)));
+    let mut share = core.budget.share();
+    if !share.resize(page.len()) {
+        return reject(core, id, Code::MemoryLimited);
+    }
+    let mut response = Response::new(Body::full(share.into_held(page)));
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, json);
     response
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -109,7 +109,7 @@
             .collect()
     }
 
-    fn encode_results(&self, job: &Job, after: usize) -> Bytes {
+    fn encode_results(&self, job: &Job, after: usize, max_bytes: usize) -> Bytes {
         let results = job.results.iter().enumerate().skip(after);
         let line = |(n, result): (usize, &bitterncart_state::ledger::ItemResult)| {
             let id = &job.submission.items[result.item as usize].id;
@@ -118,7 +118,14 @@
                 Outcome::GivenUp => format!("{n} {id} given up\n"),
             }
         };
-        Bytes::from(results.map(line).collect::<String>())
+        let mut page = String::new();
+        for line in results.map(line) {
+            if !page.is_empty() && page.len() + line.len() > max_bytes {
+                break;
+            }
+            page.push_str(&line);
+        }
+        Bytes::from(page)
     }
 }
 
