gateway: large answers of owners are relayed as the client takes them

Callers saw: 503 with 1305 for ordinary reads beside slow ones, at daemons that do not own the shard.

Cause: an answer of an owner was read to its end, in an eighth of the memory that it shared with the bodies of requests. Slow readers of pages kept uploads out, too.

Fix: what is larger than 64 KiB is passed on as the client takes it, and counts 128 KiB with the answers. A failure in the middle ends the connection before the stated length. Small answers are read to their end as before, and no longer take of the memory for requests.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,18 +1,23 @@
-//! Bodies of responses to clients: complete bytes, or events relayed as they
-//! arrive. A stream is complete only if the task that relays it says so; if it breaks, or
-//! the task ends in any other way, the body ends with an error, so that the client detects a
-//! truncated response.
+//! Bodies of responses to clients: complete bytes, events relayed as they arrive, or the body of
+//! another daemon's response relayed as the client takes it. A stream is complete only if the
+//! task that relays it says so; if it breaks, or the task ends in any other way, the body ends
+//! with an error, so that the client detects a truncated response.
 
 use std::convert::Infallible;
+use std::fmt;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
 use async_channel::Receiver;
 use bytes::Bytes;
 use futures_lite::Stream;
-use http_body::{Frame, SizeHint};
+use http_body::{Body as _, Frame, SizeHint};
+use hyper::body::Incoming;
 use smol::Task;
 
+use crate::budget::Share;
+use crate::connection::{Connection, Connector};
+
 /// Error of a stream that ended before the response was complete.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Truncated;
@@ -52,6 +57,33 @@
         is_complete: bool,
         _task: Task<()>,
     },
+    /// Body of another daemon's response.
+    Relayed(Box<Relayed>),
+}
+
+/// Body of a response that is relayed as it is taken. Its connection is kept for reuse once it
+/// has been read to its end.
+pub(crate) struct Relayed {
+    incoming: Incoming,
+    connection: Option<Connection>,
+    connector: Connector,
+    _share: Share,
+}
+
+impl fmt::Debug for Relayed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Relayed").finish_non_exhaustive()
+    }
+}
+
+impl Drop for Relayed {
+    fn drop(&mut self) {
+        if let Some(connection) = self.connection.take()
+            && self.incoming.is_end_stream()
+        {
+            self.connector.release(connection);
+        }
+    }
 }
 
 impl Body {
@@ -59,6 +91,22 @@
         Self::Full((!bytes.is_empty()).then_some(bytes))
     }
 
+    /// Body of a response of another daemon, on the connection that it arrives on, with what
+    /// it takes of the memory for answers.
+    pub(crate) fn relayed(
+        incoming: Incoming,
+        connection: Connection,
+        connector: Connector,
+        share: Share,
+    ) -> Self {
+        Self::Relayed(Box::new(Relayed {
+            incoming,
+            connection: Some(connection),
+            connector,
+            _share: share,
+        }))
+    }
+
     /// Body of the parts that a task sends.
     pub(crate) fn events(parts: Receiver<Part>, task: Task<()>) -> Self {
         Self::Events {
@@ -79,6 +127,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match self.get_mut() {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Self::Relayed(relayed) => Pin::new(&mut relayed.incoming)
+                .poll_frame(cx)
+                .map_err(|_| Truncated),
             Self::Events {
                 is_complete: true, ..
             } => Poll::Ready(None),
@@ -96,12 +147,17 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Full(None))
+        match self {
+            Self::Full(bytes) => bytes.is_none(),
+            Self::Relayed(relayed) => relayed.incoming.is_end_stream(),
+            Self::Events { .. } => false,
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Relayed(relayed) => relayed.incoming.size_hint(),
             Self::Events { .. } => SizeHint::default(),
         }
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,14 +4,20 @@
 //! which may have gone silent, is therefore repeated once on a new connection.
 //! If no attempt is answered, the error says whether the owner may have carried
 //! out the call.
+//!
+//! A small response is read to its end first. A large one, such as a page of results or the body
+//! of an item, is relayed as the client takes it, so that slow clients take no memory here.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::{HeaderValue, Request, Response, StatusCode};
+use http_body::Body as _;
 use http_body_util::Full;
 
 use crate::body::Body;
+use crate::bounded::TURN_BYTES;
+use crate::budget::SMALL_BYTES;
 use crate::clock::with_timeout;
 use crate::collect::collect;
 use crate::connection::{Connection, Error};
@@ -27,9 +33,13 @@
 /// Timeout of a response, in addition to the long-poll time of the call.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Maximum size of a response body.
+/// Maximum size of a response body that is read to its end.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
+/// What a response that is relayed as it arrives takes: two pieces that the HTTP library reads
+/// at a time, one of them being written.
+const RELAYED_BYTES: usize = 2 * TURN_BYTES;
+
 /// Why a call has no response of the owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
@@ -111,9 +121,18 @@
     let wait_ms = HeaderValue::from(wait.as_millis() as u64);
     request.headers_mut().insert(name, wait_ms);
     let (mut head, mut body) = connection.send(request).await?.into_parts();
-    let bytes = collect(&mut body, MAX_RESPONSE_BYTES, &core.calls_budget).await;
-    let bytes = bytes.map_err(|e| Error::Broken(e.to_string()))?;
-    core.connector.release(connection);
+    let is_large = body.size_hint().lower() > SMALL_BYTES as u64;
+    let body = if is_large && head.status.is_success() {
+        let mut share = core.budget.share();
+        if !share.resize(RELAYED_BYTES) {
+            return Err(Error::Broken("other answers take the memory".into()));
+        }
+        Body::relayed(body, connection, core.connector.clone(), share)
+    } else {
+        let bytes = collect(&mut body, MAX_RESPONSE_BYTES, &core.budget).await;
+        core.connector.release(connection);
+        Body::full(bytes.map_err(|e| Error::Broken(e.to_string()))?)
+    };
     strip_hop_by_hop_headers(&mut head.headers);
-    Ok(Response::from_parts(head, Body::full(bytes)))
+    Ok(Response::from_parts(head, body))
 }
