gateway: accepted jobs are bounded by the memory of the daemon that keeps them

Callers saw: closed connections and refused calls while daemons were ended for their memory. Failing run: large_jobs (six clients, 114 jobs of two bodies of 650 kB that are never run, two daemons of 120 MB): all accepted, peaks 101,488 and 137,056 kB of 122,880; when one daemon had ended, the other read its jobs back and took 185,572 kB.

Cause: an owner keeps the bodies of open items in memory, and nothing but the tokens of the route bounded them. While a job is recorded its bodies exist several times (request, text, decoded, records, call), for as many jobs as come at once.

Fix: a ledger knows what its jobs take. A job is refused with 503 and 1313 before it is recorded if it does not fit in an eighth of the memory beside those of the loaded shards. Jobs over 64 KiB are recorded one after the other, after a wait of at most 300 ms. The refusal of an owner for memory is marked as its decision, so that the daemon that forwarded the job does not record it itself; an earlier build does not know the mark and records the job as before.

Tests: large_jobs, memory_follows_the_jobs.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -25,6 +25,15 @@
 /// Likewise for the answers of the store, and for requests with answers of peers.
 const CALLS_MEMORY_DIVISOR: usize = 8;
 
+/// Share of the memory of the process that accepted jobs may take: one in this many bytes.
+const JOBS_MEMORY_DIVISOR: usize = 8;
+
+/// Memory that the items and results of jobs may take for one more to be accepted, in bytes.
+#[must_use]
+pub fn max_job_bytes(memory_bytes: usize) -> usize {
+    memory_bytes / JOBS_MEMORY_DIVISOR
+}
+
 /// Memory that the answers, or requests, of one kind may take together.
 #[derive(Clone, Debug)]
 pub struct Budget {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -22,7 +22,7 @@
 use smol::{Executor, Task};
 
 use crate::availability::Availability;
-use crate::budget::Budget;
+use crate::budget::{self, Budget};
 use crate::clock::{self, with_timeout};
 use crate::confirmation::Confirmations;
 use crate::connection::Connector;
@@ -74,6 +74,8 @@
     pub runs: Mutex<Runs>,
     /// Held while a shard is loaded, so that only one is loaded at a time.
     pub load_lock: smol::lock::Mutex<()>,
+    /// Held while a large job is decoded and recorded, which takes several times its size.
+    pub large_job_lock: smol::lock::Mutex<()>,
     /// Notified when the manifest or the replicas have been read.
     configured: Event,
     manifest: RwLock<Option<Arc<Manifest>>>,
@@ -161,6 +163,7 @@
             shutdown: shutdown::State::default(),
             runs: Mutex::default(),
             load_lock: smol::lock::Mutex::new(()),
+            large_job_lock: smol::lock::Mutex::new(()),
             configured: Event::new(),
             manifest: RwLock::default(),
             freshness: Mutex::default(),
@@ -301,6 +304,13 @@
         before.count() as u32
     }
 
+    /// Whether a job whose request has this size fits in the memory beside those of the loaded
+    /// shards.
+    pub(crate) fn has_room_for_job(&self, bytes: usize) -> bool {
+        let kept: usize = self.shards.iter().map(|s| s.ledger().memory_bytes()).sum();
+        kept + bytes <= budget::max_job_bytes(self.settings.memory_bytes())
+    }
+
     pub(crate) fn runs(&self) -> MutexGuard<'_, Runs> {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/src/jobs/submit.rs
+++ b/crates/gateway/src/jobs/submit.rs
@@ -17,6 +17,7 @@
     LOAD_TIMEOUT, WRITE_TIMEOUT, admits_call, empty_response, forward_target, reject, shard_of,
 };
 use crate::body::Body;
+use crate::budget::SMALL_BYTES;
 use crate::clock::{self, with_timeout};
 use crate::core::Core;
 use crate::dialect::Dialect;
@@ -31,6 +32,10 @@
 use crate::submission::{self, Reply};
 use crate::upstream::{Message, strip_hop_by_hop_headers};
 
+/// Time for which a large job waits for another one; the daemon that forwards it waits for
+/// 700 ms in all.
+const LARGE_JOB_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Maximum length of a job id, which is part of keys in the store.
 const MAX_JOB_ID_BYTES: usize = 96;
 
@@ -118,8 +123,11 @@
     let mut is_certain = true;
     if let (Some(owner), Some(call)) = (owner, submission::Submission::call(message, version)) {
         match forward::call(core, owner, &call, Duration::ZERO).await {
-            Ok(response) => match Reply::of(&response) {
-                Reply::Decided => return Ok(response),
+            Ok(mut response) => match Reply::of(&response) {
+                Reply::Decided => {
+                    response.headers_mut().remove(submission::DECIDED);
+                    return Ok(response);
+                }
                 Reply::NotDecided(Some(later)) if later > version => {
                     core.metrics.owner_call("later_manifest");
                     return Err(Outdated { version: later });
@@ -222,7 +230,8 @@
             };
             let decided = decide(core, &target, &message, &id, true);
             let decided = core.shutdown.unless_ending(decided).await;
-            decided.unwrap_or_else(|| reject(core, &id, Code::AppendUnknown))
+            let decided = decided.unwrap_or_else(|| reject(core, &id, Code::AppendUnknown));
+            submission::mark_decided(decided)
         }
         None => reject(core, "", Code::BadHeader),
     }
@@ -295,6 +304,16 @@
     if core.is_store_unavailable(clock::now()) || !shard.wait_until_loaded(LOAD_TIMEOUT).await {
         return Err(Code::LogUnavailable);
     }
+    let _turn = match message.body.len() {
+        0..=SMALL_BYTES => None,
+        _ => {
+            let turn = with_timeout(LARGE_JOB_TIMEOUT, core.large_job_lock.lock()).await;
+            Some(turn.ok_or(Code::MemoryLimited)?)
+        }
+    };
+    if !core.has_room_for_job(message.body.len()) {
+        return Err(Code::MemoryLimited);
+    }
     let mut items = core.dialect.parse_items(&message.body).map_err(|reason| {
         log::record_invalid(id, &reason);
         Code::MalformedJson
--- a/crates/gateway/src/submission.rs
+++ b/crates/gateway/src/submission.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use bitterncart_coordination::fleet::{Kind, Manifest, Route};
+use bitterncart_protocol::Code;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri, header, request};
 
@@ -30,6 +31,10 @@
 /// Header with the version of the manifest that the sender has.
 const MANIFEST_VERSION: &str = "manifest-version";
 
+/// Header of a refusal that holds for the daemon that submits the job, too. Earlier builds do
+/// not know it, and record the job themselves.
+pub(crate) const DECIDED: &str = "decided";
+
 /// Status of a response of an owner that does not decide.
 const NOT_DECIDED: StatusCode = StatusCode::PRECONDITION_FAILED;
 
@@ -112,6 +117,16 @@
     response
 }
 
+/// Marks a refusal for lack of memory: the owner would read a job that another daemon records
+/// for it.
+pub(crate) fn mark_decided(mut response: Response<Body>) -> Response<Body> {
+    if response.extensions().get() == Some(&Code::MemoryLimited) {
+        let value = HeaderValue::from_static("1");
+        response.headers_mut().insert(DECIDED, value);
+    }
+    response
+}
+
 /// What the response of an owner says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Reply {
@@ -127,6 +142,7 @@
     /// Reads a response.
     pub(crate) fn of(response: &Response<Body>) -> Self {
         match response.status() {
+            _ if response.headers().contains_key(DECIDED) => Self::Decided,
             StatusCode::ACCEPTED
             | StatusCode::BAD_REQUEST
             | StatusCode::REQUEST_TIMEOUT
--- a/crates/state/src/ledger/entry.rs
+++ b/crates/state/src/ledger/entry.rs
@@ -76,7 +76,29 @@
     pub terms: Option<Terms>,
 }
 
+/// Memory of an item beside its texts and its body: its entry, and those of its headers.
+const ITEM_OVERHEAD_BYTES: usize = 256;
+
+impl Item {
+    /// Memory that the item takes, in bytes.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        let headers = self
+            .headers
+            .iter()
+            .map(|(name, value)| name.len() + value.len());
+        let texts = self.id.len() + self.path.len() + headers.sum::<usize>();
+        ITEM_OVERHEAD_BYTES + texts + self.body.len()
+    }
+}
+
 impl Submission {
+    /// Memory that the items take, in bytes.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        self.items.iter().map(Item::memory_bytes).sum()
+    }
+
     pub(super) fn encode(&self) -> Vec<u8> {
         let mut value = encode(self);
         if let Some(customer) = &self.customer {
@@ -216,6 +238,17 @@
 }
 
 impl Job {
+    /// Memory that the items, their results and their stored outputs take, in bytes.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        let results = self.results.iter().map(|result| match &result.end {
+            Outcome::Completed(output) => output.len(),
+            Outcome::GivenUp => 0,
+        });
+        let outputs = self.progress.values().map(|progress| progress.output.len());
+        self.submission.memory_bytes() + results.sum::<usize>() + outputs.sum::<usize>()
+    }
+
     /// Whether the job is not cancelled and has items without a result.
     #[must_use]
     pub fn is_open(&self) -> bool {
--- a/crates/state/src/ledger/state.rs
+++ b/crates/state/src/ledger/state.rs
@@ -16,7 +16,7 @@
 use serde::Deserialize;
 use slotmap::{SlotMap, new_key_type};
 
-use super::entry::{ItemResult, Job, OutputPart, Record, Submission, Terms};
+use super::entry::{ItemResult, Job, Outcome, OutputPart, Record, Submission, Terms};
 use crate::invariant;
 
 new_key_type! {
@@ -52,6 +52,8 @@
     next: u64,
     invalid_records: u64,
     jobs: SlotMap<Key, Job>,
+    /// Memory that the jobs take, in bytes.
+    memory_bytes: usize,
     key_by_id: HashMap<CompactString, Key>,
     /// Heads and parts of submissions that are not complete yet, by record key.
     parts: HashMap<CompactString, Vec<u8>>,
@@ -73,6 +75,12 @@
         self.invalid_records
     }
 
+    /// Memory that the items, results and stored outputs of all jobs take, in bytes.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        self.memory_bytes
+    }
+
     /// Sets the offset of the next record to apply, after loading pages of newest records.
     pub fn set_next(&mut self, offset: u64) {
         self.next = offset;
@@ -149,6 +157,7 @@
 
     fn insert_job(&mut self, submission: Submission, parts: u32) {
         let count = submission.items.len();
+        self.memory_bytes += submission.memory_bytes();
         let id = submission.id.clone();
         let key = self.jobs.insert(Job {
             submission,
@@ -180,8 +189,14 @@
                 let count = job.failures.get_mut(index as usize).ok_or(Invalid)?;
                 *count = (*count).max(*value.first().ok_or(Invalid)?);
             }
-            Some(b'p') => append_output(job, value)?,
-            _ => record_result(job, trailing_number(name).ok_or(Invalid)?, value)?,
+            Some(b'p') => {
+                let change = append_output(job, value)?;
+                self.memory_bytes = self.memory_bytes.saturating_add_signed(change);
+            }
+            _ => {
+                let change = record_result(job, trailing_number(name).ok_or(Invalid)?, value)?;
+                self.memory_bytes = self.memory_bytes.saturating_add_signed(change);
+            }
         }
         Ok(())
     }
@@ -189,8 +204,10 @@
     fn remove_job(&mut self, id: &str) {
         self.parts.remove(&format_compact!("j/{id}"));
         self.pending.remove(id);
-        if let Some(key) = self.key_by_id.remove(id) {
-            self.jobs.remove(key);
+        if let Some(key) = self.key_by_id.remove(id)
+            && let Some(job) = self.jobs.remove(key)
+        {
+            self.memory_bytes = self.memory_bytes.saturating_sub(job.memory_bytes());
         }
     }
 
@@ -243,18 +260,30 @@
     }
 }
 
-fn append_output(job: &mut Job, value: &[u8]) -> Result<(), Invalid> {
+/// Difference of two sizes, in bytes.
+fn change(before: usize, after: usize) -> isize {
+    after.cast_signed() - before.cast_signed()
+}
+
+/// Appends a part of the output of an item; by how many bytes the memory of the job changes.
+fn append_output(job: &mut Job, value: &[u8]) -> Result<isize, Invalid> {
     let part = OutputPart::decode(value).ok_or(Invalid)?;
     match job.has_result.get(part.item as usize) {
-        Some(false) => job.progress.entry(part.item).or_default().append(&part),
+        Some(false) => {
+            let progress = job.progress.entry(part.item).or_default();
+            let before = progress.output.len();
+            progress.append(&part);
+            Ok(change(before, progress.output.len()))
+        }
         // A page may still hold parts of an item that has ended.
-        Some(true) => {}
-        None => return Err(Invalid),
+        Some(true) => Ok(0),
+        None => Err(Invalid),
     }
-    Ok(())
 }
 
-fn record_result(job: &mut Job, position: u32, value: &[u8]) -> Result<(), Invalid> {
+/// Records the result of an item, which needs its body and its stored output no more; by how
+/// many bytes the memory of the job changes.
+fn record_result(job: &mut Job, position: u32, value: &[u8]) -> Result<isize, Invalid> {
     let result = postcard::from_bytes::<ItemResult>(value).map_err(|_| Invalid)?;
     let index = result.item as usize;
     let has_result = *job.has_result.get(index).ok_or(Invalid)?;
@@ -264,7 +293,7 @@
             job.results[position as usize] == result,
             "a result keeps its position",
         );
-        return Ok(());
+        return Ok(0);
     }
     invariant::check(
         position as usize == job.results.len(),
@@ -272,10 +301,15 @@
     );
     invariant::check(!has_result, "an item has one result");
     job.has_result[index] = true;
-    job.progress.remove(&result.item);
-    job.submission.items[index].body = std::sync::Arc::from([]);
+    let stored = job.progress.remove(&result.item);
+    let body = std::mem::replace(&mut job.submission.items[index].body, [].into());
+    let before = body.len() + stored.map_or(0, |stored| stored.output.len());
+    let after = match &result.end {
+        Outcome::Completed(output) => output.len(),
+        Outcome::GivenUp => 0,
+    };
     job.results.push(result);
-    Ok(())
+    Ok(change(before, after))
 }
 
 /// Number in the last segment of a key: the position of a result or the index of
--- a/crates/state/tests/ledger.rs
+++ b/crates/state/tests/ledger.rs
@@ -107,6 +107,39 @@
     );
 }
 
+/// Guards against a ledger that counts more or less memory than its jobs take, by which a daemon
+/// accepts jobs without end, or none.
+#[test]
+fn memory_follows_the_jobs() {
+    let (mut topic, mut ledger) = (Topic::default(), Ledger::default());
+    let output = |text: &str| Outcome::Completed(text.into());
+    let groups: [&[Op]; 7] = [
+        &[accept("a", 3), Op::Accept(submission("b", 2, 5000), None)],
+        &[record_output(0, 0, 2, "x\ny")],
+        &[record_output(0, 2, 3, "z")],
+        &[Op::RecordResult("job".into(), 0, output("none"))],
+        &[
+            Op::RecordResult("a".into(), 0, output("whole")),
+            Op::RecordResult("b".into(), 1, Outcome::GivenUp),
+        ],
+        &[Op::Cancel("b".into())],
+        &[Op::Purge("b".into())],
+    ];
+    for ops in groups {
+        apply_ops(&mut topic, &mut ledger, ops);
+        let all: usize = ledger.jobs().map(|(_, job)| job.memory_bytes()).sum();
+        assert!(all > 0);
+        assert_eq!(ledger.memory_bytes(), all, "after {ops:?}");
+        assert_eq!(
+            restarted(&topic).memory_bytes(),
+            all,
+            "restarted after {ops:?}"
+        );
+    }
+    apply_ops(&mut topic, &mut ledger, &[Op::Purge("a".into())]);
+    assert_eq!(ledger.memory_bytes(), 0);
+}
+
 #[test]
 fn results_keep_positions_and_items_get_one_result() {
     let (mut topic, mut ledger) = (Topic::default(), Ledger::default());
