gateway: an answer that finds no memory is no failure of its replica

Callers saw: 502 after two runs of their request, at two replicas, and then fewer replicas. Failing run: answer_without_memory_is_no_failure_of_the_replica, 3 requests at the replicas in place of 2.

Cause: an answer that the budget had no room for ended as a broken one. The request was sent to another replica, whose answer found no memory either, and the pool, the links and the routing took both replicas for failing.

It has a kind of its own in answers_too_large_total.

Tried and not kept: to refuse with 503 before the request runs if the mean size of the answers of its route finds no memory.

--- a/crates/coordination/src/fleet/retry.rs
+++ b/crates/coordination/src/fleet/retry.rs
@@ -27,6 +27,9 @@
     Silent,
     /// The replica answered with an error of its own; the request may have run.
     Failed,
+    /// The answer found no memory at this daemon, which is no fault of the replica; the request
+    /// may have run.
+    NoMemory,
     /// The stream ended in order, but nothing says that it is complete.
     Unconfirmed,
 }
@@ -53,6 +56,7 @@
             Self::LinkLost => "link_lost",
             Self::Silent => "silent",
             Self::Failed => "failed",
+            Self::NoMemory => "no_memory",
             Self::Unconfirmed => "unconfirmed",
         }
     }
@@ -131,7 +135,8 @@
     }
 
     fn may_retry(&self, kind: Kind, outcome: Outcome) -> bool {
-        if outcome == Outcome::Quarantined {
+        // Another answer would find no memory either.
+        if matches!(outcome, Outcome::Quarantined | Outcome::NoMemory) {
             return false;
         }
         kind.is_repeatable() || (outcome.has_not_run() && !self.may_have_run)
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -444,6 +444,7 @@
             | Outcome::Failed
             | Outcome::Quarantined
             | Outcome::LinkLost
+            | Outcome::NoMemory
             | Outcome::Unconfirmed => {}
             _ => pool.record_failure(now, slot.selection.key),
         }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -484,18 +484,22 @@
     ///
     /// # Errors
     ///
-    /// If the connection broke or was given up, or the body exceeds
-    /// [`MAX_RESPONSE_BYTES`] or what is left of the memory for answers.
+    /// If the connection broke or was given up, the body exceeds [`MAX_RESPONSE_BYTES`], or it
+    /// needs more than what is left of the memory for answers.
     pub(crate) async fn read_to_end<S: Store, D: Dialect>(
         mut self,
         core: &Core<S, D>,
     ) -> Result<(response::Parts, Bytes, Summary), Outcome> {
         let mut buffer = Buffer::new(&core.budget, self.body.size_hint().exact());
         while let Some(data) = self.next_data().await? {
-            if buffer.len() + data.len() > MAX_RESPONSE_BYTES || !buffer.push(&data) {
+            if buffer.len() + data.len() > MAX_RESPONSE_BYTES {
                 self.metrics.answer_too_large("body");
                 return Err(Outcome::Broken);
             }
+            if !buffer.push(&data) {
+                self.metrics.answer_too_large("no_memory");
+                return Err(Outcome::NoMemory);
+            }
         }
         let is_empty = self.framing == Framing::Connection && buffer.is_empty();
         let lacks_body = is_empty && self.head.status.is_success();
--- a/crates/gateway/tests/gateway/budget.rs
+++ b/crates/gateway/tests/gateway/budget.rs
@@ -98,6 +98,42 @@
     assert_eq!(buffer.len(), MB);
 }
 
+/// Guards against answers without memory that count as failures of the replica: the request ran
+/// once more at another one, in vain, and both were avoided.
+#[test]
+fn answer_without_memory_is_no_failure_of_the_replica() {
+    smol::block_on(async {
+        let head = Action::Respond(200, "signature: s\r\nconnection: close\r\n", "");
+        let script = move |request: &str| {
+            let pause = match request {
+                _ if request.contains("attempt: held") => Duration::from_secs(1),
+                _ => Duration::ZERO,
+            };
+            let (most, rest) = (Action::Send("x".repeat(MB - 1)), Action::Send("x".into()));
+            vec![head.clone(), most, Action::Wait(pause), rest, Action::Close]
+        };
+        let one = ScriptedReplica::start_with("one", script.clone()).await;
+        let two = ScriptedReplica::start_with("two", script).await;
+        let store = store(&[&one, &two]);
+        let gateway = Gateway::start_with(&store, r#""memory_mb": 8,"#).await;
+        wait_until("the daemon to be ready", || gateway.daemon.is_ready()).await;
+        let count = || one.requests().len() + two.requests().len();
+        let fetch = async |id| gateway.fetch(&post("/idempotent/a", id)).await;
+        let other = async {
+            wait_until("the other answer", || count() == 1).await;
+            smol::Timer::after(Duration::from_millis(200)).await;
+            fetch("second").await
+        };
+        let (held, second) = future::zip(fetch("held"), other).await;
+        assert_eq!(status(&held), 200);
+        assert_eq!(status(&second), 502, "{second}");
+        assert_eq!(count(), 2);
+        let failed = gateway.daemon.metrics_text();
+        assert!(failed.contains("no_memory"), "{failed}");
+        assert_eq!(status(&fetch("last").await), 200);
+    });
+}
+
 /// Guards against a daemon that exceeds its memory by many large answers at once, none of
 /// which is too large by itself. Small answers are read meanwhile.
 #[test]
