gateway: while memory is short, the slowest reader gives way

Callers saw: 502 for large answers for as long as slow readers held the memory for them; at 40 kB a second 22 s for each answer of 900 kB.

Cause: nothing but a connection that takes no byte at all ended a response. Who came first kept its memory, however slowly it read.

Fix: connections on which more than 64 KiB are written are known by the time at which it began. An answer that finds no room closes the one that has been written longest, if that is more than 5 s, the longest deadline of calls on the users' sheets; otherwise it ends as before. A closed response has fewer bytes than it stated, so it does not look whole. Counter: slow_readers_closed_total. A share that finds no room no longer counts what it did not get.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -116,6 +116,18 @@
         all <= self.budget.max_bytes_for(bytes)
     }
 
+    /// Sets what the answer keeps if the budget has room; `false` if it is spent, and the share
+    /// is as before.
+    #[must_use]
+    pub fn try_resize(&mut self, bytes: usize) -> bool {
+        let before = self.bytes;
+        let is_within = self.resize(bytes);
+        if !is_within {
+            self.resize(before);
+        }
+        is_within
+    }
+
     /// Counts an event that leaves the buffer of its answer until its last use.
     #[must_use]
     pub fn hold(&self, bytes: Bytes) -> Bytes {
--- a/crates/gateway/src/buffer.rs
+++ b/crates/gateway/src/buffer.rs
@@ -48,7 +48,7 @@
             let capacity = self
                 .expected
                 .map_or(grown, |all| grown.min(all.max(length)));
-            if !self.share.resize(capacity) {
+            if !self.share.try_resize(capacity) {
                 return false;
             }
             self.bytes.reserve_exact(capacity - self.bytes.len());
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -29,6 +29,7 @@
 use crate::crash;
 use crate::datagram::Socket;
 use crate::dialect::Dialect;
+use crate::intake::Writers;
 use crate::links;
 use crate::list_reads::ListReads;
 use crate::log;
@@ -46,6 +47,9 @@
 /// second one has to learn how the first one ended.
 const TRIAL_SPACING: Duration = Duration::from_secs(2);
 
+/// Time in which a connection that is closed for others gives back its memory.
+const CLOSE_TIME: Duration = Duration::from_millis(5);
+
 /// Shared state of one daemon.
 pub(crate) struct State<S: Store, D: Dialect> {
     /// Settings at startup, which hold the values that need a restart to change.
@@ -65,6 +69,8 @@
     pub metrics: Arc<Metrics>,
     /// Memory for the answers that are kept.
     pub budget: Budget,
+    /// Connections on which a large answer is written.
+    pub writers: Writers,
     /// Memory for the bodies of requests and of the answers of peers.
     pub calls_budget: Budget,
     /// Links to the replicas.
@@ -156,6 +162,7 @@
             connector,
             metrics,
             budget: Budget::of_memory(settings.memory_bytes()),
+            writers: Writers::default(),
             calls_budget: Budget::of_calls(settings.memory_bytes()),
             settings,
             links,
@@ -304,6 +311,18 @@
         before.count() as u32
     }
 
+    /// Makes room for an answer, as the memory is spent: closes the connection whose client has
+    /// read longest. `false` if all may still be written.
+    pub(crate) async fn make_room(&self) -> bool {
+        if !self.writers.close_slowest(clock::now()) {
+            return false;
+        }
+        self.metrics.writer_closed();
+        // Its task ends, and drops what was to be written.
+        smol::Timer::after(CLOSE_TIME).await;
+        true
+    }
+
     /// Whether a job whose request has this size fits in the memory beside those of the loaded
     /// shards.
     pub(crate) fn has_room_for_job(&self, bytes: usize) -> bool {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -124,8 +124,10 @@
     let is_large = body.size_hint().lower() > SMALL_BYTES as u64;
     let body = if is_large && head.status.is_success() {
         let mut share = core.budget.share();
-        if !share.resize(RELAYED_BYTES) {
-            return Err(Error::Broken("other answers take the memory".into()));
+        while !share.try_resize(RELAYED_BYTES) {
+            if !core.make_room().await {
+                return Err(Error::Broken("other answers take the memory".into()));
+            }
         }
         Body::relayed(body, connection, core.connector.clone(), share)
     } else {
--- a/crates/gateway/src/intake/meter.rs
+++ b/crates/gateway/src/intake/meter.rs
@@ -11,6 +11,7 @@
 use smol::Timer;
 
 use super::registry::Ticket;
+use super::writers::{Writer, Writers};
 use crate::clock;
 
 /// Allowance beyond the limit of a head for its request line, separators and the part of the
@@ -79,6 +80,8 @@
     refusal: Option<Refusal>,
     /// Whether all of the response before has been written.
     is_flushed: bool,
+    /// Entry among the connections that write a large response.
+    writer: Option<Writer>,
 }
 
 /// State of the requests of one connection.
@@ -99,6 +102,7 @@
             phase: Phase::Idle,
             refusal: None,
             is_flushed: true,
+            writer: None,
         };
         Self {
             ticket,
@@ -137,6 +141,12 @@
         self.ticket.request_received();
     }
 
+    /// Marks the connection as writing a large response.
+    pub fn response_started(&self, writers: &Writers) {
+        let writer = writers.start(clock::now(), self.ticket.closer());
+        self.lock().writer = Some(writer);
+    }
+
     /// Waits for the next head, as the response has ended. If the request was `refused`, the
     /// connection may be closed for others at once: refusals cost a client nothing.
     pub fn response_ended(&self, refused: bool) {
@@ -290,6 +300,7 @@
             let mut state = self.meter.lock();
             if matches!(state.phase, Phase::Idle | Phase::Head { .. }) {
                 state.is_flushed = true;
+                state.writer = None;
             }
         }
         flushed
--- a/crates/gateway/src/intake/registry.rs
+++ b/crates/gateway/src/intake/registry.rs
@@ -133,7 +133,30 @@
     evicted: Arc<Event>,
 }
 
+/// Closes a connection for others.
+#[derive(Debug)]
+pub struct Closer {
+    registry: Registry,
+    id: Id,
+}
+
+impl Closer {
+    /// Closes the connection, if it is still open.
+    pub fn close(self) {
+        self.registry.lock().evict(self.id);
+    }
+}
+
 impl Ticket {
+    /// Closer of the connection.
+    #[must_use]
+    pub fn closer(&self) -> Closer {
+        Closer {
+            registry: self.registry.clone(),
+            id: self.id,
+        }
+    }
+
     /// Listener for the time when the connection has to be closed for others.
     #[must_use]
     pub fn eviction(&self) -> EventListener {
--- a/crates/gateway/src/intake/serve.rs
+++ b/crates/gateway/src/intake/serve.rs
@@ -19,6 +19,7 @@
 use super::registry::{Registry, Ticket};
 use super::tracked::Tracked;
 use crate::bounded::Bounded;
+use crate::budget::SMALL_BYTES;
 use crate::clock::{self, with_timeout};
 use crate::connection::configure_socket;
 use crate::core::Core;
@@ -162,6 +163,9 @@
                 headers.entry(header::CONNECTION).or_insert(close);
             }
             let is_refusal = is_refusal(response.status());
+            if response.body().size_hint().lower() > SMALL_BYTES as u64 {
+                meter.response_started(&core.writers);
+            }
             Ok::<_, Infallible>(response.map(|body| Tracked::new(body, meter, is_refusal)))
         }
     });
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -235,8 +235,10 @@
         return error_response(core, Code::NotFound);
     };
     let mut share = core.budget.share();
-    if !share.resize(page.len()) {
-        return reject(core, id, Code::MemoryLimited);
+    while !share.try_resize(page.len()) {
+        if !core.make_room().await {
+            return reject(core, id, Code::MemoryLimited);
+        }
     }
     let mut response = Response::new(Body::full(share.into_held(page)));
     let json = HeaderValue::from_static("application/json");
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -191,6 +191,11 @@
         ));
     }
 
+    /// Connection that was closed as its client reads slowly and memory is short.
+    pub(crate) fn writer_closed(&self) {
+        self.add("slow_readers_closed_total".into());
+    }
+
     /// Time for which a timer was late, as other tasks held the thread.
     pub(crate) fn scheduling_delay(&self, delay: Duration) {
         let ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -496,9 +496,11 @@
                 self.metrics.answer_too_large("body");
                 return Err(Outcome::Broken);
             }
-            if !buffer.push(&data) {
-                self.metrics.answer_too_large("no_memory");
-                return Err(Outcome::NoMemory);
+            while !buffer.push(&data) {
+                if !core.make_room().await {
+                    self.metrics.answer_too_large("no_memory");
+                    return Err(Outcome::NoMemory);
+                }
             }
         }
         let is_empty = self.framing == Framing::Connection && buffer.is_empty();
--- a/crates/gateway/tests/gateway/budget.rs
+++ b/crates/gateway/tests/gateway/budget.rs
@@ -5,6 +5,7 @@
 use bitterncart_gateway::budget::{Budget, SMALL_BYTES};
 use bitterncart_gateway::buffer::Buffer;
 use bitterncart_testing::cases;
+use bitterncart_testing::slow::Readers;
 use bytes::Bytes;
 use futures_lite::future;
 
@@ -89,6 +90,21 @@
     length_that_is_too_large(Some(4 << 20), 2, 20_000);
 }
 
+/// Guards against an answer that is refused once and then kept, as it counts already.
+#[test]
+fn answer_that_finds_no_room_does_not_count() {
+    let budget = budget();
+    let mut other = budget.share();
+    assert!(other.try_resize(MB));
+    let mut share = budget.share();
+    for _ in 0..2 {
+        assert!(!share.try_resize(MB));
+        assert_eq!(budget.kept(), MB);
+    }
+    drop(other);
+    assert!(share.try_resize(MB));
+}
+
 #[test]
 fn body_beyond_the_budget_is_not_kept() {
     let budget = budget();
@@ -134,6 +150,42 @@
     });
 }
 
+/// Guards against slow readers that keep all others from large answers for as long as they read:
+/// the slowest gives way once it has read for longer than clients wait.
+#[test]
+fn slowest_reader_gives_way() {
+    smol::block_on(async {
+        let replica = ScriptedReplica::start_with("r", |_| {
+            let headers = "signature: s\r\ncontent-length: 1000000\r\n";
+            vec![
+                Action::Respond(200, headers, ""),
+                Action::Send("x".repeat(1_000_000)),
+            ]
+        });
+        let replica = replica.await;
+        let store = store(&[&replica]);
+        let gateway = Gateway::start_with(&store, r#""memory_mb": 24,"#).await;
+        wait_until("the daemon to be ready", || gateway.daemon.is_ready()).await;
+        let address = gateway.daemon.client_address();
+        let requests = (0..8).map(|n| (address, post("/once/a", &format!("slow{n}"))));
+        let readers = Readers::start(requests.collect());
+        wait_until("the slow readers", || readers.answered() >= 4).await;
+        let mut statuses = Vec::new();
+        for n in 0..40 {
+            let response = gateway.fetch(&post("/once/a", &format!("fast{n}"))).await;
+            statuses.push(status(&response));
+            if statuses.contains(&502) && statuses.last() == Some(&200) {
+                break;
+            }
+            smol::Timer::after(Duration::from_millis(250)).await;
+        }
+        assert_eq!(statuses.first(), Some(&502), "{statuses:?}");
+        assert_eq!(statuses.last(), Some(&200), "{statuses:?}");
+        let metrics = gateway.daemon.metrics_text();
+        assert!(metrics.contains("slow_readers_closed_total"), "{metrics}");
+    });
+}
+
 /// Guards against a daemon that exceeds its memory by many large answers at once, none of
 /// which is too large by itself. Small answers are read meanwhile.
 #[test]
