gateway: connections between two requests hold no future of a response

Callers saw: nothing reported. Failing run: kept_connections, 900 connections kept open after a request each, a daemon of 120 MB: peak 107,220 kB (106,596 in a release build), bound 61,440.

Cause: the HTTP library keeps room for the future of a response for as long as the connection is open. Ours holds all steps of an online request in line, some 60 kB of the 95 kB that a connection took; 32 KiB are reckoned for one.

Fix: it is boxed.

--- a/crates/gateway/src/intake/serve.rs
+++ b/crates/gateway/src/intake/serve.rs
@@ -154,7 +154,9 @@
         let (core, meter) = (core.clone(), Arc::clone(&meter));
         request.extensions_mut().insert(Arc::clone(&meter));
         async move {
-            let mut response = respond(&core, request, endpoint).await;
+            // The library keeps room for this future as long as the connection is open; that of
+            // a response is large.
+            let mut response = Box::pin(respond(&core, request, endpoint)).await;
             let current = core.manifest().map(|manifest| manifest.limits.max_head);
             if current.is_some_and(|max_head| max_head != limits.max_head) {
                 // The next request may be within the new limit only.
