gateway: a connection whose answer is not read to its end is not kept

Found by reading the relayed answers once more: an owner's small answer that broke or found no room left its connection among the idle ones.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -132,8 +132,9 @@
         Body::relayed(body, connection, core.connector.clone(), share)
     } else {
         let bytes = collect(&mut body, MAX_RESPONSE_BYTES, &core.budget).await;
+        let bytes = bytes.map_err(|e| Error::Broken(e.to_string()))?;
         core.connector.release(connection);
-        Body::full(bytes.map_err(|e| Error::Broken(e.to_string()))?)
+        Body::full(bytes)
     };
     strip_hop_by_hop_headers(&mut head.headers);
     Ok(Response::from_parts(head, body))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,8 @@
 //! needs several locks takes them in this order: manifest, freshness, ledgers in the order
 //! of their shards, runs, peers, cut-off daemons, ownership table, pool, admission queue,
 //! quarantine, streams, buckets, asks, links, idle connections. The catalog, the times of
-//! list reads, the open connections of an address and the quotas are locked alone.
+//! list reads, the open connections of an address and the quotas are locked alone, the meter of
+//! a connection before the connections that write.
 
 mod answer;
 mod availability;
