gateway: one place reserves memory for an answer

The loop that asks the budget and has slow readers give way stood in the pages of results and in the answers of owners. Core::reserve_answer has it now; the body that is read in pieces keeps its own, as it asks anew with each piece. Comments of the budgets still said that answers of peers share the memory of requests, which they have not since they are relayed. No behaviour changes.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -1,5 +1,5 @@
-//! Memory for what other processes send and a daemon keeps: bodies that are being read,
-//! events that wait for slow clients, and outputs of items.
+//! Memory for what other processes send and a daemon keeps: bodies that are being read, events
+//! and pages of results that wait for slow clients, and outputs of items.
 //!
 //! Small answers have a part of the budget to themselves, so that a few large ones do
 //! not end the others.
@@ -22,7 +22,7 @@
 /// bytes.
 const MEMORY_DIVISOR: usize = 4;
 
-/// Likewise for the answers of the store, and for requests with answers of peers.
+/// Likewise for the answers of the store, and for the bodies of requests.
 const CALLS_MEMORY_DIVISOR: usize = 8;
 
 /// Share of the memory of the process that accepted jobs may take: one in this many bytes.
@@ -42,15 +42,15 @@
 }
 
 impl Budget {
-    /// Budget for the answers of replicas, in a process with a limit of its memory, in
-    /// bytes.
+    /// Budget for the answers of replicas and peers and for pages of results, in a process with
+    /// a limit of its memory, in bytes.
     #[must_use]
     pub fn of_memory(memory_bytes: usize) -> Self {
         Self::new(memory_bytes / MEMORY_DIVISOR)
     }
 
-    /// Budget for the answers of the store, or for requests with the answers of peers, in
-    /// a process with a limit of its memory, in bytes.
+    /// Budget for the answers of the store, or for the bodies of requests, in a process with a
+    /// limit of its memory, in bytes.
     #[must_use]
     pub fn of_calls(memory_bytes: usize) -> Self {
         Self::new(memory_bytes / CALLS_MEMORY_DIVISOR)
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -22,7 +22,7 @@
 use smol::{Executor, Task};
 
 use crate::availability::Availability;
-use crate::budget::{self, Budget};
+use crate::budget::{self, Budget, Share};
 use crate::clock::{self, with_timeout};
 use crate::confirmation::Confirmations;
 use crate::connection::Connector;
@@ -67,11 +67,11 @@
     pub request_quotas: RequestQuotas,
     pub streams: streams::Registry,
     pub metrics: Arc<Metrics>,
-    /// Memory for the answers that are kept.
+    /// Memory for the answers that are kept or written, those of peers too.
     pub budget: Budget,
     /// Connections on which a large answer is written.
     pub writers: Writers,
-    /// Memory for the bodies of requests and of the answers of peers.
+    /// Memory for the bodies of requests.
     pub calls_budget: Budget,
     /// Links to the replicas.
     pub links: links::Monitor,
@@ -323,6 +323,18 @@
         true
     }
 
+    /// Share of the memory for answers, for which slow readers give way; `None` if there is no
+    /// room.
+    pub(crate) async fn reserve_answer(&self, bytes: usize) -> Option<Share> {
+        let mut share = self.budget.share();
+        while !share.try_resize(bytes) {
+            if !self.make_room().await {
+                return None;
+            }
+        }
+        Some(share)
+    }
+
     /// Whether a job whose request has this size fits in the memory beside those of the loaded
     /// shards.
     pub(crate) fn has_room_for_job(&self, bytes: usize) -> bool {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -123,12 +123,8 @@
     let (mut head, mut body) = connection.send(request).await?.into_parts();
     let is_large = body.size_hint().lower() > SMALL_BYTES as u64;
     let body = if is_large && head.status.is_success() {
-        let mut share = core.budget.share();
-        while !share.try_resize(RELAYED_BYTES) {
-            if !core.make_room().await {
-                return Err(Error::Broken("other answers take the memory".into()));
-            }
-        }
+        let share = core.reserve_answer(RELAYED_BYTES).await;
+        let share = share.ok_or_else(|| Error::Broken("other answers take the memory".into()))?;
         Body::relayed(body, connection, core.connector.clone(), share)
     } else {
         let bytes = collect(&mut body, MAX_RESPONSE_BYTES, &core.budget).await;
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -234,12 +234,9 @@
     let Some(page) = page else {
         return error_response(core, Code::NotFound);
     };
-    let mut share = core.budget.share();
-    while !share.try_resize(page.len()) {
-        if !core.make_room().await {
-            return reject(core, id, Code::MemoryLimited);
-        }
-    }
+    let Some(share) = core.reserve_answer(page.len()).await else {
+        return reject(core, id, Code::MemoryLimited);
+    };
     let mut response = Response::new(Body::full(share.into_held(page)));
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, json);
