gateway: the decision about a job, not its response, says whether it holds for others

The mark of an owner's refusal was put on by looking up a result code that every error response of the daemon carried as an extension, for this one use. The decision is a Result with its code now, and the response is made from it. No behaviour changes.

--- a/crates/gateway/src/jobs/submit.rs
+++ b/crates/gateway/src/jobs/submit.rs
@@ -139,7 +139,8 @@
             Err(Failure::Unknown) => is_certain = false,
         }
     }
-    Ok(decide(core, target, message, &id, is_certain).await)
+    let decided = decide(core, target, message, &id, is_certain).await;
+    Ok(decision_response(core, &id, decided))
 }
 
 /// Whether a request to a path without a route submits a job once more that has been accepted,
@@ -230,8 +231,13 @@
             };
             let decided = decide(core, &target, &message, &id, true);
             let decided = core.shutdown.unless_ending(decided).await;
-            let decided = decided.unwrap_or_else(|| reject(core, &id, Code::AppendUnknown));
-            submission::mark_decided(decided)
+            let decided = decided.unwrap_or(Err(Code::AppendUnknown));
+            let mut response = decision_response(core, &id, decided);
+            if decided == Err(Code::MemoryLimited) {
+                // This daemon would read a job that another one records for it.
+                submission::mark_decided(&mut response);
+            }
+            response
         }
         None => reject(core, "", Code::BadHeader),
     }
@@ -272,14 +278,23 @@
     message: &Message,
     id: &CompactString,
     is_certain: bool,
-) -> Response<Body> {
-    let code = match accept(core, target, message, id).await {
-        Ok(()) => return accepted(),
+) -> Result<(), Code> {
+    match accept(core, target, message, id).await {
         // The owner may still accept the job.
-        Err(code) if !is_certain && code.ran() == Ran::NotRun => Code::AppendUnknown,
-        Err(code) => code,
-    };
-    reject(core, id, code)
+        Err(code) if !is_certain && code.ran() == Ran::NotRun => Err(Code::AppendUnknown),
+        decided => decided,
+    }
+}
+
+fn decision_response<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    id: &str,
+    decided: Result<(), Code>,
+) -> Response<Body> {
+    match decided {
+        Ok(()) => accepted(),
+        Err(code) => reject(core, id, code),
+    }
 }
 
 /// Accepts a job at this daemon.
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -565,7 +565,6 @@
     let mut response = Response::new(Body::full(Bytes::from(text)));
     let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     *response.status_mut() = status;
-    response.extensions_mut().insert(code);
     let headers = response.headers_mut();
     headers.insert(
         header::CONTENT_TYPE,
--- a/crates/gateway/src/submission.rs
+++ b/crates/gateway/src/submission.rs
@@ -9,7 +9,6 @@
 use std::sync::Arc;
 
 use bitterncart_coordination::fleet::{Kind, Manifest, Route};
-use bitterncart_protocol::Code;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri, header, request};
 
@@ -117,14 +116,10 @@
     response
 }
 
-/// Marks a refusal for lack of memory: the owner would read a job that another daemon records
-/// for it.
-pub(crate) fn mark_decided(mut response: Response<Body>) -> Response<Body> {
-    if response.extensions().get() == Some(&Code::MemoryLimited) {
-        let value = HeaderValue::from_static("1");
-        response.headers_mut().insert(DECIDED, value);
-    }
-    response
+/// Marks a refusal that holds for the daemon that submits the job, too.
+pub(crate) fn mark_decided(response: &mut Response<Body>) {
+    let value = HeaderValue::from_static("1");
+    response.headers_mut().insert(DECIDED, value);
 }
 
 /// What the response of an owner says.
