--- a/crates/state/src/ledger/entry.rs
+++ b/crates/state/src/ledger/entry.rs
@@ -126,6 +126,17 @@
     GivenUp,
 }
 
+impl Outcome {
+    /// Output; empty if there is none.
+    #[must_use]
+    pub fn output(&self) -> &str {
+        match self {
+            Self::Completed(output) => output,
+            Self::GivenUp => "",
+        }
+    }
+}
+
 /// Result of an item, stored at a position in the result list of its job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemResult {
@@ -241,10 +252,7 @@
     /// Memory that the items, their results and their stored outputs take, in bytes.
     #[must_use]
     pub fn memory_bytes(&self) -> usize {
-        let results = self.results.iter().map(|result| match &result.end {
-            Outcome::Completed(output) => output.len(),
-            Outcome::GivenUp => 0,
-        });
+        let results = self.results.iter().map(|result| result.end.output().len());
         let outputs = self.progress.values().map(|progress| progress.output.len());
         self.submission.memory_bytes() + results.sum::<usize>() + outputs.sum::<usize>()
     }
--- a/crates/state/src/ledger/state.rs
+++ b/crates/state/src/ledger/state.rs
@@ -16,7 +16,7 @@
 use serde::Deserialize;
 use slotmap::{SlotMap, new_key_type};
 
-use super::entry::{ItemResult, Job, Outcome, OutputPart, Record, Submission, Terms};
+use super::entry::{ItemResult, Job, OutputPart, Record, Submission, Terms};
 use crate::invariant;
 
 new_key_type! {
@@ -304,10 +304,7 @@
     let stored = job.progress.remove(&result.item);
     let body = std::mem::replace(&mut job.submission.items[index].body, [].into());
     let before = body.len() + stored.map_or(0, |stored| stored.output.len());
-    let after = match &result.end {
-        Outcome::Completed(output) => output.len(),
-        Outcome::GivenUp => 0,
-    };
+    let after = result.end.output().len();
     job.results.push(result);
     Ok(change(before, after))
 }
