--- a/crates/soak/src/content.rs
+++ b/crates/soak/src/content.rs
@@ -51,10 +51,12 @@
 #[must_use]
 pub fn large_event(attempt: &str, event: u64, version: &str) -> String {
     let filler = "x".repeat(LARGE_EVENT_BYTES);
-    format!(
-        "id: {event}\ndata: {} {filler}\n\n",
-        data(attempt, event, version)
-    )
+    let data = data(attempt, event, version);
+    encode_event(event, &format!("{data} {filler}"))
+}
+
+fn encode_event(id: u64, data: &str) -> String {
+    format!("id: {id}\ndata: {data}\n\n")
 }
 
 /// Data of an event of a stream.
@@ -66,7 +68,7 @@
 /// Event of a stream.
 #[must_use]
 pub fn event(attempt: &str, event: u64, version: &str) -> String {
-    format!("id: {event}\ndata: {}\n\n", data(attempt, event, version))
+    encode_event(event, &data(attempt, event, version))
 }
 
 /// Events of a stream behind the event `after`.
