tests: a job that its owner has no memory for is recorded by no other daemon

The mark of the refusal had no test. With its arm taken out of Reply::of the job is recorded and answered with 202 in place of 503. A refusal without the mark, as that of an earlier build, is followed by a record of this daemon, as before.

--- a/crates/gateway/tests/gateway/owner.rs
+++ b/crates/gateway/tests/gateway/owner.rs
@@ -84,6 +84,30 @@
     reset_then_refusal_is_reported_as_unknown(vec![vec![Action::Reset], vec![REFUSED]], 504);
 }
 
+/// Refusal of an owner that has no memory for the job.
+const DECIDED: Action = Action::Respond(503, "content-length: 0\r\ndecided: 1\r\n", "");
+
+cases! {
+    /// Guards against a job that an owner refuses for its memory and another daemon records for
+    /// it. After any other refusal this daemon records the job itself.
+    fn refusal_of_an_owner(refusal: Action, expected: u16, heads: usize) {
+        smol::block_on(async {
+            let owner = ScriptedReplica::start_with("owner", move |_| vec![refusal.clone()]).await;
+            let store = store(&[]);
+            let gateway = Gateway::start(&store).await;
+            let _heartbeats = send_heartbeats_as_owner(&store, owner.address).await;
+            wait_until("the other owner", || !gateway.daemon.is_serving(0)).await;
+            let response = gateway.fetch(&request("POST", "/items/", "job", "one\n")).await;
+            assert_eq!(status(&response), expected, "{response}");
+            assert!(!response.contains("decided"), "{response}");
+            assert_eq!(store.count_records("j/job"), heads);
+            assert!(!owner.requests().is_empty());
+        });
+    }
+    job_that_an_owner_has_no_memory_for_is_not_recorded(DECIDED, 503, 0);
+    job_of_an_owner_without_the_store_is_recorded(REFUSED, 202, 1);
+}
+
 /// Appends the result of the first item of a job, as another daemon does.
 pub(crate) fn record_result(store: &MemoryStore, job: &str) {
     let mut ledger = Ledger::default();
