--- a/crates/protocol/src/code.rs
+++ b/crates/protocol/src/code.rs
@@ -120,7 +120,7 @@
     RequestQuarantined = 1310, "request_quarantined", 503, NotRun, true, "Do not repeat the request before the Retry-After seconds; replicas crashed under it.";
     StreamNotResumable = 1311, "stream_not_resumable", 503, NotRun, true, "Send the request again from its beginning; no replica can continue the stream.";
     LinksLost = 1312, "links_lost", 503, NotRun, true, "Come back after the Retry-After seconds; no instance reaches the replicas.";
-    MemoryLimited = 1313, "memory_limited", 503, NotRun, true, "Come back after the Retry-After seconds; the requests that the instance holds take its memory.";
+    MemoryLimited = 1313, "memory_limited", 503, NotRun, true, "Come back after the Retry-After seconds; what the instance holds for others takes its memory.";
     ConfigurationStale = 1314, "configuration_stale", 503, NotRun, true, "Come back after the Retry-After seconds; the instance cannot confirm that its configuration is current.";
     KeyConflict = 1401, "key_conflict", 422, NotRun, false, "Use a new Idempotency-Key for another request.";
     VersionConflict = 1402, "version_conflict", 409, NotRun, false, "Read the current version, compare, and publish again on top of it.";
