tests: a call to an owner begins when the daemon forwards calls

The test waited until the daemon did not serve the shard. That is so before the shard is loaded for the first time, too, when no heartbeat of the owner has arrived: the daemon then records the job itself, as it should.

It now waits until a read of a job has reached the owner, and asks that the submission reached it, where any call was enough before.

--- a/crates/gateway/tests/gateway/owner.rs
+++ b/crates/gateway/tests/gateway/owner.rs
@@ -1,7 +1,7 @@
 //! Calls that are forwarded to an owner which refuses, times out or resets.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bitterncart_coordination::fleet::Heartbeat;
 use bitterncart_coordination::fleet::peers::Ownership;
@@ -11,7 +11,7 @@
 use smol::Task;
 use smol::net::UdpSocket;
 
-use crate::harness::{Gateway, request, status, store, wait_until};
+use crate::harness::{Gateway, WAIT_TIMEOUT, request, status, store, wait_until};
 use crate::replica::{Action, ScriptedReplica};
 use crate::store::{Fault, MemoryStore};
 
@@ -84,6 +84,15 @@
     reset_then_refusal_is_reported_as_unknown(vec![vec![Action::Reset], vec![REFUSED]], 504);
 }
 
+/// Waits until a daemon forwards calls about jobs to their owner.
+async fn wait_until_forwarded(gateway: &Gateway, owner: &ScriptedReplica) {
+    let started = Instant::now();
+    while owner.requests().is_empty() {
+        assert!(started.elapsed() < WAIT_TIMEOUT, "no call is forwarded");
+        gateway.fetch(&request("GET", "/jobs/job", "r", "")).await;
+    }
+}
+
 /// Refusal of an owner that has no memory for the job.
 const DECIDED: Action = Action::Respond(503, "content-length: 0\r\ndecided: 1\r\n", "");
 
@@ -96,12 +105,12 @@
             let store = store(&[]);
             let gateway = Gateway::start(&store).await;
             let _heartbeats = send_heartbeats_as_owner(&store, owner.address).await;
-            wait_until("the other owner", || !gateway.daemon.is_serving(0)).await;
+            wait_until_forwarded(&gateway, &owner).await;
             let response = gateway.fetch(&request("POST", "/items/", "job", "one\n")).await;
             assert_eq!(status(&response), expected, "{response}");
             assert!(!response.contains("decided"), "{response}");
             assert_eq!(store.count_records("j/job"), heads);
-            assert!(!owner.requests().is_empty());
+            assert!(owner.requests().iter().any(|head| head.starts_with("POST")));
         });
     }
     job_that_an_owner_has_no_memory_for_is_not_recorded(DECIDED, 503, 0);
