transport: an answer counts until it has been written, and the slowest give way

In the test, 16 of 16 answers of 8 MB began for callers that read nothing, 128 MB in one daemon where 64 MiB are meant:

slow_readers_of_answers_are_bounded ... FAILED ["200", "200", "200", "200", "200", "200", "200", "200", "200", "200", "200", "200", "200", "200", "200", "200"]

Cause: the client's share of a body ended when it had been read, before it was written. An answer beyond the bound was a broken one: the server counted as failing and the call was tried again.

NoMemory ends the call without a further attempt and without a failure of the server; with that arm taken out the statuses are four times 200, three times 502 and nine times 503, as no server was left. The log has a client of its own, which slow callers cannot starve.

The platform's daemon does not use this code.

--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -20,6 +20,8 @@
     Broken,
     /// Nothing was received for longer than the idle timeout.
     Timeout,
+    /// There was no memory to read the answer, which is no fault of the backend server.
+    NoMemory,
 }
 
 impl Failure {
@@ -35,7 +37,7 @@
         match self {
             Self::Connect => Code::RetryConnect,
             Self::Refused => Code::RetryRefused,
-            Self::Broken => Code::RetryBroken,
+            Self::Broken | Self::NoMemory => Code::RetryBroken,
             Self::Timeout => Code::RetrySilent,
         }
     }
@@ -103,6 +105,10 @@
         let may_run = attempt.repeatable || attempt.failure.not_run();
         match attempt {
             _ if !may_run => Decision::Stop(Code::OutcomeUnknown),
+            Attempt {
+                failure: Failure::NoMemory,
+                ..
+            } => Decision::Stop(Code::BackendFailed),
             Attempt {
                 time_left: Duration::ZERO,
                 failure,
@@ -127,7 +133,7 @@
 fn stop_code(failure: Failure) -> Code {
     match failure {
         Failure::Connect | Failure::Refused => Code::NoReplica,
-        Failure::Broken => Code::BackendFailed,
+        Failure::Broken | Failure::NoMemory => Code::BackendFailed,
         Failure::Timeout => Code::BackendTimeout,
     }
 }
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -52,7 +52,7 @@
         _ => service::run(core, &call, repeatable, left).await?,
     };
     drop(permit);
-    response(outcome)
+    response(core, outcome)
 }
 
 async fn read_call(
@@ -132,7 +132,7 @@
     }
 }
 
-fn response(outcome: Outcome) -> Result<Response> {
+fn response(core: &Core, outcome: Outcome) -> Result<Response> {
     match outcome {
         Outcome::Answered {
             status,
@@ -141,7 +141,7 @@
         } => {
             let status = StatusCode::try_from(status).unwrap_or(StatusCode::BadGateway);
             let mut response = Response::new(status);
-            response.set_body(body);
+            response.set_body(core.http.memory().body(body));
             if !content_type.is_empty() {
                 response.insert_header("Content-Type", content_type.as_str());
             }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -135,10 +135,12 @@
         me: Member,
         seed: u64,
     ) -> Self {
+        // Answers that callers read slowly leave the log's records their memory.
+        let log_http = Client::default().blocklist(blocklist.clone());
         let http = Client::default().blocklist(blocklist);
         Self {
             daemon_id: me.daemon.clone(),
-            log: Log::new(settings.log, http.clone()),
+            log: Log::new(settings.log, log_http),
             http,
             counters: Counters::new(settings.statsd),
             config: Mutex::default(),
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -286,6 +286,7 @@
         Error::Refused(_) => Failure::Refused,
         Error::Timeout => Failure::Timeout,
         Error::Broken(_) | Error::Malformed(_) => Failure::Broken,
+        Error::NoMemory => Failure::NoMemory,
     }
 }
 
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -113,6 +113,7 @@
             routing.record_success(key);
             Ok(outcome)
         }
+        Err(Failure::NoMemory) => Err(Failure::NoMemory),
         Err(failure) => {
             routing.record_attempt_failure(now, key);
             Err(failure)
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -1,7 +1,8 @@
 //! Simulated plain service that counts how often each call ran.
 //!
 //! Clients name a call in the `call` field of the body. The count per name shows
-//! whether a call that must not be repeated ran at most once.
+//! whether a call that must not be repeated ran at most once. `GET /bytes/N` is answered with
+//! `N` bytes.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -63,7 +64,9 @@
             return reply::text(StatusCode::ServiceUnavailable, "leaving");
         }
         if request.method() == Method::Get {
-            return reply::text(StatusCode::Ok, "");
+            let path = request.url().path();
+            let length = path.strip_prefix("/bytes/").and_then(|n| n.parse().ok());
+            return reply::text(StatusCode::Ok, &"a".repeat(length.unwrap_or_default()));
         }
         match request.body_json::<Call>().await {
             Ok(call) => {
--- a/crates/transport/src/error.rs
+++ b/crates/transport/src/error.rs
@@ -26,6 +26,10 @@
         Refused(status: u16) {
             display("refused with status {status}")
         }
+        /// The response was not read to its end, as memory is short here.
+        NoMemory {
+            display("no memory for the answer; other answers are being read or written")
+        }
         /// The response could not be parsed, or the request could not be encoded.
         Malformed(reason: String) {
             display("malformed answer: {reason}")
--- a/crates/transport/src/http/client.rs
+++ b/crates/transport/src/http/client.rs
@@ -6,8 +6,6 @@
 //! one whose peer vanished without closing it could fail several requests.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use futures_lite::AsyncReadExt;
@@ -18,6 +16,7 @@
 use smol::net::TcpStream;
 
 use super::head_limit::HeadLimit;
+use super::memory::Memory;
 use crate::partition::Connection;
 use crate::runtime::timeout;
 use crate::{Blocklist, Error};
@@ -25,42 +24,6 @@
 /// Bytes that are read at a time.
 const READ_BYTES: usize = 16 << 10;
 
-/// Bytes of the bodies that are being read, by a client and its clones.
-#[derive(Clone, Debug)]
-struct Held {
-    bytes: Arc<AtomicUsize>,
-    max_bytes: usize,
-}
-
-impl Held {
-    fn new(max_bytes: usize) -> Self {
-        Self {
-            bytes: Arc::default(),
-            max_bytes,
-        }
-    }
-}
-
-/// Share of one body, given back when it is dropped.
-struct Share<'a> {
-    held: &'a Held,
-    bytes: usize,
-}
-
-impl Share<'_> {
-    /// Adds bytes; `false` if all bodies take too much memory together.
-    fn add(&mut self, bytes: usize) -> bool {
-        self.bytes += bytes;
-        self.held.bytes.fetch_add(bytes, Ordering::Relaxed) + bytes <= self.held.max_bytes
-    }
-}
-
-impl Drop for Share<'_> {
-    fn drop(&mut self) {
-        self.held.bytes.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
 /// HTTP client.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -69,7 +32,7 @@
     head_timeout: Duration,
     body_timeout: Duration,
     max_body_bytes: u64,
-    held: Held,
+    memory: Memory,
 }
 
 impl Default for Client {
@@ -80,7 +43,7 @@
             head_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
             max_body_bytes: 64 << 20,
-            held: Held::new(64 << 20),
+            memory: Memory::new(64 << 20),
         }
     }
 }
@@ -114,14 +77,20 @@
         self
     }
 
-    /// Sets the size limit of all bodies that are being read at once by this client and its
-    /// clones (default 64 MiB).
+    /// Sets the memory for all bodies that this client and its clones read at once, and that
+    /// are passed on (default 64 MiB).
     #[must_use]
     pub fn max_held_bytes(mut self, bytes: usize) -> Self {
-        self.held = Held::new(bytes);
+        self.memory = Memory::new(bytes);
         self
     }
 
+    /// Memory for the bodies of this client and its clones.
+    #[must_use]
+    pub fn memory(&self) -> &Memory {
+        &self.memory
+    }
+
     /// Creates a request for `path` at a server; its connection is closed after the response.
     ///
     /// # Errors
@@ -169,23 +138,23 @@
     ///
     /// # Errors
     ///
-    /// If the body is shorter than its `Content-Length`, exceeds the size limit, alone or with
-    /// the other bodies that are being read, or takes longer than the time limit.
+    /// [`Error::NoMemory`] if there is no memory beside the other bodies; another error if the
+    /// body is shorter than its `Content-Length`, exceeds the size limit or takes longer than the
+    /// time limit.
     pub async fn read_body(&self, response: &mut Response) -> Result<Vec<u8>, Error> {
         let length = response.len();
         let mut bytes = Vec::new();
-        let mut share = Share {
-            held: &self.held,
-            bytes: 0,
-        };
+        let mut share = self.memory.share();
         let read = async {
             let mut body = response.take_body().take(self.max_body_bytes + 1);
             let mut buffer = vec![0; READ_BYTES];
             loop {
                 match body.read(&mut buffer).await.map_err(Error::broken)? {
                     0 => return Ok(()),
-                    count if share.add(count) => bytes.extend_from_slice(&buffer[..count]),
-                    _ => return Err(Error::broken("the bodies read at once are too large")),
+                    count => bytes.extend_from_slice(&buffer[..count]),
+                }
+                if !share.grow(bytes.capacity()) {
+                    return Err(Error::NoMemory);
                 }
             }
         };
--- a/crates/transport/src/http/mod.rs
+++ b/crates/transport/src/http/mod.rs
@@ -4,10 +4,12 @@
 pub mod client;
 mod deadline;
 mod head_limit;
+pub mod memory;
 pub mod server;
 pub mod sse;
 
 pub use client::Client;
+pub use memory::Memory;
 pub use server::{Handler, Server};
 
 pub use http_types::{Body, Method, Request, Response, StatusCode, Url};
--- a/crates/trial/tests/failures.rs
+++ b/crates/trial/tests/failures.rs
@@ -563,3 +563,48 @@
     drop(daemon);
     assert_eq!(call.join().expect("no panic"), Some(502));
 }
+
+/// Size of a large answer, in bytes: more than the buffers of a connection take.
+const LARGE_BYTES: usize = 8_000_000;
+
+/// Large answers that are asked for at once.
+const LARGE_ANSWERS: usize = 16;
+
+/// Memory of a daemon for answers, in bytes.
+const MAX_HELD_BYTES: usize = 64 << 20;
+
+/// Begins to read a large answer; its status and the connection.
+fn begin_large_answer(address: SocketAddr) -> (String, TcpStream) {
+    let mut stream = TcpStream::connect(address).expect("the daemon listens");
+    let request = format!(
+        "GET /services/minutes/bytes/{LARGE_BYTES} HTTP/1.1\r\nhost: a\r\n\
+         authorization: Bearer trial-front-desk\r\nx-deadline-ms: 20000\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).expect("sent");
+    let mut start = [0; 12];
+    stream.read_exact(&mut start).expect("an answer");
+    let status = String::from_utf8_lossy(&start[9..]).into_owned();
+    (status, stream)
+}
+
+/// Guards against answers that no limit counts while callers read them slowly, and against
+/// servers that count as failing as there is no memory for their answers.
+#[test]
+fn slow_readers_of_answers_are_bounded() {
+    let site = start(|_| {});
+    let address = site.callers()[0];
+    let answers = (0..LARGE_ANSWERS).map(|_| begin_large_answer(address));
+    let answers: Vec<_> = answers.collect();
+    let statuses: Vec<_> = answers.iter().map(|(status, _)| status.as_str()).collect();
+    let begun = statuses.iter().filter(|status| **status == "200").count();
+    assert!(
+        begun > 0 && begun * LARGE_BYTES <= MAX_HELD_BYTES,
+        "{statuses:?}"
+    );
+    assert!(!statuses.contains(&"503"), "{statuses:?}");
+    assert_eq!(top_up(address, "beside slow readers", None).0, 200);
+    wait_until("the slowest readers to give way", || {
+        begin_large_answer(address).0 == "200"
+    });
+    drop(answers);
+}
