transport: answers of other daemons and of the log make slow ones give way, too

An answer that the client here has not read, as that of a keyed call at its owner, counted while it was written but let nothing give way, so slow callers of such answers were in no bound.

Memory::body now makes room as a read does. It refuses nothing, as the answer is in memory already.

--- a/crates/transport/src/http/memory.rs
+++ b/crates/transport/src/http/memory.rs
@@ -54,6 +54,17 @@
         slowest.into_iter().for_each(|key| self.remove(key));
         slowest.is_some()
     }
+
+    /// Removes the slowest bodies until all take at most `max_bytes`; `false` if those that are
+    /// left take more.
+    fn make_room(&mut self, max_bytes: usize) -> bool {
+        while self.held_bytes > max_bytes {
+            if !self.remove_slowest() {
+                return false;
+            }
+        }
+        true
+    }
 }
 
 /// Memory for the bodies of a client and of what passes them on; clones share it.
@@ -82,6 +93,8 @@
         state.next += 1;
         state.held_bytes += bytes.capacity();
         state.written.insert(key, bytes);
+        // What others have recorded or read is in memory already.
+        let _has_room = state.make_room(self.max_bytes);
         drop(state);
         let written = Written {
             memory: self.clone(),
@@ -125,13 +138,7 @@
         let mut state = self.memory.lock();
         state.held_bytes += bytes - self.bytes;
         self.bytes = bytes;
-        let max_bytes = self.memory.max_bytes_for(bytes);
-        while state.held_bytes > max_bytes {
-            if !state.remove_slowest() {
-                return false;
-            }
-        }
-        true
+        state.make_room(self.memory.max_bytes_for(bytes))
     }
 }
 
