--- a/crates/trial/tests/failures.rs
+++ b/crates/trial/tests/failures.rs
@@ -518,20 +518,27 @@
     assert_completes(&mut client, &job, 0);
 }
 
+/// Sends a request and reads the beginning of the response; its status and the connection, if
+/// there is a response.
+fn begin(address: SocketAddr, request: &str) -> Option<(u16, TcpStream)> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut start = [0; 12];
+    stream.read_exact(&mut start).ok()?;
+    let status = std::str::from_utf8(&start[9..]).ok()?.parse().ok()?;
+    Some((status, stream))
+}
+
 /// Sends a service call with a long deadline; the status of the response, if there is one.
 fn top_up_slowly(address: SocketAddr) -> Option<u16> {
     let body = r#"{"call": "slow"}"#;
-    let mut stream = TcpStream::connect(address).ok()?;
     let request = format!(
         "POST /services/minutes/topups HTTP/1.1\r\nhost: a\r\n\
          authorization: Bearer trial-front-desk\r\nx-deadline-ms: 60000\r\n\
          content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
     );
-    stream.write_all(request.as_bytes()).ok()?;
-    let mut start = [0; 12];
-    stream.read_exact(&mut start).ok()?;
-    std::str::from_utf8(&start[9..]).ok()?.parse().ok()
+    begin(address, &request).map(|(status, _)| status)
 }
 
 /// Guards against a connection that closes with no answer, as its request outlasts the drain.
@@ -574,17 +581,12 @@
 const MAX_HELD_BYTES: usize = 64 << 20;
 
 /// Begins to read a large answer; its status and the connection.
-fn begin_large_answer(address: SocketAddr) -> (String, TcpStream) {
-    let mut stream = TcpStream::connect(address).expect("the daemon listens");
+fn begin_large_answer(address: SocketAddr) -> (u16, TcpStream) {
     let request = format!(
         "GET /services/minutes/bytes/{LARGE_BYTES} HTTP/1.1\r\nhost: a\r\n\
          authorization: Bearer trial-front-desk\r\nx-deadline-ms: 20000\r\n\r\n"
     );
-    stream.write_all(request.as_bytes()).expect("sent");
-    let mut start = [0; 12];
-    stream.read_exact(&mut start).expect("an answer");
-    let status = String::from_utf8_lossy(&start[9..]).into_owned();
-    (status, stream)
+    begin(address, &request).expect("an answer")
 }
 
 /// Guards against answers that no limit counts while callers read them slowly, and against
@@ -595,16 +597,16 @@
     let address = site.callers()[0];
     let answers = (0..LARGE_ANSWERS).map(|_| begin_large_answer(address));
     let answers: Vec<_> = answers.collect();
-    let statuses: Vec<_> = answers.iter().map(|(status, _)| status.as_str()).collect();
-    let begun = statuses.iter().filter(|status| **status == "200").count();
+    let statuses: Vec<_> = answers.iter().map(|(status, _)| *status).collect();
+    let begun = statuses.iter().filter(|status| **status == 200).count();
     assert!(
         begun > 0 && begun * LARGE_BYTES <= MAX_HELD_BYTES,
         "{statuses:?}"
     );
-    assert!(!statuses.contains(&"503"), "{statuses:?}");
+    assert!(!statuses.contains(&503), "{statuses:?}");
     assert_eq!(top_up(address, "beside slow readers", None).0, 200);
     wait_until("the slowest readers to give way", || {
-        begin_large_answer(address).0 == "200"
+        begin_large_answer(address).0 == 200
     });
     drop(answers);
 }
