transport: the slowest body is removed where it is found

An optional key passed through an iterator of one, and was then asked whether it had been there. Behaviour is as it was: the 37 tests of the crate pass. The comment beside make_room named those who made the bytes in place of why its result does not matter.

--- a/crates/transport/src/http/memory.rs
+++ b/crates/transport/src/http/memory.rs
@@ -49,10 +49,13 @@
     /// Removes the body that has been written longest; `false` if none has been for
     /// [`MIN_WRITE_TIME`].
     fn remove_slowest(&mut self) -> bool {
-        let first = self.written.first_key_value().map(|(key, _)| *key);
-        let slowest = first.filter(|(begun, _)| begun.elapsed() >= MIN_WRITE_TIME);
-        slowest.into_iter().for_each(|key| self.remove(key));
-        slowest.is_some()
+        match self.written.first_key_value() {
+            Some((&key, _)) if key.0.elapsed() >= MIN_WRITE_TIME => {
+                self.remove(key);
+                true
+            }
+            _ => false,
+        }
     }
 
     /// Removes the slowest bodies until all take at most `max_bytes`; `false` if those that are
@@ -93,7 +96,7 @@
         state.next += 1;
         state.held_bytes += bytes.capacity();
         state.written.insert(key, bytes);
-        // What others have recorded or read is in memory already.
+        // The bytes are in memory already, whether there is room or not.
         let _has_room = state.make_room(self.max_bytes);
         drop(state);
         let written = Written {
