review: one client's header takes all replicas out of use (case 11)

Claim: a 421 for other weights (Expect-Version) is taken for one of another process at the address; the replica is not used again until it restarts, so an accepted batch job is never done and all callers get 503. Shown by review/11/run.sh: the rule LOST was broken in five runs of five (0 of 10 items listed 18 s after the traffic, no replica had one); with TROUBLE=0 it held.

--- a/review/stage/fleet.rs
+++ b/review/stage/fleet.rs
@@ -194,11 +194,6 @@
         false
     }
 
-    /// What a daemon has logged.
-    pub fn log(&self, n: usize) -> String {
-        let path = self.folder.join(format!("{}.log", self.daemons[n].name));
-        fs::read_to_string(path).unwrap_or_default()
-    }
 
     /// Metrics of a daemon, as text.
     pub fn metrics(&self, n: usize) -> String {
@@ -222,15 +217,6 @@
         self.record.say(&format!("{name} started again"));
     }
 
-    /// Names of daemons that have ended by themselves.
-    pub fn ended(&mut self) -> Vec<String> {
-        let daemons = self.daemons.iter_mut();
-        let ended = daemons.filter_map(|daemon| {
-            let status = daemon.child.try_wait().ok()??;
-            Some(format!("{} ({status})", daemon.name))
-        });
-        ended.collect()
-    }
 
     /// Lines of what the replicas ran: time in ms, replica, service, version, event, id.
     pub fn runs(&self) -> Vec<(u64, Vec<String>)> {
--- a/review/stage/main.rs
+++ b/review/stage/main.rs
@@ -2,6 +2,7 @@
 //! `record.txt` into the folder; it ends with 1 if the rule was broken, 0 if it held, and 2 if the
 //! case could not run. With `TROUBLE=0` in the environment the disruption is left out.
 
+mod draining;
 mod fleet;
 mod http;
 mod lots;
@@ -10,6 +11,8 @@
 mod replica;
 mod store;
 mod taken_up;
+mod weights;
+mod tokens;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -39,6 +42,9 @@
     let verdict = match case.as_str() {
         "taken-up" => taken_up::play(&folder),
         "relabelled" => relabelled::play(&folder),
+        "tokens" => tokens::play(&folder),
+        "draining" => draining::play(&folder),
+        "weights" => weights::play(&folder),
         "quota" => quota::play(&folder),
         _ => Verdict::CouldNotRun,
     };
--- a/review/stage/replica.rs
+++ b/review/stage/replica.rs
@@ -16,6 +16,9 @@
 use crate::http::{self, Request};
 use crate::store::{self, Record};
 
+/// Version of the weights of all replicas.
+const WEIGHTS: &str = "1";
+
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 
 pub fn wall_ms() -> u64 {
@@ -171,6 +174,13 @@
             writer.write_all(&http::response(421, &instance, b""))?;
             return Ok(true);
         }
+        if request.header("expect-version").is_some_and(|expected| expected != WEIGHTS) {
+            self.note("other weights", &id);
+            let headers =
+                [("Attempt-Id", id.as_str()), ("Instance-Id", &o.id), ("Weight-Versions", WEIGHTS)];
+            writer.write_all(&http::response(421, &headers, b""))?;
+            return Ok(true);
+        }
         if request.method == "GET" {
             writer.write_all(&http::response(200, &instance, b"{}"))?;
             return Ok(true);
@@ -200,7 +210,11 @@
         let last = request.header("last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0);
         self.note(&format!("run after={last}"), id);
         let signature = format!("{}.{}.{id}", o.id, self.born);
-        let echo = [("Attempt-Id", id), ("Response-Signature", signature.as_str())];
+        let echo = [
+            ("Attempt-Id", id),
+            ("Response-Signature", signature.as_str()),
+            ("Weight-Versions", WEIGHTS),
+        ];
         if request.path().starts_with("/ack/") {
             thread::sleep(Duration::from_millis(o.gap_ms));
             writer.write_all(&http::response(200, &echo, format!("body of {id}").as_bytes()))?;
@@ -211,7 +225,7 @@
         writer.write_all(
             format!(
                 "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: {signature}\r\n\
-                 Content-Type: text/event-stream\r\n{framing}\r\n\r\n"
+                 Weight-Versions: {WEIGHTS}\r\nContent-Type: text/event-stream\r\n{framing}\r\n\r\n"
             )
             .as_bytes(),
         )?;
