--- a/review/stage/draining.rs
+++ b/review/stage/draining.rs
@@ -11,7 +11,7 @@
 const DAEMONS: usize = 3;
 const ITEMS: usize = 6;
 
-/// `drain_ms` and `contact_ms` of the pages.
+/// `drain_ms` of the pages.
 const DRAIN: Duration = Duration::from_millis(2000);
 
 const JOB: &str = "7c41e09b52d6a3f8";
--- a/review/stage/tokens.rs
+++ b/review/stage/tokens.rs
@@ -1,4 +1,5 @@
-//! Batch jobs that come at once, on a route that has room for one of them.
+//! Batch jobs that come at once, on a route that has room for one of them. With `TROUBLE=0` the same jobs
+//! come a second apart.
 
 use std::path::Path;
 use std::sync::{Arc, Barrier};
