--- a/review/stage/relabelled.rs
+++ b/review/stage/relabelled.rs
@@ -16,7 +16,7 @@
 
 /// Time for which the crashed replica is away, and from its start to the job.
 const AWAY: Duration = Duration::from_millis(300);
-const TO_JOB: Duration = Duration::from_millis(60);
+const TO_JOB: Duration = Duration::from_millis(10);
 
 /// Time from the job until the replica crashes once more.
 const TO_SECOND_CRASH: Duration = Duration::from_millis(2500);
