--- a/review/stage/tokens.rs
+++ b/review/stage/tokens.rs
@@ -15,12 +15,12 @@
 /// `quota_over` of the pages.
 const OVER: f64 = 0.1;
 
-/// Items of a job, and tokens of an item.
-const ITEMS: usize = 200;
-const TOKENS: u64 = 900;
+/// Items of a job, the most in one on the sheet, and tokens of an item.
+const ITEMS: usize = 24;
+const TOKENS: u64 = 3000;
 
 /// Jobs that come one after the other, and those that come at once.
-const FIRST: usize = 4;
+const FIRST: usize = 12;
 const AT_ONCE: usize = 9;
 
 pub fn play(folder: &Path) -> Verdict {
@@ -29,7 +29,7 @@
     for _ in 0..DAEMONS {
         fleet.add_daemon();
     }
-    // Items of two minutes: none is finished meanwhile.
+    // Items of two minutes: none is finished meanwhile. Two replicas are busy with sixteen of them.
     for id in ["i-1a", "i-2b"] {
         let mut options = fleet.replica(id, "lm", "v1");
         options.events = 1200;
@@ -43,7 +43,7 @@
         let job = format!("{n:016x}");
         let at = fleet.daemons[n % DAEMONS].clients;
         accepted += usize::from(lots::submit(at, &job, ITEMS, TOKENS, &fleet.record) == Some(202));
-        thread::sleep(Duration::from_secs(1));
+        thread::sleep(Duration::from_millis(500));
     }
     let barrier = Arc::new(Barrier::new(AT_ONCE));
     let clients: Vec<_> = (0..AT_ONCE)
