--- a/review/stage/draining.rs
+++ b/review/stage/draining.rs
@@ -9,7 +9,10 @@
 use crate::{Verdict, has_trouble, lots};
 
 const DAEMONS: usize = 3;
-const ITEMS: usize = 6;
+const ITEMS: usize = 32;
+
+/// Replicas; one of them leaves, a share of 0.125.
+const REPLICAS: [&str; 8] = ["i-1a", "i-2b", "i-3c", "i-4d", "i-5e", "i-6f", "i-7a", "i-8b"];
 
 /// `drain_ms` of the pages.
 const DRAIN: Duration = Duration::from_millis(2000);
@@ -22,7 +25,7 @@
     for _ in 0..DAEMONS {
         fleet.add_daemon();
     }
-    for id in ["i-1a", "i-2b"] {
+    for id in REPLICAS {
         let mut options = fleet.replica(id, "lm", "v1");
         (options.events, options.unframed) = (80, true);
         if has_trouble() && id == "i-1a" {
--- a/review/stage/relabelled.rs
+++ b/review/stage/relabelled.rs
@@ -11,7 +11,10 @@
 use crate::{Verdict, has_trouble, lots};
 
 const DAEMONS: usize = 3;
-const ITEMS: usize = 6;
+const ITEMS: usize = 24;
+
+/// Replicas; one of them crashes, a share of 0.167.
+const REPLICAS: [&str; 6] = ["i-1a", "i-2b", "i-3c", "i-4d", "i-5e", "i-6f"];
 const EVENTS: u64 = 60;
 
 /// Time for which the crashed replica is away, and from its start to the job.
@@ -30,7 +33,7 @@
         fleet.add_daemon();
     }
     // The beginning of a release: all replicas have the version before.
-    for id in ["i-1a", "i-2b"] {
+    for id in REPLICAS {
         let mut options = fleet.replica(id, "lm", "v1");
         options.events = EVENTS;
         fleet.add_replica(options);
--- a/review/stage/taken_up.rs
+++ b/review/stage/taken_up.rs
@@ -11,7 +11,10 @@
 use crate::{Verdict, has_trouble, http};
 
 /// Clients, each with one stream.
-const CLIENTS: usize = 18;
+const CLIENTS: usize = 36;
+
+/// Replicas; one of them crashes, a share of 0.167.
+const REPLICAS: [&str; 6] = ["i-1a", "i-2b", "i-3c", "i-4d", "i-5e", "i-6f"];
 
 /// Entry daemons.
 const DAEMONS: usize = 4;
@@ -132,7 +135,8 @@
         fleet.add_daemon();
     }
     // The end of a release: one replica still has the version before.
-    for (id, version) in [("i-1a", "v1"), ("i-2b", "v2"), ("i-3c", "v2")] {
+    for (n, id) in REPLICAS.into_iter().enumerate() {
+        let version = if n == 0 { "v1" } else { "v2" };
         let options = fleet.replica(id, "lm", version);
         fleet.add_replica(options);
     }
