gateway: the log says by which choice an item is sent

Of a request of an item the log said only how it ended. So it could not tell whether a request that reached a leaving replica rested on a list that was late, on a manifest that was late, or on a choice made long before.

Each send now writes one line, within the rate limit of request lines: replica, service, version, start time, known rate limit, the version of the manifest, and the time since the replica was selected.

--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -250,6 +250,28 @@
     info!("items given up", kv: { job, count, reason, manifest });
 }
 
+/// An item is sent to a replica that was selected some time ago, by a version of the
+/// manifest.
+pub(crate) fn item_sent(
+    job: &str,
+    index: u32,
+    selection: &Selection,
+    selected_for: Duration,
+    manifest: u64,
+    last_event_id: u64,
+) {
+    if !rate_limit::try_acquire() {
+        return;
+    }
+    let (replica, service) = (selection.id.as_str(), selection.service.as_str());
+    let (version, born_ms) = (version(selection), selection.born_ms);
+    let selected_ms = selected_for.as_millis() as u64;
+    info!("item sent", kv: {
+        job, index, replica, service, version, born_ms, limit:? = selection.limit, selected_ms,
+        manifest, last_event_id
+    });
+}
+
 pub(crate) fn item_run_ended(job: &str, index: u32, end: &str) {
     if !rate_limit::try_acquire() {
         return;
--- a/crates/gateway/src/runner.rs
+++ b/crates/gateway/src/runner.rs
@@ -241,6 +241,14 @@
     item_hash: u32,
 }
 
+/// Where an item goes, according to one version of the manifest.
+#[derive(Clone, Copy, Debug)]
+struct Target<'a> {
+    manifest_version: u64,
+    route: &'a Route,
+    backend: &'a Backend,
+}
+
 /// Runs the scheduler: starts, preempts and drops items.
 pub(crate) async fn schedule<S: Store, D: Dialect>(core: Core<S, D>) {
     core.spawn(purge_ended_jobs(core.clone())).detach();
@@ -379,7 +387,12 @@
         if budget.is_learned && !candidate.work.may_start(now, budget.wanted_in) {
             continue;
         }
-        if start_run(core, route, backend, budget, job, &candidate) {
+        let target = Target {
+            manifest_version: manifest.version,
+            route,
+            backend,
+        };
+        if start_run(core, &target, budget, job, &candidate) {
             budget.slots -= 1;
             budget.started += 1;
             if budget.is_learned {
@@ -434,12 +447,12 @@
 /// Starts an attempt at a replica with a free slot; `false` if there is none.
 fn start_run<S: Store, D: Dialect>(
     core: &Core<S, D>,
-    route: &Route,
-    backend: &Backend,
+    target: &Target<'_>,
     budget: &Budget,
     job: &Job,
     candidate: &Candidate,
 ) -> bool {
+    let Target { route, backend, .. } = *target;
     let mut runs = core.runs();
     let Runs {
         runs, estimator, ..
@@ -480,6 +493,7 @@
         item_hash: candidate.item_hash,
         started: (clock::now(), last_event_id),
         max_attempts: route.max_attempts,
+        manifest_version: target.manifest_version,
         message,
         reserves: backend.reserves,
         slot,
--- a/crates/gateway/src/runner/attempt.rs
+++ b/crates/gateway/src/runner/attempt.rs
@@ -89,6 +89,8 @@
     /// Start time, and the id of the last event received before it.
     pub started: (Duration, u64),
     pub max_attempts: u32,
+    /// Version of the manifest by which the replica was selected.
+    pub manifest_version: u64,
     pub message: Message,
     /// Longest time for which the replica reserves a slot; zero if it does not
     /// use reservations.
@@ -116,6 +118,14 @@
             }
         };
         self.slot.set_admitted();
+        log::item_sent(
+            &self.id.0,
+            self.id.1,
+            &self.slot.selection,
+            self.slot.age(),
+            self.manifest_version,
+            upstream::last_event_id(&self.core, &self.message),
+        );
         let options = SendOptions {
             remaining: None,
             objective: None,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -60,6 +60,7 @@
 pub(crate) struct Slot<S: Store, D: Dialect> {
     core: Core<S, D>,
     pub selection: Selection,
+    selected_at: Duration,
     class: Class,
     /// Whether the replica admitted the request. Only then does the drop free a
     /// slot at the replica, which is offered to the admission queue.
@@ -71,11 +72,17 @@
         Self {
             core: core.clone(),
             selection,
+            selected_at: clock::now(),
             class,
             admitted: false,
         }
     }
 
+    /// Time since the replica was selected.
+    pub(crate) fn age(&self) -> Duration {
+        clock::now().saturating_sub(self.selected_at)
+    }
+
     /// Marks the request as reserved or queued at the replica.
     pub(crate) fn admitted(mut self) -> Self {
         self.set_admitted();
@@ -419,7 +426,7 @@
 }
 
 /// Id of the event behind which a stream is resumed; 0 for none.
-fn last_event_id<S: Store, D: Dialect>(core: &Core<S, D>, message: &Message) -> u64 {
+pub(crate) fn last_event_id<S: Store, D: Dialect>(core: &Core<S, D>, message: &Message) -> u64 {
     let id = message
         .headers
         .get(&core.dialect.header_names().last_event_id);
