gateway: an item is sent again only by a new selection

Cause: an item whose end is not stated was sent once more with the selection of its first request, and only the route's existence was asked again.

Change: Pool::select_again is the one way to a replica that was selected before, for streams and for items: stage, build, departure, grace of the list, token of the class. An item asks also whether its job is open and its route leads to the service. If not, its output is kept and the scheduler selects a replica; one of the same build confirms the end, and the ends counted so far still count.

--- a/crates/coordination/src/fleet/pool.rs
+++ b/crates/coordination/src/fleet/pool.rs
@@ -179,7 +179,16 @@
     }
 
     fn accepts_requests(&self, now: Duration) -> bool {
-        let lacks_token = self.limit.is_some() && now < self.token_at;
+        self.accepts(now, Class::Online)
+    }
+
+    /// Whether it may be sent a request of a class.
+    fn accepts(&self, now: Duration, class: Class) -> bool {
+        let token_at = match class {
+            Class::Online => self.token_at,
+            Class::Batch => self.batch_token_at,
+        };
+        let lacks_token = self.limit.is_some() && now < token_at;
         !lacks_token && self.is_in_service(now)
     }
 
@@ -494,11 +503,7 @@
     /// Assigns a slot of a given replica to an online request; `None` if the
     /// replica no longer accepts requests.
     pub fn select_at(&mut self, now: Duration, key: Key) -> Option<Selection> {
-        let usable = self
-            .entries
-            .get(key)
-            .is_some_and(|e| e.accepts_requests(now));
-        usable.then(|| self.assign_slot(key, Class::Online))
+        self.select_again(now, key, Class::Online, None)
     }
 
     /// Cheapest of a few replicas drawn at random, local and remote. If `prefer`,
@@ -618,8 +623,23 @@
 
     /// Assigns a slot like [`Self::select_at`] if the replica is of a build.
     pub fn select_build_at(&mut self, now: Duration, key: Key, build: &Build) -> Option<Selection> {
-        let is_of_build = self.entries.get(key).is_some_and(|e| e.is_of_build(build));
-        is_of_build.then(|| self.select_at(now, key))?
+        self.select_again(now, key, Class::Online, Some(build))
+    }
+
+    /// Assigns one more slot of a replica that was selected before; `None` if it is not of
+    /// the build or may not be sent a request of the class now. Whoever keeps a selection
+    /// while an answer arrives has to select again before the next request.
+    pub fn select_again(
+        &mut self,
+        now: Duration,
+        key: Key,
+        class: Class,
+        build: Option<&Build>,
+    ) -> Option<Selection> {
+        let entry = self.entries.get(key)?;
+        let is_of_build = build.is_none_or(|build| entry.is_of_build(build));
+        let is_usable = is_of_build && entry.accepts(now, class);
+        is_usable.then(|| self.assign_slot(key, class))
     }
 
     /// Releases a slot.
--- a/crates/gateway/src/online/admission.rs
+++ b/crates/gateway/src/online/admission.rs
@@ -167,13 +167,11 @@
 
     /// Selects the replica of a slot again, if it still accepts requests.
     fn select_same(&self, slot: &Slot<S, D>) -> Option<Slot<S, D>> {
-        let (now, key) = (clock::now(), slot.selection.key);
-        let selection = match &self.binding {
-            Binding::Free => self.core.pool().select_at(now, key),
-            Binding::Build(build) => self.core.pool().select_build_at(now, key, build),
+        match &self.binding {
+            Binding::Free => slot.select_again(None),
+            Binding::Build(build) => slot.select_again(Some(build)),
             Binding::Unknown => None,
-        }?;
-        Some(Slot::new(&self.core, selection, Class::Online))
+        }
     }
 
     fn check_links(&self) -> Result<(), Shortage> {
--- a/crates/gateway/src/runner/attempt.rs
+++ b/crates/gateway/src/runner/attempt.rs
@@ -204,9 +204,6 @@
                 }
                 Some(Ok(Next::UnstatedEnd)) => match self.judge_end(&response) {
                     EndVerdict::Complete => self.complete(response),
-                    EndVerdict::Resume if !self.has_route() => {
-                        self.record_broken(Outcome::Unconfirmed);
-                    }
                     EndVerdict::Resume => return self.resumed(),
                     EndVerdict::Unfounded => self.record_unfounded(),
                 },
@@ -218,27 +215,48 @@
         }
     }
 
-    /// Whether the item may be sent to a replica: its job still has a route.
-    fn has_route(&self) -> bool {
-        let ledger = jobs::shard_of(&self.core, &self.id.0).ledger();
-        let manifest = self.core.manifest();
-        let job = ledger.job(&self.id.0);
-        job.zip(manifest)
-            .is_some_and(|(job, manifest)| jobs::route_of(&manifest, &job.submission).is_some())
-    }
-
-    /// Attempt that goes on behind the last event at the same replica.
+    /// Attempt that goes on behind the last event at the same replica. If that may not be
+    /// sent the item any more, the scheduler selects another one, which confirms the end as
+    /// well if it is of the same build.
     fn resumed(mut self) -> Option<Self> {
+        self.core.metrics.end_questioned();
+        if !self.select_again() {
+            self.record_broken(Outcome::Unconfirmed);
+            return None;
+        }
         let last_event_id = self.core.runs().runs.get(&self.id)?.output.last_event_id();
         let name = self.core.dialect.header_names().last_event_id.clone();
         self.message
             .headers
             .insert(name, HeaderValue::from(last_event_id));
-        self.core.metrics.end_questioned();
         log::item_run_ended(&self.id.0, self.id.1, Outcome::Unconfirmed.name());
         Some(self)
     }
 
+    /// Selects the replica once more; `false` if the job has ended, its route no longer
+    /// leads to the service, or the replica takes no more requests.
+    fn select_again(&mut self) -> bool {
+        let Some(manifest) = self.core.manifest() else {
+            return false;
+        };
+        let ledger = jobs::shard_of(&self.core, &self.id.0).ledger();
+        let job = ledger.job(&self.id.0).filter(|job| job.is_open());
+        let route = job.and_then(|job| jobs::route_of(&manifest, &job.submission));
+        let service = &self.slot.selection.service;
+        let reserves = route.and_then(|route| Some(route.backend_of(service)?.reserves));
+        drop(ledger);
+        let runs = self.core.runs();
+        let output = runs.runs.get(&self.id).map(|run| &run.output);
+        let build = output.and_then(|output| output.build().cloned());
+        drop(runs);
+        let Some(reserves) = reserves else {
+            return false;
+        };
+        self.reserves = reserves;
+        self.manifest_version = manifest.version;
+        self.slot.renew(build.as_ref())
+    }
+
     /// What follows an end of the item that the answer did not state.
     fn judge_end(&self, response: &upstream::Response) -> EndVerdict {
         let mut runs = self.core.runs();
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::pool::{Class, Selection};
-use bitterncart_coordination::fleet::{Outcome, Profile};
+use bitterncart_coordination::fleet::{Build, Outcome, Profile};
 use bytes::Bytes;
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, header, response,
@@ -78,6 +78,25 @@
         }
     }
 
+    /// Selects the replica for one more request, as the pool knows it now; `None` if it is
+    /// not of the build or takes no more requests.
+    pub(crate) fn select_again(&self, build: Option<&Build>) -> Option<Self> {
+        let (now, key) = (clock::now(), self.selection.key);
+        let selection = self.core.pool().select_again(now, key, self.class, build)?;
+        Some(Self::new(&self.core, selection, self.class))
+    }
+
+    /// Replaces the slot by one that [`Self::select_again`] returns; `false` if there is none.
+    /// The replica's slot stays in use, and is not offered to other requests.
+    pub(crate) fn renew(&mut self, build: Option<&Build>) -> bool {
+        let Some(next) = self.select_again(build) else {
+            return false;
+        };
+        self.admitted = false;
+        *self = next;
+        true
+    }
+
     /// Time since the replica was selected.
     pub(crate) fn age(&self) -> Duration {
         clock::now().saturating_sub(self.selected_at)
--- a/crates/gateway/tests/gateway/unstated_ends.rs
+++ b/crates/gateway/tests/gateway/unstated_ends.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
+use bitterncart_coordination::fleet::{Replica, Stage};
+use bitterncart_gateway::store::Topic;
 use bitterncart_testing::cases;
 
 use crate::batch::results;
-use crate::harness::{Gateway, post, request, status, store, wait_until};
+use crate::harness::{Gateway, manifest, post, request, status, store, wait_until};
 use crate::replica::{Action, ScriptedReplica, header};
+use crate::store::MemoryStore;
 
 /// Head of an answer that ends with its connection.
 const UNFRAMED: Action = Action::Respond(200, "signature: s\r\nconnection: close\r\n", "");
@@ -215,3 +218,97 @@
     );
     error_without_a_body(Action::Respond(422, "signature: s\r\n", ""), 422);
 }
+
+/// What changes at a replica between the events of an item and the question about its end.
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    /// It reports that it is about to leave.
+    Drains,
+    /// It is no longer listed.
+    IsDelisted,
+    /// The route leads to another service.
+    LosesItsRoute,
+    /// It names a rate limit in the head of the answer.
+    IsLimited,
+}
+
+impl Change {
+    /// Service of the replica that takes its place.
+    fn other_service(self) -> &'static str {
+        match self {
+            Self::LosesItsRoute => "other",
+            _ => "s",
+        }
+    }
+
+    fn publish(self, store: &MemoryStore, replica: &ScriptedReplica) {
+        match self {
+            Self::Drains => store.publish_replica(&Replica {
+                stage: Stage::Draining,
+                ..replica.record()
+            }),
+            Self::IsDelisted => store.put(Topic::Replicas, &replica.record().id, ""),
+            Self::LosesItsRoute => {
+                let mut manifest = manifest(2);
+                for route in &mut manifest.routes {
+                    route.backends[0].service = self.other_service().into();
+                }
+                store.publish_manifest(&manifest);
+            }
+            Self::IsLimited => {}
+        }
+    }
+}
+
+/// Time from the events of an item to the end of the answer, in which the daemon learns
+/// what has changed.
+const CHANGE_TIME: Duration = Duration::from_millis(600);
+
+const UNFRAMED_AND_LIMITED: Action = Action::Respond(
+    200,
+    "signature: s\r\nlimit: 0.1\r\nconnection: close\r\n",
+    "",
+);
+
+cases! {
+    /// Guards against an item that is sent once more to the replica of its first request, as
+    /// that was known then, though the replica may get no more requests (review, case 15).
+    fn item_is_not_sent_again_to_a_replica(change: Change) {
+        smol::block_on(async {
+            let first = match change {
+                Change::IsLimited => UNFRAMED_AND_LIMITED,
+                _ => UNFRAMED,
+            };
+            let whole = |first: Action| {
+                move |head: &str| match header(head, "last-event") {
+                    None => vec![
+                        first.clone(),
+                        Action::send(FIRST),
+                        Action::send(SECOND),
+                        Action::Wait(CHANGE_TIME),
+                        Action::Close,
+                    ],
+                    Some(_) => vec![UNFRAMED, Action::Close],
+                }
+            };
+            let left = ScriptedReplica::start_with("r1", whole(first)).await;
+            let other = ScriptedReplica::start_with("r2", whole(UNFRAMED)).await;
+            let store = store(&[&left]);
+            let gateway = Gateway::start(&store).await;
+            let job = request("POST", "/items/", "job", "one\n");
+            assert_eq!(status(&gateway.fetch(&job).await), 202);
+            wait_until("the item to run", || !left.requests().is_empty()).await;
+            store.publish_replica(&Replica {
+                service: change.other_service().into(),
+                ..other.record()
+            });
+            change.publish(&store, &left);
+            assert_eq!(results(&gateway, "job", 1).await, ["0 one a,b"]);
+            assert_eq!(left.requests().len(), 1, "{:?}", left.requests());
+        });
+    }
+    item_sent_again_to_a_draining_replica(Change::Drains);
+    item_sent_again_to_a_replica_that_is_no_longer_listed(Change::IsDelisted);
+    item_sent_again_to_a_service_that_the_route_has_left(Change::LosesItsRoute);
+    item_sent_again_without_a_token_of_a_limited_replica(Change::IsLimited);
+}
