gateway: a job on a route with a token quota gets a grant before it is appended

Cause: the tokens of the other shards were summed when a request was handled, and the job was compared with that sum when its record was planned. 64 writers a daemon, and those of all others, did so at the same moment; nothing reserved what a job was about to take. With all jobs at one daemon the case fails as well, 20 ms apart it holds: the window is one append, not the age of heartbeats.

Change: the store's order decides. The topic of quotas has one record a quota with its grants; a grant is appended on the condition that nothing was appended since the topic was read, and the job after it. A grant counts until the deciding daemon sees the job in a ledger or in the heartbeat of its owner, which names recent jobs behind the other fields (earlier builds ignore them; their own jobs count as seen after 3 s). What is not accepted is released. While the topic cannot be used, a daemon accepts 1 in N of what is left. After a suspension nothing is decided by older reports.

--- a/crates/coordination/src/fleet/mod.rs
+++ b/crates/coordination/src/fleet/mod.rs
@@ -36,6 +36,7 @@
 pub mod schedule;
 pub mod shutdown;
 pub mod streams;
+pub mod token_quota;
 pub mod withdrawal;
 
 pub use backlog::{Backlog, Group, Queued};
--- a/crates/coordination/src/fleet/peers.rs
+++ b/crates/coordination/src/fleet/peers.rs
@@ -19,6 +19,7 @@
 
 use super::backlog::Queued;
 use super::pool::Load;
+use super::token_quota::{Jobs, Known};
 use super::{capacity, links, quarantine, rate_limit};
 
 /// Time without a heartbeat after which a peer counts as dead.
@@ -60,6 +61,9 @@
 /// Maximum number of waiting items in a heartbeat.
 const MAX_WAITING: u32 = 1 << 20;
 
+/// Maximum number of recent jobs in a heartbeat, which has to fit in a datagram.
+pub const MAX_RECENT_JOBS: usize = 256;
+
 /// Maximum number of shards of a fleet; that of the settings.
 const MAX_SHARDS: u16 = 1024;
 
@@ -95,6 +99,16 @@
     pub tokens: Vec<(u32, u64)>,
 }
 
+/// Jobs that were submitted lately to a shard, and that the tokens of its [`Ownership`]
+/// include.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecentJobs {
+    /// Number of the shard.
+    pub shard: u16,
+    /// Short ids of the jobs.
+    pub jobs: Vec<u32>,
+}
+
 /// Requests that a daemon has in flight at one replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Usage {
@@ -152,6 +166,10 @@
     /// datagram.
     #[serde(skip)]
     pub speeds: Vec<capacity::Report>,
+    /// Recent jobs of its shards, for the quotas of tokens; `None` if it is of a version that
+    /// does not report them. Follow the speeds in a datagram.
+    #[serde(skip)]
+    pub recent_jobs: Option<Vec<RecentJobs>>,
 }
 
 /// Field between the queue and the limits of a datagram, with which earlier versions
@@ -173,7 +191,11 @@
         let datagram = postcard::to_extend(&self.limits, datagram)?;
         let datagram = postcard::to_extend(&self.quarantine, datagram)?;
         let datagram = postcard::to_extend(&self.links, datagram)?;
-        postcard::to_extend(&self.speeds, datagram)
+        let datagram = postcard::to_extend(&self.speeds, datagram)?;
+        match &self.recent_jobs {
+            Some(recent_jobs) => postcard::to_extend(recent_jobs, datagram),
+            None => Ok(datagram),
+        }
     }
 
     /// Decodes a datagram. One of an earlier version ends before the queue or one of
@@ -230,8 +252,13 @@
         }
         let (links, rest) = postcard::take_from_bytes(rest)?;
         heartbeat.links = links;
+        if rest.is_empty() {
+            return Ok(heartbeat);
+        }
+        let (speeds, rest) = postcard::take_from_bytes(rest)?;
+        heartbeat.speeds = speeds;
         if !rest.is_empty() {
-            heartbeat.speeds = postcard::from_bytes(rest)?;
+            heartbeat.recent_jobs = Some(postcard::from_bytes(rest)?);
         }
         Ok(heartbeat)
     }
@@ -250,13 +277,21 @@
     }
 }
 
+/// What the owner of a shard has reported of it.
+#[derive(Debug)]
+struct ShardReport {
+    /// Tokens by short id of their route.
+    tokens: Vec<(u32, u64)>,
+    recent_jobs: Option<Vec<u32>>,
+}
+
 /// Peers with their latest heartbeats.
 #[derive(Debug, Default)]
 pub struct Peers {
     peers: HashMap<SocketAddr, Peer>,
-    /// Tokens by shard, from the latest heartbeat of its owner; kept when the
+    /// Reports by shard, from the latest heartbeat of its owner; kept when the
     /// owner dies, as its jobs persist.
-    unfinished_tokens: HashMap<u16, Vec<(u32, u64)>>,
+    reports: HashMap<u16, ShardReport>,
     /// See [`Self::recently_stopped`]; such items may have ended.
     recently_stopped: HashMap<u32, Duration>,
     /// Time of the first call of [`Self::tick`].
@@ -265,6 +300,8 @@
     last_tick: Option<Duration>,
     /// Time from which a peer without heartbeats is known to be dead.
     stable_at: Duration,
+    /// Time until which heartbeats may still be from before a suspension.
+    outdated_until: Duration,
 }
 
 impl Peers {
@@ -283,8 +320,15 @@
             _ => {
                 let known = known.cloned();
                 for ownership in &heartbeat.shards {
-                    self.unfinished_tokens
-                        .insert(ownership.shard, ownership.tokens.clone());
+                    let recent_jobs = heartbeat.recent_jobs.as_ref().map(|recent| {
+                        let of_shard = recent.iter().filter(|r| r.shard == ownership.shard);
+                        of_shard.flat_map(|r| r.jobs.iter().copied()).collect()
+                    });
+                    let report = ShardReport {
+                        tokens: ownership.tokens.clone(),
+                        recent_jobs,
+                    };
+                    self.reports.insert(ownership.shard, report);
                 }
                 let running: HashSet<u32> = heartbeat.running.iter().copied().collect();
                 let previous = known.iter().flat_map(|old| &old.running);
@@ -317,6 +361,9 @@
         if was_suspended {
             self.stable_at = now + FAILURE_TIMEOUT;
         }
+        if was_suspended && self.last_tick.is_some() {
+            self.outdated_until = now + FAILURE_TIMEOUT;
+        }
         self.last_tick = Some(now);
         self.started_at.get_or_insert(now);
         self.recently_stopped
@@ -348,6 +395,15 @@
         is_ticking && now >= self.stable_at
     }
 
+    /// Whether what the peers reported may be from before a suspension of this daemon.
+    #[must_use]
+    pub fn may_be_outdated(&self, now: Duration) -> bool {
+        let is_ticking = self
+            .last_tick
+            .is_none_or(|last| now.saturating_sub(last) <= SUSPENSION_THRESHOLD);
+        !is_ticking || now < self.outdated_until
+    }
+
     /// Addresses of all peers that ever sent a heartbeat, dead ones included.
     pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
         self.peers.keys().copied()
@@ -357,11 +413,23 @@
     /// of the shard's owner; `None` if no owner has reported the shard.
     #[must_use]
     pub fn unfinished_tokens(&self, shard: u16, route: u32) -> Option<u64> {
-        let tokens_by_route = self.unfinished_tokens.get(&shard)?;
+        let tokens_by_route = &self.reports.get(&shard)?.tokens;
         let of_route = tokens_by_route.iter().find(|(name, _)| *name == route);
         Some(of_route.map_or(0, |(_, tokens)| *tokens))
     }
 
+    /// As [`Self::unfinished_tokens`], with the jobs that the tokens include.
+    #[must_use]
+    pub fn known_jobs(&self, shard: u16, route: u32) -> Option<Known> {
+        let tokens = self.unfinished_tokens(shard, route)?;
+        let recent_jobs = &self.reports.get(&shard)?.recent_jobs;
+        let jobs = match recent_jobs {
+            Some(jobs) => Jobs::Reported(jobs.clone()),
+            None => Jobs::Unreported,
+        };
+        Some(Known { tokens, jobs })
+    }
+
     /// Whether the store is down for the whole fleet: no live peer can append to
     /// it, and this daemon hears most of its peers, so it is not cut off with a
     /// few others.
--- a/crates/coordination/tests/fleet/capacity.rs
+++ b/crates/coordination/tests/fleet/capacity.rs
@@ -203,6 +203,7 @@
     let without = heartbeat(1, 1);
     let sent = Heartbeat {
         speeds: vec![report(-16, 10)],
+        recent_jobs: None,
         ..without.clone()
     };
     let datagram = sent.encode().expect("a datagram");
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -27,4 +27,5 @@
 mod schedule;
 mod shutdown;
 mod streams;
+mod token_quota;
 mod withdrawal;
--- a/crates/coordination/tests/fleet/odd_datagrams.rs
+++ b/crates/coordination/tests/fleet/odd_datagrams.rs
@@ -26,6 +26,7 @@
         waiting: u32::MAX,
         shards: vec![shard(0), shard(1), shard(u16::MAX)],
         speeds: Vec::new(),
+        recent_jobs: None,
         links: Some(links::Report {
             cut_off: false,
             relayed: u16::MAX,
--- a/crates/coordination/tests/fleet/ownership.rs
+++ b/crates/coordination/tests/fleet/ownership.rs
@@ -37,6 +37,7 @@
         limits: Vec::new(),
         links: None,
         speeds: Vec::new(),
+        recent_jobs: None,
     }
 }
 
--- a/crates/coordination/tests/fleet/quarantine.rs
+++ b/crates/coordination/tests/fleet/quarantine.rs
@@ -314,6 +314,7 @@
         limits: Vec::new(),
         links: None,
         speeds: Vec::new(),
+        recent_jobs: None,
     }
 }
 
--- a/crates/coordination/tests/fuzz/main.rs
+++ b/crates/coordination/tests/fuzz/main.rs
@@ -74,6 +74,7 @@
             age_ms: 30,
         }],
         speeds: Vec::new(),
+        recent_jobs: None,
         links: Some(links::Report {
             cut_off: false,
             relayed: 2,
@@ -161,6 +162,7 @@
             age_ms,
         }],
         speeds: Vec::new(),
+        recent_jobs: None,
         links: Some(links::Report {
             cut_off: false,
             relayed: count as u16,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -41,6 +41,7 @@
 use crate::shutdown;
 use crate::store::{Failure, Store};
 use crate::streams;
+use crate::token_quota::TokenQuotas;
 use crate::tokens::Tokens;
 
 /// Time between the trials of a quarantined subject by two daemons, of which the
@@ -65,6 +66,7 @@
     pub socket: Arc<Socket>,
     pub tokens: Tokens,
     pub request_quotas: RequestQuotas,
+    pub token_quotas: TokenQuotas,
     pub streams: streams::Registry,
     pub metrics: Arc<Metrics>,
     /// Memory for the answers that are kept or written, those of peers too.
@@ -150,6 +152,7 @@
             tokens: Tokens::new(Arc::clone(&socket)),
             confirmations: Confirmations::new(Arc::clone(&socket)),
             request_quotas: RequestQuotas::new(&settings, Arc::clone(&socket)),
+            token_quotas: TokenQuotas::default(),
             streams: streams::Registry::new(Arc::clone(&socket)),
             socket,
             crashes: crash::Monitor::new(
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -30,7 +30,7 @@
 use crate::settings::Settings;
 use crate::shard::Shard;
 use crate::store::{Failure, Store, Topic};
-use crate::{catalog, confirmation, gossip, runner, shard, watch};
+use crate::{catalog, confirmation, gossip, runner, shard, token_quota, watch};
 
 /// Interval between checks for active requests and items during the shutdown.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -115,6 +115,7 @@
             core.spawn(shard::maintain(core.clone(), number)).detach();
             core.spawn(shard::run_writer(core.clone(), number)).detach();
         }
+        core.spawn(token_quota::run_writer(core.clone())).detach();
         core.spawn(follow_members(core.clone())).detach();
         core.spawn(catalog::maintain(core.clone())).detach();
         Ok(Self { core, open })
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -7,16 +7,19 @@
 //! two groups; known addresses that send no heartbeats are contacted less often.
 //! Lost datagrams are not repeated, as each heartbeat contains the full state.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::freshness::Message as FreshnessMessage;
 use bitterncart_coordination::fleet::links;
-use bitterncart_coordination::fleet::peers::{Ownership, Usage, heartbeat_period};
+use bitterncart_coordination::fleet::peers::{
+    MAX_RECENT_JOBS, Ownership, RecentJobs, Usage, heartbeat_period,
+};
 use bitterncart_coordination::fleet::rate_limit::{self, Message};
 use bitterncart_coordination::fleet::request_quota::Message as RequestQuotaMessage;
 use bitterncart_coordination::fleet::streams::Message as StreamMessage;
+use bitterncart_coordination::fleet::token_quota::{MAX_GRANT_AGE, job_hash};
 use bitterncart_coordination::fleet::{Group, Heartbeat, Kind, Queued, Route};
 use compact_str::CompactString;
 use futures_lite::future;
@@ -131,6 +134,9 @@
         let content = Heartbeat {
             seq: 0,
             speeds: Vec::new(),
+            // A job that is new also changes the tokens; one that is no longer recent does not
+            // matter.
+            recent_jobs: None,
             links: heartbeat.links.map(|links| links::Report {
                 cut_off: links.cut_off,
                 ..links::Report::default()
@@ -229,6 +235,8 @@
     } else {
         Vec::new()
     };
+    // The tokens have to include these jobs, so they are read later.
+    let recent_jobs = recent_jobs(core);
     Heartbeat {
         from: core.peer_address(),
         born_us,
@@ -247,6 +255,7 @@
         limits: core.pool().limit_reports(now),
         links: Some(core.links.report()),
         speeds,
+        recent_jobs: Some(recent_jobs),
     }
 }
 
@@ -316,6 +325,34 @@
     serving.map(ownership).collect()
 }
 
+/// Jobs that were submitted lately to the shards that this daemon owns and has loaded, by
+/// shard; the newest ones if there are too many. Only token quotas need them.
+fn recent_jobs<S: Store, D: Dialect>(core: &Core<S, D>) -> Vec<RecentJobs> {
+    let manifest = core.manifest();
+    let mut routes = manifest.iter().flat_map(|m| &m.routes);
+    if !routes.any(|route| route.batch.max_tokens.is_some()) {
+        return Vec::new();
+    }
+    let oldest_ms = clock::wall().saturating_sub(MAX_GRANT_AGE).as_millis() as u64;
+    let mut recent: Vec<(u64, u16, u32)> = Vec::new();
+    for shard in core.shards.iter().filter(|shard| shard.is_serving()) {
+        let ledger = shard.ledger();
+        let submissions = ledger.jobs().map(|(_, job)| &job.submission);
+        let submissions = submissions.filter(|job| job.submitted_ms >= oldest_ms);
+        recent.extend(submissions.map(|job| (job.submitted_ms, shard.number(), job_hash(&job.id))));
+    }
+    recent.sort_unstable();
+    let first = recent.len().saturating_sub(MAX_RECENT_JOBS);
+    let mut by_shard: BTreeMap<u16, Vec<u32>> = BTreeMap::new();
+    for (_, shard, job) in recent.drain(first..) {
+        by_shard.entry(shard).or_default().push(job);
+    }
+    by_shard
+        .into_iter()
+        .map(|(shard, jobs)| RecentJobs { shard, jobs })
+        .collect()
+}
+
 /// Addresses of all peers that may exist: the seeds, those registered in the
 /// store and those from which a heartbeat was received.
 pub(crate) fn known_peers<S: Store, D: Dialect>(core: &Core<S, D>) -> BTreeSet<SocketAddr> {
--- a/crates/gateway/src/jobs/submit.rs
+++ b/crates/gateway/src/jobs/submit.rs
@@ -25,11 +25,11 @@
 use crate::identity::{self, Access};
 use crate::intake::Meter;
 use crate::log;
-use crate::ownership;
 use crate::server::{self, Endpoint};
 use crate::shard::{Shard, Undecided};
 use crate::store::Store;
 use crate::submission::{self, Reply};
+use crate::token_quota::{self, Scope};
 use crate::upstream::{Message, strip_hop_by_hop_headers};
 
 /// Time for which a large job waits for another one; the daemon that forwards it waits for
@@ -56,33 +56,14 @@
     let Some(max_tokens) = route.batch.max_tokens else {
         return Ok(None);
     };
-    let customer = customer.map(|customer| customer.name.as_str());
-    let route_hash = ownership::route_hash(route, customer);
-    let tokens = |shard: &Shard| {
-        let is_loaded = shard.is_loaded();
-        let open_tokens = || {
-            let ledger = shard.ledger();
-            ledger.open_tokens(&route.host, &route.prefix, customer)
-        };
-        let read = is_loaded.then(open_tokens);
-        if shard.is_serving() {
-            return read;
-        }
-        // An owner that has not read on does not report the jobs accepted here for it.
-        let reported = core.peers().unfinished_tokens(shard.number(), route_hash);
-        reported.max(read)
-    };
-    let others = core
-        .shards
-        .iter()
-        .filter(|shard| !std::ptr::eq(*shard, target));
-    let other_shards_tokens: Option<u64> = others.map(tokens).sum();
+    let scope = Scope::new(route, customer);
+    let other_shards_tokens = scope.tokens_without(core, target);
     Ok(Some(Quota {
         max_tokens,
         other_shards_tokens: other_shards_tokens.ok_or(Code::LogUnavailable)?,
-        host: route.host.clone(),
-        prefix: route.prefix.clone(),
-        customer: customer.map(CompactString::from),
+        host: scope.host,
+        prefix: scope.prefix,
+        customer: scope.customer,
     }))
 }
 
@@ -350,13 +331,33 @@
             is_public: route.is_public,
         }),
     };
-    let op = Op::Accept(submission, quota(core, route, shard, customer)?);
+    let permit = token_quota::acquire(core, route, customer, shard, &submission).await?;
+    let decided = append(core, target, shard, submission).await;
+    if let (Err(code), Some(permit)) = (decided, permit)
+        && code.ran() == Ran::NotRun
+    {
+        permit.release(core);
+    }
+    decided
+}
+
+/// Appends a job to its shard.
+async fn append<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    target: &Target<'_>,
+    shard: &Shard,
+    submission: Submission,
+) -> Result<(), Code> {
+    let Target { route, access, .. } = *target;
+    let id = submission.id.clone();
+    // Owners of earlier versions accept jobs without a grant, so the ledgers count as well.
+    let op = Op::Accept(submission, quota(core, route, shard, access.customer())?);
     match shard.submit(op, clock::now() + WRITE_TIMEOUT).await {
         Ok(Decision::QuotaExceeded) => Err(Code::TokenLimited),
         Ok(Decision::TooLarge) => Err(Code::BodyTooLarge),
         Ok(Decision::OtherCustomer) => Err(Code::KeyConflict),
         Ok(_) => {
-            log::job_accepted(id, &route.name, shard.number());
+            log::job_accepted(&id, &route.name, shard.number());
             Ok(())
         }
         Err(Undecided::NotApplied) => Err(Code::LogUnavailable),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,6 +49,7 @@
 mod shutdown;
 mod streams;
 mod submission;
+mod token_quota;
 mod tokens;
 mod upstream;
 mod watch;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -9,13 +9,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use bitterncart_coordination::fleet::capacity;
 use bitterncart_coordination::fleet::links::{Change, Check};
 use bitterncart_coordination::fleet::pool::Selection;
 use bitterncart_coordination::fleet::quarantine::{Subject, Suspect, Verdict};
 use bitterncart_coordination::fleet::replica::Process;
 use bitterncart_coordination::fleet::streams::Answer;
 use bitterncart_coordination::fleet::{Build, Decision, Outcome, Profile, Route};
+use bitterncart_coordination::fleet::{capacity, token_quota};
 use bitterncart_protocol::Code;
 use bitterncart_state::ledger::Record;
 use spdlog::formatter::JsonFormatter;
@@ -241,6 +241,24 @@
     info!("job accepted", kv: { job = id, route, shard });
 }
 
+/// A job on a route with a token quota was decided about; `by` the records or the own share.
+pub(crate) fn token_quota_decided(
+    ask: &token_quota::Ask,
+    by: &str,
+    decision: token_quota::Decision,
+) {
+    if !rate_limit::try_acquire() {
+        return;
+    }
+    let (job, shard, tokens) = (ask.grant.job.as_str(), ask.grant.shard, ask.grant.tokens);
+    let quota = format!("{:08x}", ask.quota);
+    let (open, granted) = (decision.sums.open, decision.sums.granted);
+    let verdict = decision.verdict.name();
+    info!("token quota decided", kv: {
+        job, shard, quota = quota.as_str(), tokens, open, granted, max = ask.max_tokens, by, verdict
+    });
+}
+
 pub(crate) fn job_cancelled(id: &str) {
     info!("job cancelled by the client", kv: { job = id });
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,6 +8,7 @@
 
 use bitterncart_coordination::fleet::links::Check;
 use bitterncart_coordination::fleet::preemption::Reason;
+use bitterncart_coordination::fleet::token_quota::Verdict;
 use bitterncart_coordination::fleet::{Decision, Outcome, Route};
 use bitterncart_protocol::Code;
 use compact_str::{CompactString, format_compact};
@@ -180,6 +181,19 @@
         self.add(format_compact!("checkpoints_total{{end=\"{end}\"}}"));
     }
 
+    /// Job on a route with a token quota; decided `by` the records or the own share.
+    pub(crate) fn token_quota(&self, by: &str, verdict: Verdict) {
+        let verdict = verdict.name();
+        self.add(format_compact!(
+            "token_quota_decisions_total{{by=\"{by}\",verdict=\"{verdict}\"}}"
+        ));
+    }
+
+    /// Append of grants that conflicted with one of another daemon.
+    pub(crate) fn token_quota_conflict(&self) {
+        self.add("token_quota_conflicts_total".into());
+    }
+
     pub(crate) fn item_run(&self, why: &str) {
         self.add(format_compact!("batch_runs_total{{end=\"{why}\"}}"));
     }
--- a/crates/gateway/src/shard.rs
+++ b/crates/gateway/src/shard.rs
@@ -580,6 +580,12 @@
     }
 }
 
+/// Random time to wait after an append that conflicted with one of another daemon.
+pub(crate) fn conflict_backoff(conflicts: u32) -> Duration {
+    let max_backoff = CONFLICT_BACKOFF * (1 << conflicts.min(MAX_BACKOFF_DOUBLINGS));
+    max_backoff.mul_f64(rand::random())
+}
+
 /// Reads the records that caused a conflict after a random backoff. Always
 /// returns `false`, as the operations have to be planned again.
 async fn read_after_conflict<S: Store, D: Dialect>(
@@ -591,8 +597,7 @@
 ) -> bool {
     // The backoff precedes the read, so that the next append follows the read
     // immediately.
-    let max_backoff = CONFLICT_BACKOFF * (1 << conflicts.min(MAX_BACKOFF_DOUBLINGS));
-    smol::Timer::after(max_backoff.mul_f64(rand::random())).await;
+    smol::Timer::after(conflict_backoff(conflicts)).await;
     loop {
         match shard.catch_up(core).await {
             Ok(()) => break,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -85,6 +85,8 @@
     Members,
     /// Ledger of batch jobs, by shard.
     Ledger(u16),
+    /// Grants for jobs on routes with a token quota.
+    Quotas,
 }
 
 /// Part of a record that cannot be used.
--- a/crates/gateway/tests/gateway/owner.rs
+++ b/crates/gateway/tests/gateway/owner.rs
@@ -47,6 +47,7 @@
                 limits: Vec::new(),
                 links: None,
                 speeds: Vec::new(),
+                recent_jobs: None,
             };
             let bytes = postcard::to_stdvec(&heartbeat).expect("a heartbeat");
             // A lost heartbeat is followed by others.
--- a/crates/gateway/tests/gateway/quota.rs
+++ b/crates/gateway/tests/gateway/quota.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use bitterncart_coordination::fleet::Kind;
+use bitterncart_coordination::fleet::token_quota::GRANT_TTL;
 use bitterncart_gateway::store::Topic;
+use bitterncart_testing::cases;
 
 use crate::harness::{Gateway, manifest, request, status, wait_until};
 use crate::owner::send_heartbeats_as_owner;
 use crate::replica::{Action, ScriptedReplica};
-use crate::store::MemoryStore;
+use crate::store::{Fault, MemoryStore};
 
 /// Daemons of the fleet.
 const DAEMONS: usize = 4;
@@ -121,3 +123,133 @@
         assert_eq!(accepted, FEW_JOBS);
     });
 }
+
+/// Jobs that come one after the other, before those that come at once.
+const FIRST_JOBS: u64 = 11;
+
+/// Jobs that come at the same moment.
+const JOBS_AT_ONCE: u64 = 9;
+
+/// Answers to jobs that come one after the other, and then to others that come at the same
+/// moment, at `daemons` in turn.
+async fn submit_at_once(daemons: &[Gateway], before: impl FnOnce()) -> Vec<u16> {
+    let submit = async |n: u64| {
+        let job = request("POST", "/items/", &format!("job{n}"), "one\n");
+        status(&daemons[n as usize % daemons.len()].fetch(&job).await)
+    };
+    for n in 0..FIRST_JOBS {
+        assert_eq!(submit(n).await, 202, "job {n}");
+    }
+    before();
+    let executor = smol::LocalExecutor::new();
+    let tasks: Vec<_> = (FIRST_JOBS..FIRST_JOBS + JOBS_AT_ONCE)
+        .map(|n| executor.spawn(submit(n)))
+        .collect();
+    let all = async {
+        let mut answers = Vec::new();
+        for task in tasks {
+            answers.push(task.await);
+        }
+        answers
+    };
+    executor.run(all).await
+}
+
+fn count(answers: &[u16], status: u16) -> u64 {
+    answers.iter().filter(|answer| **answer == status).count() as u64
+}
+
+cases! {
+    /// Guards against jobs that come at the same moment and are all accepted, as each is
+    /// compared with the sum from before the others (review, case 14), and against jobs that
+    /// fit and are refused.
+    fn quota_of_jobs_at_the_same_moment(daemons: usize, room: u64, fault: Fault) {
+        smol::block_on(async {
+            let store = store_with_quota(FIRST_JOBS + room);
+            let fleet = start_fleet(&store).await;
+            let answers = submit_at_once(&fleet[..daemons], || store.set_fault(fault)).await;
+            let fitting = room.min(JOBS_AT_ONCE);
+            assert_eq!(count(&answers, 202), fitting, "{answers:?}");
+            assert_eq!(count(&answers, 429), JOBS_AT_ONCE - fitting, "{answers:?}");
+        });
+    }
+    jobs_at_once_at_one_daemon(1, 1, Fault::None);
+    jobs_at_once_at_all_daemons(DAEMONS, 1, Fault::None);
+    jobs_at_once_at_all_daemons_while_appends_are_slow(
+        DAEMONS,
+        1,
+        Fault::Slow(Duration::from_millis(200))
+    );
+    jobs_at_once_that_fit_in_part(DAEMONS, 5, Fault::None);
+    jobs_at_once_that_all_fit(DAEMONS, JOBS_AT_ONCE, Fault::None);
+}
+
+cases! {
+    /// Guards against jobs that pass the quota while its records cannot be written, and
+    /// against a fleet that accepts none then.
+    fn quota_without_its_records(fault: Fault) {
+        smol::block_on(async {
+            const ROOM: u64 = JOBS_AT_ONCE * DAEMONS as u64;
+            let store = store_with_quota(FIRST_JOBS + ROOM);
+            let fleet = start_fleet(&store).await;
+            let answers = submit_at_once(&fleet, || store.set_fault(fault)).await;
+            // Each daemon has room for all of them.
+            assert_eq!(count(&answers, 202), JOBS_AT_ONCE, "{answers:?}");
+            let mut accepted = FIRST_JOBS + JOBS_AT_ONCE;
+            for n in 0..SUBMITTED / 4 {
+                let job = request("POST", "/items/", &format!("more{n}"), "one\n");
+                let answer = status(&fleet[n as usize % DAEMONS].fetch(&job).await);
+                assert!([202, 429].contains(&answer), "{answer}");
+                accepted += u64::from(answer == 202);
+            }
+            assert!(accepted <= FIRST_JOBS + ROOM, "{accepted}");
+        });
+    }
+    quota_while_its_records_are_refused(Fault::QuotasUnavailable);
+    quota_while_its_records_get_no_answer(Fault::QuotasSilent);
+}
+
+/// Guards against a grant of a job that no shard took, which would keep other jobs out.
+#[test]
+fn grant_of_a_job_that_is_not_recorded_is_released() {
+    smol::block_on(async {
+        let store = store_with_quota(FEW_JOBS);
+        let gateway = Gateway::start_with_shards(&store, 2).await;
+        wait_until("both shards", || {
+            gateway.daemon.is_serving(0) && gateway.daemon.is_serving(1)
+        })
+        .await;
+        smol::Timer::after(Duration::from_millis(1500)).await;
+        store.set_fault(Fault::Unavailable);
+        for n in 0..FEW_JOBS {
+            let job = request("POST", "/items/", &format!("lost{n}"), "one\n");
+            assert_eq!(status(&gateway.fetch(&job).await), 503);
+        }
+        store.set_fault(Fault::None);
+        let started = std::time::Instant::now();
+        for n in 0..FEW_JOBS {
+            let job = request("POST", "/items/", &format!("job{n}"), "one\n");
+            wait_until("the store to be used again", || {
+                status(&smol::block_on(gateway.fetch(&job))) == 202
+            })
+            .await;
+        }
+        assert!(started.elapsed() < GRANT_TTL / 2, "{:?}", started.elapsed());
+    });
+}
+
+/// Guards against a job that is repeated elsewhere and counts twice.
+#[test]
+fn repeated_job_counts_once() {
+    smol::block_on(async {
+        let store = store_with_quota(1);
+        let fleet = start_fleet(&store).await;
+        let job = request("POST", "/items/", "job", "one\n");
+        for gateway in &fleet {
+            assert_eq!(status(&gateway.fetch(&job).await), 202);
+        }
+        let other = request("POST", "/items/", "other", "one\n");
+        assert_eq!(status(&fleet[0].fetch(&other).await), 429);
+        assert_eq!(store.records(Topic::Quotas).len(), 1);
+    });
+}
--- a/crates/gateway/tests/gateway/relay.rs
+++ b/crates/gateway/tests/gateway/relay.rs
@@ -115,6 +115,7 @@
             quarantine: Default::default(),
             links: Some(links::Report::default()),
             speeds: Vec::new(),
+            recent_jobs: None,
         };
         let bytes = heartbeat.encode().expect("a heartbeat");
         for daemon in shared.store.registered_daemons() {
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -28,11 +28,32 @@
     SlowReads(Duration),
     /// Appends and reads of the newest records are refused.
     Unavailable,
+    /// Calls about the grants of quotas are refused.
+    QuotasUnavailable,
+    /// Calls about the grants of quotas get no response.
+    QuotasSilent,
     /// Reads of other topics bring nothing that can be decoded; pages of the newest records
     /// do.
     Undecodable,
 }
 
+/// Time for which a read gets no response, longer than any of its timeouts.
+const SILENCE: Duration = Duration::from_secs(20);
+
+impl Fault {
+    /// Fails a call about the grants of quotas.
+    async fn check_quotas(self, timeout: Duration) -> Result<(), Failure> {
+        match self {
+            Self::QuotasUnavailable => Err(Failure::Refused(503)),
+            Self::QuotasSilent => {
+                smol::Timer::after(timeout).await;
+                Err(Failure::OutcomeUnknown("silence".into()))
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
 /// Maximum size of a record, in bytes.
 const RECORD_BYTES: usize = 256 << 10;
 
@@ -259,14 +280,20 @@
         timeout: Duration,
     ) -> Result<u64, Failure> {
         self.check_access()?;
+        let fault = *self.shared.fault.lock().expect("lock");
+        if topic == Topic::Quotas {
+            fault.check_quotas(timeout).await?;
+        }
         let fault = match topic {
-            Topic::Ledger(_) => *self.shared.fault.lock().expect("lock"),
+            Topic::Ledger(_) => fault,
             _ => Fault::None,
         };
         match fault {
-            Fault::None | Fault::SlowReads(_) | Fault::Undecodable => {
-                self.append_now(topic, expected_end, records)
-            }
+            Fault::None
+            | Fault::SlowReads(_)
+            | Fault::Undecodable
+            | Fault::QuotasUnavailable
+            | Fault::QuotasSilent => self.append_now(topic, expected_end, records),
             Fault::Slow(time) => {
                 smol::Timer::after(time).await;
                 self.append_now(topic, expected_end, records)
@@ -288,6 +315,9 @@
     async fn read(&self, topic: Topic, start_offset: u64, wait: Duration) -> Result<Read, Failure> {
         self.check_access()?;
         let fault = *self.shared.fault.lock().expect("lock");
+        if topic == Topic::Quotas {
+            fault.check_quotas(SILENCE).await?;
+        }
         if let (Fault::SlowReads(time), Topic::Ledger(_)) = (fault, topic) {
             smol::Timer::after(time).await;
         }
