coordination: grants end by the daemon's own steady clock alone

Cause: a grant also ended 60 s after its time by the wall clock, so that a record from long ago would not count. Whoever writes the record of a quota leaves out what does not count, so one daemon whose wall clock has jumped ahead would drop the grants of all others, and jobs at the same moment would pass the quota again. Found by reading; a step of the clock is among what may happen at any time.

Change: a grant counts for 15 s after a daemon first read it, by its own steady clock, and carries no time. The price is that a daemon that starts counts the grants of an old record for 15 s, unless their jobs are in its ledgers or reported.

Also: the two decisions about a job share their end (Decision::of).

--- a/crates/coordination/src/fleet/token_quota.rs
+++ b/crates/coordination/src/fleet/token_quota.rs
@@ -24,9 +24,9 @@
 /// answer may take effect seconds later, and another daemon takes a shard over within three.
 pub const GRANT_TTL: Duration = Duration::from_secs(15);
 
-/// Age by the wall clock above which a grant does not count, as its record may be left from
-/// long ago. It is well above the difference of two wall clocks.
-pub const MAX_GRANT_AGE: Duration = Duration::from_secs(60);
+/// Age of a job, by the wall clock, up to which its owner names it in heartbeats: several times
+/// [`GRANT_TTL`], as wall clocks differ.
+pub const MAX_REPORTED_AGE: Duration = Duration::from_secs(60);
 
 /// Age from which a job counts as reported by an owner of an earlier version, which does not
 /// report the jobs that it knows: an append takes 1.8 s at most, a heartbeat 0.35 s.
@@ -44,8 +44,6 @@
     pub shard: u16,
     /// Tokens of the job.
     pub tokens: u64,
-    /// Time of the grant, in milliseconds since 1970.
-    pub granted_ms: u64,
     /// Random number of the submission that it is for. A repetition of the job takes the
     /// grant over with its own number.
     pub nonce: u32,
@@ -160,6 +158,24 @@
     pub sums: Sums,
 }
 
+impl Decision {
+    const UNKNOWN: Self = Self {
+        verdict: Verdict::Unknown,
+        sums: Sums {
+            open: 0,
+            granted: 0,
+        },
+    };
+
+    fn of(fits: bool, sums: Sums) -> Self {
+        let verdict = match fits {
+            true => Verdict::Granted,
+            false => Verdict::Exceeded,
+        };
+        Self { verdict, sums }
+    }
+}
+
 /// Records to append, by key, and a decision for each change.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Plan {
@@ -181,21 +197,12 @@
         now.saturating_sub(self.seen_at)
     }
 
-    fn counts(&self, now: Duration, wall_ms: u64) -> bool {
-        let wall_age = wall_ms.saturating_sub(self.grant.granted_ms);
-        self.age(now) < GRANT_TTL && u128::from(wall_age) < MAX_GRANT_AGE.as_millis()
+    /// Whether it still counts. Only the clock of this daemon decides, as wall clocks jump.
+    fn counts(&self, now: Duration) -> bool {
+        self.age(now) < GRANT_TTL
     }
 }
 
-/// Time as a daemon knows it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Now {
-    /// Clock that includes suspensions.
-    pub clock: Duration,
-    /// Wall clock, in milliseconds since 1970.
-    pub wall_ms: u64,
-}
-
 /// What is known of the shards, by their number; `None` if the tokens of one are not known.
 pub type Shards = Option<Vec<Known>>;
 
@@ -236,26 +243,26 @@
     }
 
     /// Grants of a quota that still count, also those of jobs that are seen in a ledger.
-    pub fn grants(&self, now: Now, quota: u32) -> impl Iterator<Item = &Grant> {
+    pub fn grants(&self, now: Duration, quota: u32) -> impl Iterator<Item = &Grant> {
         self.entries(now, quota).map(|entry| &entry.grant)
     }
 
-    fn entries(&self, now: Now, quota: u32) -> impl Iterator<Item = &Entry> {
+    fn entries(&self, now: Duration, quota: u32) -> impl Iterator<Item = &Entry> {
         let recorded = self.quotas.get(&quota).map_or(&[][..], Vec::as_slice);
         let local = self.local.get(&quota).map_or(&[][..], Vec::as_slice);
         let is_recorded = |job: &str| recorded.iter().any(|entry| entry.grant.job == job);
         let local = local
             .iter()
             .filter(move |entry| !is_recorded(&entry.grant.job));
-        let counts = move |entry: &&Entry| entry.counts(now.clock, now.wall_ms);
+        let counts = move |entry: &&Entry| entry.counts(now);
         recorded.iter().chain(local).filter(counts)
     }
 
     /// Tokens that are queued without those of a job.
-    fn sums(&self, now: Now, ask: &Ask, shards: &[Known]) -> Sums {
+    fn sums(&self, now: Duration, ask: &Ask, shards: &[Known]) -> Sums {
         let is_seen = |entry: &Entry| {
             let shard = shards.get(usize::from(entry.grant.shard));
-            shard.is_some_and(|known| known.jobs.include(&entry.grant, entry.age(now.clock)))
+            shard.is_some_and(|known| known.jobs.include(&entry.grant, entry.age(now)))
         };
         let others = self.entries(now, ask.quota);
         let others = others.filter(|entry| entry.grant.job != ask.grant.job);
@@ -278,7 +285,7 @@
     /// ended.
     pub fn plan<'a>(
         &self,
-        now: Now,
+        now: Duration,
         changes: impl IntoIterator<Item = &'a Change>,
         shards: impl Fn(u32) -> &'a Shards,
     ) -> Plan {
@@ -299,7 +306,7 @@
             .into_iter()
             .map(|quota| {
                 let entries = table.quotas.get(&quota).into_iter().flatten();
-                let counting = entries.filter(|entry| entry.counts(now.clock, now.wall_ms));
+                let counting = entries.filter(|entry| entry.counts(now));
                 let grants: Vec<&Grant> = counting.map(|entry| &entry.grant).collect();
                 let value = postcard::to_stdvec(&grants).unwrap_or_default();
                 (format_compact!("{quota:08x}"), value)
@@ -309,38 +316,33 @@
     }
 
     /// Carries out a change.
-    fn change(&mut self, now: Now, change: &Change, shards: &Shards) -> Decision {
-        let sums = |table: &Self, ask| table.sums(now, ask, shards.as_deref().unwrap_or(&[]));
-        let (ask, verdict, sums) = match change {
+    fn change(&mut self, now: Duration, change: &Change, shards: &Shards) -> Decision {
+        match change {
+            Change::Add(ask) => self.add(now, ask, shards),
             Change::Release(ask) => {
                 let entries = self.quotas.entry(ask.quota).or_default();
                 entries.retain(|entry| entry.grant != ask.grant);
-                (ask, Verdict::Granted, Sums::default())
-            }
-            Change::Add(ask) => {
-                let sums = sums(self, ask);
-                let count = self.quotas.get(&ask.quota).map_or(0, Vec::len);
-                let fits = sum([sums.open, sums.granted, ask.grant.tokens]) <= ask.max_tokens;
-                let verdict = match shards {
-                    None => Verdict::Unknown,
-                    Some(_) if fits && count < MAX_GRANTS => Verdict::Granted,
-                    Some(_) => Verdict::Exceeded,
-                };
-                (ask, verdict, sums)
+                Decision::of(true, Sums::default())
             }
+        }
+    }
+
+    fn add(&mut self, now: Duration, ask: &Ask, shards: &Shards) -> Decision {
+        let Some(shards) = shards else {
+            return Decision::UNKNOWN;
         };
-        if let (Change::Add(_), Verdict::Granted) = (change, verdict) {
-            let entries = self.quotas.entry(ask.quota).or_default();
-            let is_known = entries.iter().any(|entry| entry.grant == ask.grant);
-            if !is_known {
-                entries.retain(|entry| entry.grant.job != ask.grant.job);
-                entries.push(Entry {
-                    grant: ask.grant.clone(),
-                    seen_at: now.clock,
-                });
-            }
+        let sums = self.sums(now, ask, shards);
+        let queued = sum([sums.open, sums.granted, ask.grant.tokens]);
+        let entries = self.quotas.entry(ask.quota).or_default();
+        let fits = queued <= ask.max_tokens && entries.len() < MAX_GRANTS;
+        if fits && !entries.iter().any(|entry| entry.grant == ask.grant) {
+            entries.retain(|entry| entry.grant.job != ask.grant.job);
+            entries.push(Entry {
+                grant: ask.grant.clone(),
+                seen_at: now,
+            });
         }
-        Decision { verdict, sums }
+        Decision::of(fits, sums)
     }
 
     /// Decides while the topic cannot be written: the job fits if it takes, together with all
@@ -349,21 +351,16 @@
     /// each other's jobs.
     pub fn decide_locally(
         &mut self,
-        now: Now,
+        now: Duration,
         ask: &Ask,
         shards: &Shards,
         daemons: usize,
     ) -> Decision {
         let Some(shards) = shards else {
-            return Decision {
-                verdict: Verdict::Unknown,
-                sums: Sums::default(),
-            };
+            return Decision::UNKNOWN;
         };
         let mut local = self.local.remove(&ask.quota).unwrap_or_default();
-        local.retain(|entry| {
-            entry.grant.job != ask.grant.job && entry.counts(now.clock, now.wall_ms)
-        });
+        local.retain(|entry| entry.grant.job != ask.grant.job && entry.counts(now));
         let sums = self.sums(now, ask, shards);
         let queued = sum([sums.open, sums.granted]);
         let share = ask.max_tokens.saturating_sub(queued) / daemons.max(1) as u64;
@@ -372,15 +369,11 @@
         if fits {
             local.push(Entry {
                 grant: ask.grant.clone(),
-                seen_at: now.clock,
+                seen_at: now,
             });
         }
         self.local.insert(ask.quota, local);
-        let verdict = match fits {
-            true => Verdict::Granted,
-            false => Verdict::Exceeded,
-        };
-        Decision { verdict, sums }
+        Decision::of(fits, sums)
     }
 }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -19,7 +19,7 @@
 use bitterncart_coordination::fleet::rate_limit::{self, Message};
 use bitterncart_coordination::fleet::request_quota::Message as RequestQuotaMessage;
 use bitterncart_coordination::fleet::streams::Message as StreamMessage;
-use bitterncart_coordination::fleet::token_quota::{MAX_GRANT_AGE, job_hash};
+use bitterncart_coordination::fleet::token_quota::{MAX_REPORTED_AGE, job_hash};
 use bitterncart_coordination::fleet::{Group, Heartbeat, Kind, Queued, Route};
 use compact_str::CompactString;
 use futures_lite::future;
@@ -333,7 +333,7 @@
     if !routes.any(|route| route.batch.max_tokens.is_some()) {
         return Vec::new();
     }
-    let oldest_ms = clock::wall().saturating_sub(MAX_GRANT_AGE).as_millis() as u64;
+    let oldest_ms = clock::wall().saturating_sub(MAX_REPORTED_AGE).as_millis() as u64;
     let mut recent: Vec<(u64, u16, u32)> = Vec::new();
     for shard in core.shards.iter().filter(|shard| shard.is_serving()) {
         let ledger = shard.ledger();
--- a/crates/gateway/src/token_quota.rs
+++ b/crates/gateway/src/token_quota.rs
@@ -13,7 +13,7 @@
 
 use async_channel::{Receiver, Sender};
 use bitterncart_coordination::fleet::token_quota::{
-    Ask, Change, Decision, Grant, Jobs, Known, Now, Plan, Shards, Table, Verdict,
+    Ask, Change, Decision, Grant, Jobs, Known, Plan, Shards, Table, Verdict,
 };
 use bitterncart_coordination::fleet::{Customer, Route};
 use bitterncart_protocol::Code;
@@ -170,13 +170,6 @@
     }
 }
 
-fn now() -> Now {
-    Now {
-        clock: clock::now(),
-        wall_ms: clock::wall().as_millis() as u64,
-    }
-}
-
 /// Permission to append one job.
 #[derive(Debug)]
 pub(crate) struct Permit {
@@ -222,7 +215,6 @@
             job: job.id.clone(),
             shard: shard.number(),
             tokens: tokens.fold(0, u64::saturating_add),
-            granted_ms: now().wall_ms,
             nonce: rand::random(),
         },
     };
@@ -268,7 +260,7 @@
         .len()
         .max(core.peers().live(clock::now()).count() + 1);
     let mut table = core.token_quotas.table();
-    table.decide_locally(now(), ask, &shards, daemons)
+    table.decide_locally(clock::now(), ask, &shards, daemons)
 }
 
 /// What the shards are known to hold; `None` if that of one is not known, or may be from
@@ -278,7 +270,7 @@
         return None;
     }
     let table = core.token_quotas.table();
-    let grants: Vec<Grant> = table.grants(now(), scope.id).cloned().collect();
+    let grants: Vec<Grant> = table.grants(clock::now(), scope.id).cloned().collect();
     drop(table);
     let shards = core.shards.iter();
     shards
@@ -390,7 +382,7 @@
     }
     let changes = pending.iter().map(|change| &change.change);
     let table = core.token_quotas.table();
-    table.plan(now(), changes, |quota| &shards[&quota])
+    table.plan(clock::now(), changes, |quota| &shards[&quota])
 }
 
 /// Reads the grants to the end of the topic.
