--- a/crates/gateway/tests/gateway/quota.rs
+++ b/crates/gateway/tests/gateway/quota.rs
@@ -66,6 +66,20 @@
     daemons
 }
 
+/// Runs futures at the same time; returns what they returned, in their order.
+async fn join<T>(futures: impl Iterator<Item = impl Future<Output = T>>) -> Vec<T> {
+    let executor = smol::LocalExecutor::new();
+    let tasks: Vec<_> = futures.map(|future| executor.spawn(future)).collect();
+    let all = async {
+        let mut results = Vec::new();
+        for task in tasks {
+            results.push(task.await);
+        }
+        results
+    };
+    executor.run(all).await
+}
+
 /// Guards against a fleet that accepts more than a tenth beyond the quota, as each
 /// owner counts what the others reported a moment ago.
 #[test]
@@ -74,7 +88,6 @@
         let store = store_with_quota(MAX_JOBS);
         let daemons = start_fleet(&store).await;
         let accepted = Cell::new(0);
-        let executor = smol::LocalExecutor::new();
         let submit = async |n: u64| {
             smol::Timer::after(Duration::from_secs(n) / JOBS_PER_S).await;
             let job = request("POST", "/items/", &format!("job{n}"), "one\n");
@@ -85,13 +98,7 @@
                 _ => panic!("{response}"),
             }
         };
-        let tasks: Vec<_> = (0..SUBMITTED).map(|n| executor.spawn(submit(n))).collect();
-        let all = async {
-            for task in tasks {
-                task.await;
-            }
-        };
-        executor.run(all).await;
+        join((0..SUBMITTED).map(submit)).await;
         let accepted = accepted.get();
         assert!(accepted * 10 <= MAX_JOBS * 11, "{accepted} of {MAX_JOBS}");
         assert!(accepted * 10 >= MAX_JOBS * 9, "{accepted} of {MAX_JOBS}");
@@ -141,18 +148,7 @@
         assert_eq!(submit(n).await, 202, "job {n}");
     }
     before();
-    let executor = smol::LocalExecutor::new();
-    let tasks: Vec<_> = (FIRST_JOBS..FIRST_JOBS + JOBS_AT_ONCE)
-        .map(|n| executor.spawn(submit(n)))
-        .collect();
-    let all = async {
-        let mut answers = Vec::new();
-        for task in tasks {
-            answers.push(task.await);
-        }
-        answers
-    };
-    executor.run(all).await
+    join((FIRST_JOBS..FIRST_JOBS + JOBS_AT_ONCE).map(submit)).await
 }
 
 fn count(answers: &[u16], status: u16) -> u64 {
