gateway: one function reads the newest records of a topic

The grants of quotas were read by a loop over pages that stood in watch::Tail and in daemon::read_members already. Records are applied once all pages are read.

A read of the grants that fails no longer throws the position away, which made each retry read all of them again; only one that cannot be decoded does, as in the shards. Known and Jobs have no default, as nothing uses one.

--- a/crates/coordination/src/fleet/token_quota.rs
+++ b/crates/coordination/src/fleet/token_quota.rs
@@ -80,7 +80,7 @@
 }
 
 /// What a daemon knows of the jobs in a shard.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Known {
     /// Tokens of the unfinished items of a quota.
     pub tokens: u64,
@@ -89,10 +89,9 @@
 }
 
 /// Jobs that a sum of tokens includes, unless they have finished.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Jobs {
     /// Not reported, by an owner of an earlier version.
-    #[default]
     Unreported,
     /// Those with these short ids, and older ones.
     Reported(Vec<u32>),
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -30,7 +30,8 @@
 use crate::settings::Settings;
 use crate::shard::Shard;
 use crate::store::{Failure, Store, Topic};
-use crate::{catalog, confirmation, gossip, runner, shard, token_quota, watch};
+use crate::watch::{self, UNLIMITED, read_snapshot};
+use crate::{catalog, confirmation, gossip, runner, shard, token_quota};
 
 /// Interval between checks for active requests and items during the shutdown.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -234,20 +235,7 @@
 pub(crate) async fn read_members<S: Store, D: Dialect>(
     core: &Core<S, D>,
 ) -> Result<BTreeSet<SocketAddr>, Failure> {
-    let mut records: Vec<Record> = Vec::new();
-    loop {
-        let after = records.last().map(|record| record.key.clone());
-        let page = core
-            .store
-            .read_newest(Topic::Members, after.as_deref())
-            .await?;
-        core.record_store_success();
-        let has_more = page.has_more && !page.records.is_empty();
-        records.extend(page.records);
-        if !has_more {
-            break;
-        }
-    }
+    let (records, _end) = read_snapshot(core, Topic::Members, UNLIMITED).await?;
     catalog::apply(core, &records);
     // Other versions may use other keys; those are skipped.
     let addresses = records.iter().map(|r| r.key.parse::<SocketAddr>());
--- a/crates/gateway/src/token_quota.rs
+++ b/crates/gateway/src/token_quota.rs
@@ -28,6 +28,7 @@
 use crate::ownership::route_hash;
 use crate::shard::{Shard, conflict_backoff};
 use crate::store::{Failure, Store, Topic};
+use crate::watch::read_snapshot;
 
 /// Time after which a job without a decision is decided by the share of this daemon. With the
 /// append of the job it is within the latency objectives of jobs, of which the shortest one
@@ -393,7 +394,9 @@
     loop {
         let started = clock::now();
         let Some(next) = position.next else {
-            position.next = Some(read_whole(core).await?);
+            let (records, end) = read_snapshot(core, Topic::Quotas, CALL_TIMEOUT).await?;
+            apply(core, &records);
+            position.next = Some(end);
             continue;
         };
         let read = core.store.read(Topic::Quotas, next, Duration::ZERO);
@@ -414,7 +417,10 @@
             }
             Some(Err(Failure::Truncated)) => position.next = None,
             Some(Err(e)) => {
-                position.next = None;
+                if matches!(e, Failure::Undecodable(_)) {
+                    // A read from the same offset may bring the same; pages do not.
+                    position.next = None;
+                }
                 return Err(e);
             }
             None => return Err(Failure::OutcomeUnknown("silence".into())),
@@ -422,24 +428,6 @@
     }
 }
 
-/// Reads the newest grants of each quota; returns the offset after which to read on.
-async fn read_whole<S: Store, D: Dialect>(core: &Core<S, D>) -> Result<u64, Failure> {
-    let mut after: Option<CompactString> = None;
-    let mut next = None;
-    loop {
-        let page = core.store.read_newest(Topic::Quotas, after.as_deref());
-        let page = with_timeout(CALL_TIMEOUT, page).await;
-        let page = page.unwrap_or(Err(Failure::OutcomeUnknown("silence".into())))?;
-        core.record_store_success();
-        next.get_or_insert(page.end_offset);
-        apply(core, &page.records);
-        match page.records.last() {
-            Some(last) if page.has_more => after = Some(last.key.clone()),
-            _ => return Ok(next.unwrap_or(0)),
-        }
-    }
-}
-
 fn apply<S: Store, D: Dialect>(core: &Core<S, D>, records: &[Record]) {
     let now = clock::now();
     for record in records {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -13,7 +13,7 @@
 use bitterncart_state::ledger::Record;
 use compact_str::CompactString;
 
-use crate::clock;
+use crate::clock::{self, with_timeout};
 use crate::core::Core;
 use crate::dialect::Dialect;
 use crate::invalid::InvalidRecords;
@@ -38,6 +38,9 @@
 /// read instead.
 const MAX_UNDECODABLE_READS: u32 = 3;
 
+/// Timeout of a page for which that of the store's client is enough.
+pub(crate) const UNLIMITED: Duration = Duration::MAX;
+
 /// Interval between removals of expired replicas and idle connections.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -69,7 +72,7 @@
     ) {
         loop {
             let asked_at = clock::now();
-            let mut offset = match self.read_newest().await {
+            let mut offset = match read_snapshot(&self.core, self.topic, UNLIMITED).await {
                 Ok((records, end)) => {
                     on_snapshot(records);
                     on_current(Reading::Snapshot(end), asked_at);
@@ -122,25 +125,31 @@
             }
         }
     }
+}
 
-    /// Reads the newest record of each key and the offset at which to continue.
-    async fn read_newest(&self) -> Result<(Vec<Record>, u64), Failure> {
-        let mut all: Vec<Record> = Vec::new();
-        let mut start_offset = None;
-        loop {
-            let after = all.last().map(|record| record.key.clone());
-            let page = self
-                .core
-                .store
-                .read_newest(self.topic, after.as_deref())
-                .await?;
-            self.core.record_store_success();
-            start_offset.get_or_insert(page.end_offset);
-            let has_more = page.has_more && !page.records.is_empty();
-            all.extend(page.records);
-            if !has_more {
-                return Ok((all, start_offset.unwrap_or(0)));
-            }
+/// Reads the newest record of each key of a topic, and the offset at which to continue.
+///
+/// # Errors
+///
+/// If a page cannot be read, or not within `page_timeout`.
+pub(crate) async fn read_snapshot<S: Store, D: Dialect>(
+    core: &Core<S, D>,
+    topic: Topic,
+    page_timeout: Duration,
+) -> Result<(Vec<Record>, u64), Failure> {
+    let mut all: Vec<Record> = Vec::new();
+    let mut start_offset = None;
+    loop {
+        let after = all.last().map(|record| record.key.clone());
+        let page = core.store.read_newest(topic, after.as_deref());
+        let page = with_timeout(page_timeout, page).await;
+        let page = page.unwrap_or(Err(Failure::OutcomeUnknown("silence".into())))?;
+        core.record_store_success();
+        start_offset.get_or_insert(page.end_offset);
+        let has_more = page.has_more && !page.records.is_empty();
+        all.extend(page.records);
+        if !has_more {
+            return Ok((all, start_offset.unwrap_or(0)));
         }
     }
 }
